--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,64 @@
+// Command simhost runs balancers on the simulator's wire: events on standard input, actions on standard
+// output. It hosts many instances, which share nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"grebeledge/internal/wire"
+	"grebeledge/logic"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers every batch of events with one flushed reply until the input ends.
+func run(in io.Reader, w io.Writer) error {
+	var now time.Duration
+	var line []byte
+	instances := map[string]*logic.Balancer{}
+	decoder, out := wire.NewDecoder(in), bufio.NewWriterSize(w, 1<<16)
+	for {
+		m, err := decoder.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		var actions []logic.Action
+		switch m.Kind {
+		case wire.Turn:
+			now = m.Now
+		case wire.Launch:
+			b, err := logic.New(m.Settings, m.Seed)
+			if err != nil {
+				return fmt.Errorf("line %d: %w", decoder.Line(), err)
+			}
+			instances[m.Instance] = b
+			actions = b.Start(now)
+		case wire.Killed:
+			delete(instances, m.Instance)
+		case wire.Event:
+			actions = instances[m.Instance].Handle(now, m.Event)
+		case wire.YourTurn:
+			out.Write(wire.AppendYield(nil))
+			if err := out.Flush(); err != nil {
+				return err
+			}
+		}
+		for _, a := range actions {
+			line = wire.AppendAction(line[:0], m.Instance, a)
+			out.Write(line) // a failed write shows at the flush
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,358 @@
+// Package wire reads the simulator's lines and prints the replies. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"grebeledge/logic"
+)
+
+// Kind says what a Message is.
+type Kind int
+
+// The kinds of messages.
+const (
+	Turn     Kind = iota // a batch begins at Now
+	YourTurn             // a batch ends; the reply is due
+	Launch               // an instance begins, with Settings and Seed
+	Killed               // an instance is gone
+	Event                // an instance has an event
+)
+
+// Message is one decoded line.
+type Message struct {
+	Kind     Kind
+	Now      time.Duration
+	Instance string
+	Settings logic.Settings
+	Seed     uint64
+	Event    logic.Event
+}
+
+// lists is how many numbered lists there are at a time.
+const lists = 16
+
+// Decoder reads messages.
+type Decoder struct {
+	in        *bufio.Reader
+	long      []byte
+	line      int
+	inTurn    bool
+	parser    fastjson.Parser
+	rows      [lists][]logic.Server
+	instances map[string][]string // each one's report fields
+	names     map[string]string   // ids that come again and again, to keep one copy
+	bad       error               // the first fault in the line at hand
+}
+
+// NewDecoder returns a Decoder that reads from r.
+func NewDecoder(r io.Reader) *Decoder {
+	return &Decoder{in: bufio.NewReaderSize(r, 1<<20), instances: map[string][]string{}, names: map[string]string{}}
+}
+
+// Line is the number of the line that the latest message ended on.
+func (d *Decoder) Line() int { return d.line }
+
+// Next returns the next message, or io.EOF at the end of the input. Other errors name the line and the fault.
+func (d *Decoder) Next() (Message, error) {
+	for {
+		text, err := d.read()
+		if err == io.EOF && d.inTurn {
+			return Message{}, fmt.Errorf("line %d: the input ends without YourTurn", d.line)
+		}
+		if err != nil {
+			return Message{}, err
+		}
+		if len(text) == 0 {
+			continue
+		}
+		m, skip, err := d.decode(text)
+		if err != nil {
+			return Message{}, fmt.Errorf("line %d: %w", d.line, err)
+		}
+		if !skip {
+			return m, nil
+		}
+	}
+}
+
+// read returns the next line without its end, however long it is.
+func (d *Decoder) read() ([]byte, error) {
+	d.long = d.long[:0]
+	for {
+		part, err := d.in.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			d.long = append(d.long, part...)
+			continue
+		}
+		if err != nil && (err != io.EOF || len(part)+len(d.long) == 0) {
+			return nil, err
+		}
+		d.line++
+		if len(d.long) > 0 {
+			part = append(d.long, part...)
+			d.long = part
+		}
+		return bytes.TrimSpace(part), nil
+	}
+}
+
+// decode decodes one line; skip says that it holds no message of its own.
+func (d *Decoder) decode(text []byte) (m Message, skip bool, err error) {
+	v, err := d.parser.ParseBytes(text)
+	if err != nil {
+		return m, false, fmt.Errorf("broken JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return m, false, errors.New("not an object")
+	}
+	d.bad = nil
+	kind := d.bytes(v, "type")
+	switch string(kind) {
+	case "Turn":
+		if d.inTurn {
+			return m, false, errors.New("a Turn inside a Turn: YourTurn is missing")
+		}
+		d.inTurn = true
+		return Message{Kind: Turn, Now: d.time(v, "WallNs")}, false, d.bad
+	case "YourTurn":
+		if !d.inTurn {
+			return m, false, errors.New("YourTurn without a Turn")
+		}
+		d.inTurn = false
+		return Message{Kind: YourTurn}, false, nil
+	}
+	if !d.inTurn {
+		return m, false, fmt.Errorf("%q outside a Turn", kind)
+	}
+	if string(kind) == "Census" {
+		d.census(v)
+		return m, true, d.bad
+	}
+	m.Instance = d.name(v, "I")
+	switch string(kind) {
+	case "Launch":
+		m.Kind, m.Seed = Launch, d.uint(v, "Seed")
+		m.Settings = d.launch(m.Instance, v.Get("BootInfo"))
+		return m, false, d.bad
+	case "Killed":
+		m.Kind = Killed
+	default:
+		m.Kind = Event
+	}
+	fields, ok := d.instances[m.Instance]
+	if !ok {
+		return m, false, fmt.Errorf("instance %q was never launched", m.Instance)
+	}
+	if m.Kind == Event {
+		m.Event = d.event(string(kind), v, fields)
+	} else {
+		delete(d.instances, m.Instance)
+	}
+	return m, false, d.bad
+}
+
+func (d *Decoder) event(kind string, v *fastjson.Value, fields []string) logic.Event {
+	switch kind {
+	case "Members":
+		return d.members(v)
+	case "Inbound":
+		return logic.Request{ID: d.str(v, "Tid"), Class: d.int(v, "Category"), Tenant: d.int(v, "Billing"),
+			Key: d.str(v, "Resource"), Deadline: d.time(v, "ExpiresNs"), Again: d.flag(v, "Repeat")}
+	case "Answer":
+		return logic.Outcome{Request: d.str(v, "Tid"), Attempt: d.int(v, "RoundNo"), Server: d.name(v, "Backend"),
+			Result: d.result(v), Took: d.time(v, "LagNs"), Closed: d.flag(v, "Last"), Report: d.report(v, fields)}
+	case "Established":
+		return logic.Streaming{Request: d.str(v, "Tid"), Attempt: d.int(v, "RoundNo")}
+	case "Dropped":
+		return logic.ClientGone{Request: d.str(v, "Tid")}
+	case "Health":
+		return logic.Probed{Server: d.name(v, "Backend"), Result: d.result(v), Took: d.time(v, "LagNs"),
+			Report: d.report(v, fields)}
+	case "Message":
+		data, err := base64.StdEncoding.DecodeString(d.str(v, "Blob"))
+		if err != nil {
+			d.fault("Blob is not base64: %v", err)
+		}
+		return logic.PeerMessage{From: d.int(v, "Who"), Data: data}
+	case "TimeoutFired":
+		return logic.TimerFired{Token: d.uint(v, "Handle")}
+	}
+	d.fault("unknown type %q", kind)
+	return nil
+}
+
+func (d *Decoder) members(v *fastjson.Value) logic.Event {
+	form := string(d.bytes(v, "Form"))
+	switch form {
+	case "unavailable":
+		return logic.ListUnavailable{}
+	case "update", "replace", "restored":
+	default:
+		d.fault("unknown Form %q", form)
+	}
+	n := d.int(v, "Buffer")
+	if n < 0 || n >= lists || d.rows[n] == nil {
+		d.fault("unknown list number %d", n)
+		return nil
+	}
+	return logic.ServerList{Full: form != "update", Servers: d.rows[n]}
+}
+
+// census keeps a numbered list. Each gets rows of its own, since events decoded before may still refer to the
+// rows that had the number.
+func (d *Decoder) census(v *fastjson.Value) {
+	n := d.int(v, "Buffer")
+	if n < 0 || n >= lists {
+		d.fault("list number %d is not from 0 to %d", n, lists-1)
+		return
+	}
+	rows := []logic.Server{}
+	for _, e := range d.array(v, "RowsIn") {
+		s := logic.Server{ID: d.name(e, "Backend"), Zone: d.int(e, "RegionPart"), Cell: d.int(e, "Pack"),
+			Weight: d.float(e, "Units"), Started: d.time(e, "CameUpNs")}
+		switch mode := string(d.bytes(e, "Mode")); mode {
+		case "ready":
+			s.State = logic.Ready
+		case "draining":
+			s.State = logic.Draining
+		case "gone":
+			s.State = logic.Gone
+		default:
+			d.fault("unknown Mode %q", mode)
+		}
+		rows = append(rows, s)
+	}
+	d.rows[n] = rows
+}
+
+var results = map[int]logic.Result{10: logic.OK, 20: logic.Failed, 30: logic.Rejected, 40: logic.TimedOut,
+	50: logic.ConnectFailed, 60: logic.Reset, 70: logic.Cancelled, 80: logic.NotSent}
+
+func (d *Decoder) result(v *fastjson.Value) logic.Result {
+	n := d.int(v, "Result")
+	r, ok := results[n]
+	if !ok {
+		d.fault("unknown Result %d", n)
+	}
+	return r
+}
+
+func (d *Decoder) report(v *fastjson.Value, fields []string) logic.Report {
+	r := logic.NoReport
+	for i, e := range d.array(v, "Usage") {
+		x, err := e.Float64()
+		if err != nil {
+			d.fault("Usage: %v", err)
+		}
+		if i >= len(fields) {
+			break
+		}
+		switch fields[i] {
+		case "util":
+			r.Util = x
+		case "qps":
+			r.Rate = x
+		case "eps":
+			r.Errors = x
+		case "inflight":
+			r.InFlight = x
+		case "queue":
+			r.Queue = x
+		}
+	}
+	return r
+}
+
+func (d *Decoder) fault(format string, args ...any) {
+	if d.bad == nil {
+		d.bad = fmt.Errorf(format, args...)
+	}
+}
+
+// get returns a field, or nil when it is absent or null.
+func (d *Decoder) get(v *fastjson.Value, key string) *fastjson.Value {
+	f := v.Get(key)
+	if f == nil || f.Type() == fastjson.TypeNull {
+		return nil
+	}
+	return f
+}
+
+// field converts a field of v; an absent one is the zero value.
+func field[T any](d *Decoder, v *fastjson.Value, key string, convert func(*fastjson.Value) (T, error)) (t T) {
+	if f := d.get(v, key); f != nil {
+		var err error
+		if t, err = convert(f); err != nil {
+			d.fault("%s: %v", key, err)
+		}
+	}
+	return t
+}
+
+func (d *Decoder) bytes(v *fastjson.Value, key string) []byte {
+	return field(d, v, key, (*fastjson.Value).StringBytes)
+}
+
+func (d *Decoder) int(v *fastjson.Value, key string) int {
+	return field(d, v, key, (*fastjson.Value).Int)
+}
+
+func (d *Decoder) uint(v *fastjson.Value, key string) uint64 {
+	return field(d, v, key, (*fastjson.Value).Uint64)
+}
+
+func (d *Decoder) time(v *fastjson.Value, key string) time.Duration {
+	return time.Duration(field(d, v, key, (*fastjson.Value).Int64))
+}
+
+func (d *Decoder) float(v *fastjson.Value, key string) float64 {
+	return field(d, v, key, (*fastjson.Value).Float64)
+}
+
+func (d *Decoder) flag(v *fastjson.Value, key string) bool {
+	return field(d, v, key, (*fastjson.Value).Bool)
+}
+
+func (d *Decoder) array(v *fastjson.Value, key string) []*fastjson.Value {
+	return field(d, v, key, (*fastjson.Value).Array)
+}
+
+func (d *Decoder) str(v *fastjson.Value, key string) string { return string(d.bytes(v, key)) }
+
+// name is str for the ids of servers and instances, of which there are few.
+func (d *Decoder) name(v *fastjson.Value, key string) string {
+	text := d.bytes(v, key)
+	s, ok := d.names[string(text)]
+	if !ok {
+		s = string(text)
+		d.names[s] = s
+	}
+	return s
+}
+
+func (d *Decoder) launch(instance string, v *fastjson.Value) logic.Settings {
+	if v == nil || v.Type() != fastjson.TypeObject {
+		d.fault("Launch without BootInfo")
+		return logic.Settings{}
+	}
+	var boot bootInfo
+	if err := json.Unmarshal(v.MarshalTo(nil), &boot); err != nil {
+		d.fault("BootInfo: %v", err)
+	}
+	set, err := boot.settings()
+	if err != nil {
+		d.fault("BootInfo: %v", err)
+	}
+	d.instances[instance] = boot.Report.Fields
+	return set
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"grebeledge/logic"
+)
+
+// bootInfo is the start-up object of an instance, as far as the module has a use for it.
+type bootInfo struct {
+	Balancers int
+	Classes   []struct {
+		Name, Effect, Group         string
+		AimNs, DeadlineNs, WindowNs int64
+		Worth                       float64
+	}
+	Ceilings struct {
+		ParallelTries, RetryAfter bool
+		MaxRetryAfterNs           int64
+		MostTries                 int
+	}
+	Discovery string
+	Domain    struct{ WarmKeys bool }
+	Prices    struct{ CrossZone float64 }
+	Report    struct{ Fields []string }
+	Rules     struct {
+		ColdFrom, OverloadFactor float64
+		ColdNs, MustAskInNs      int64
+	}
+	Tenants        []struct{ Portion float64 }
+	OverShareWorth float64
+	TickNs         int64
+	Me             int
+	WeightKind     string
+	Zone           int
+}
+
+var (
+	effects = []string{logic.Safe: "repeatable", logic.Keyed: "by_key", logic.Unsafe: "once"}
+	groups  = []string{logic.GroupAll: "all", logic.GroupZone: "zone", logic.GroupCell: "cell"}
+)
+
+func (b *bootInfo) settings() (logic.Settings, error) {
+	s := logic.Settings{
+		Balancers:      b.Balancers,
+		Me:             b.Me,
+		OverShareWorth: b.OverShareWorth,
+		MustAskIn:      time.Duration(b.Rules.MustAskInNs),
+		Tick:           time.Duration(b.TickNs),
+		Zone:           b.Zone,
+		CrossZonePrice: b.Prices.CrossZone,
+		ListWeights:    b.WeightKind == "nominal" || b.WeightKind == "rough",
+		Subscribe:      b.Discovery == "subscribe",
+		WarmKeys:       b.Domain.WarmKeys,
+		MaxAttempts:    b.Ceilings.MostTries,
+		ParallelCopies: b.Ceilings.ParallelTries,
+		ColdFrom:       b.Rules.ColdFrom,
+		ColdFor:        time.Duration(b.Rules.ColdNs),
+		Overload:       b.Rules.OverloadFactor,
+	}
+	for _, t := range b.Tenants {
+		s.Shares = append(s.Shares, t.Portion)
+	}
+	if b.Ceilings.RetryAfter {
+		s.MaxRetryAfter = time.Duration(b.Ceilings.MaxRetryAfterNs)
+	}
+	for _, c := range b.Classes {
+		effect, group := slices.Index(effects, c.Effect), slices.Index(groups, c.Group)
+		if effect < 0 {
+			return s, fmt.Errorf("class %q has the unknown Effect %q", c.Name, c.Effect)
+		}
+		if group < 0 && c.Group != "" {
+			return s, fmt.Errorf("class %q has the unknown Group %q", c.Name, c.Group)
+		}
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Effect: logic.Effect(effect),
+			Group: logic.Group(max(group, 0)), Window: time.Duration(c.WindowNs), Aim: time.Duration(c.AimNs),
+			Deadline: time.Duration(c.DeadlineNs), Worth: c.Worth})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/logic/api.go
@@ -0,0 +1,274 @@
+// Package logic holds the decisions of a client-side load balancer: which server gets a request, when an
+// attempt is given up or repeated, and what is refused. Every client process has a Balancer of its own; they
+// share nothing. A Balancer does no I/O and reads no clock: events go in with the time, actions come out.
+package logic
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Effect says what repeating a request of a class would do.
+type Effect int
+
+// The effects of a repeat.
+const (
+	Safe   Effect = iota // may be repeated at will
+	Keyed                // carries a key: repeats are dropped within a group, for a while
+	Unsafe               // must never run twice
+)
+
+// Group names the servers that drop repeats of a keyed request among themselves.
+type Group int
+
+// The groups of servers.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Class describes one class of request.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Group    Group         // of a keyed class
+	Window   time.Duration // of a keyed class: repeats are dropped so long after the first send
+	Aim      time.Duration // an answer within this time earns the full worth
+	Deadline time.Duration // the client's patience over all its tries
+	Worth    float64
+}
+
+// Settings are all that a Balancer is told at start. They do not change while it lives.
+type Settings struct {
+	Balancers      int           // how many balancers front the same servers
+	Me             int           // the number of this one among them, the same after a restart
+	Tick           time.Duration // the least time between two events; timers are that exact
+	Classes        []Class
+	Zone           int           // where this balancer runs
+	CrossZonePrice float64       // what an attempt in another zone costs, as a share of a request; 0 for nothing
+	ListWeights    bool          // the list's weights say something of the servers' capacities
+	Subscribe      bool          // the list of servers must be subscribed to
+	MustAskIn      time.Duration // unsubscribed, the list must be asked for in this time; 0: no limit
+	WarmKeys       bool          // a server that met a request's key lately does less work for it
+	MaxAttempts    int           // for one request
+	ParallelCopies bool          // a request may have two attempts out at a time
+	MaxRetryAfter  time.Duration // the longest come-back time that clients heed; 0 where they are given none
+	ColdFrom       float64       // a server starts with this share of its capacity at least
+	ColdFor        time.Duration // and has all of it after this time at the latest
+	Shares         []float64     // of the service, one for each tenant; may be empty
+	OverShareWorth float64       // what a request over its tenant's share is worth, as a part of its worth
+	Overload       float64       // a cold server topples at this multiple of its capacity; 0 if not known
+}
+
+// check says in plain words what is wrong with the settings.
+func (set *Settings) check() error {
+	if len(set.Classes) == 0 {
+		return errors.New("logic: settings name no class of requests")
+	}
+	for _, c := range set.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 {
+			return fmt.Errorf("logic: class %q needs an aim and a deadline above 0", c.Name)
+		}
+		if c.Effect == Keyed && c.Window <= 0 {
+			return fmt.Errorf("logic: keyed class %q needs a window above 0", c.Name)
+		}
+	}
+	for i, share := range set.Shares {
+		if share <= 0 || share > 1 {
+			return fmt.Errorf("logic: the share of tenant %d must be above 0 and at most 1", i)
+		}
+	}
+	if set.OverShareWorth < 0 || set.OverShareWorth > 1 {
+		return errors.New("logic: the worth over a share must be from 0 to 1")
+	}
+	if set.MustAskIn < 0 {
+		return errors.New("logic: the time in which to ask for the list must not be below 0")
+	}
+	if set.Balancers < 1 {
+		return errors.New("logic: settings count no balancer")
+	}
+	if set.MaxAttempts < 1 {
+		return errors.New("logic: settings allow no attempt")
+	}
+	if set.ColdFor > 0 && (set.ColdFrom <= 0 || set.ColdFrom > 1) {
+		return errors.New("logic: the cold share must be above 0 and at most 1")
+	}
+	if set.Overload < 0 {
+		return errors.New("logic: the multiple that topples a cold server must not be below 0")
+	}
+	return nil
+}
+
+// State is what the list says of a server.
+type State int
+
+// The states of a server.
+const (
+	Ready    State = iota
+	Draining       // finishes its work; gets nothing new
+	Gone           // removed; in changes only
+)
+
+// Server is an entry of the list.
+type Server struct {
+	ID      string
+	State   State
+	Zone    int
+	Cell    int           // a small set of servers that drop each other's repeats
+	Weight  float64       // the list's figure for its size
+	Started time.Duration // its latest start, on the clock of the events; 0 for long ago
+}
+
+// Report is what a server says of its own load. A negative figure is one that it does not state.
+type Report struct {
+	Util     float64 // share of its cores' time in use
+	Rate     float64 // requests done a second
+	Errors   float64 // errors a second
+	InFlight float64
+	Queue    float64
+}
+
+// NoReport is the Report of an answer that brought none.
+var NoReport = Report{Util: -1, Rate: -1, Errors: -1, InFlight: -1, Queue: -1}
+
+// Result is how an attempt or a probe ended.
+type Result int
+
+// The results of an attempt.
+const (
+	OK            Result = iota // served
+	Failed                      // an error came back; it may have run
+	Rejected                    // turned away unseen; it never ran
+	TimedOut                    // no answer in the time allowed; it may have run
+	ConnectFailed               // no connection in time; it never ran
+	Reset                       // the connection broke; it may have run
+	Cancelled                   // withdrawn; it may have run
+	NotSent                     // not sent at all: too late, or one attempt too many
+)
+
+// neverRan reports whether the result proves that the request had no effect.
+func (r Result) neverRan() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
+
+// Event is something that a Balancer is told: one of the types below.
+type Event interface{ event() }
+
+type (
+	// ServerList brings the list of servers or a change of it. The slice is only read.
+	ServerList struct {
+		Full    bool // the whole list, not only the entries that changed
+		Servers []Server
+	}
+	// ListUnavailable says that a call to the list failed or the subscription broke.
+	ListUnavailable struct{}
+	// Request is a client's request. It is owed one final answer: a served attempt, a Refuse or a Fail.
+	Request struct {
+		ID            string
+		Class, Tenant int
+		Key           string        // what it is about; may be empty
+		Deadline      time.Duration // when the client gives this try up, on the clock of the events
+		Again         bool          // the client's own repeat, where clients say so
+	}
+	// Outcome ends one attempt. Every Send gets one. The first OK answers the client by itself.
+	Outcome struct {
+		Request string
+		Attempt int // numbered from 0 in the order of the sends
+		Server  string
+		Result  Result
+		Took    time.Duration
+		Closed  bool // the request needs no final answer any more
+		Report  Report
+	}
+	// Streaming says that a streamed answer has begun: the attempt belongs to the client now.
+	Streaming struct {
+		Request string
+		Attempt int
+	}
+	// ClientGone says that the client left; nothing more is owed.
+	ClientGone struct{ Request string }
+	// Probed is the result of a probe.
+	Probed struct {
+		Server string
+		Result Result
+		Took   time.Duration
+		Report Report
+	}
+	// PeerMessage comes from another balancer.
+	PeerMessage struct {
+		From int
+		Data []byte
+	}
+	// TimerFired says that a timer set by SetTimer is due.
+	TimerFired struct{ Token uint64 }
+)
+
+func (ServerList) event()      {}
+func (ListUnavailable) event() {}
+func (Request) event()         {}
+func (Outcome) event()         {}
+func (Streaming) event()       {}
+func (ClientGone) event()      {}
+func (Probed) event()          {}
+func (PeerMessage) event()     {}
+func (TimerFired) event()      {}
+
+// ActionKind names what an Action does and which of its fields count.
+type ActionKind int
+
+// The kinds of actions.
+const (
+	Send      ActionKind = iota // Request to Server, given up after After (0: when the client does)
+	Cancel                      // attempt number Attempt of Request; not used at present
+	Refuse                      // Request: trying again does no harm; the client stays away for After
+	Fail                        // Request: no promise about its effect
+	SetTimer                    // TimerFired with Token comes after After
+	Probe                       // Server
+	Subscribe                   // to the list of servers
+	Tell                        // every other balancer of Data
+)
+
+// Action is something that the Balancer wants done. Actions take effect in order.
+type Action struct {
+	Kind    ActionKind
+	Request string
+	Server  string
+	Attempt int
+	After   time.Duration
+	Token   uint64
+	Data    []byte
+}
+
+// Handle takes one event and returns what is to be done, in order. The actions hold until the next call. What
+// concerns a request, attempt or server that is not known is passed over. The time is that of a clock which
+// all balancers and servers have, to a small part of an aim; a rule is never broken by one that is off.
+func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
+	b.now, b.actions = now, b.actions[:0]
+	switch e := ev.(type) {
+	case ServerList:
+		b.list(e)
+	case ListUnavailable:
+		b.resubscribe()
+	case Request:
+		b.request(e)
+	case Outcome:
+		b.outcome(e)
+	case Streaming:
+		if r := b.requests[e.Request]; r != nil {
+			b.close(r)
+		}
+	case ClientGone:
+		if r := b.requests[e.Request]; r != nil {
+			b.close(r)
+		}
+	case TimerFired:
+		b.fired(e.Token)
+	}
+	return b.actions
+}
+
+func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
+
+func (b *Balancer) timer(token uint64, after time.Duration) {
+	b.act(Action{Kind: SetTimer, Token: token, After: after})
+}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,897 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+func testSettings() Settings {
+	return Settings{Balancers: 2, Tick: 5 * time.Millisecond, MaxAttempts: 3, ColdFrom: 0.3,
+		ColdFor: 10 * time.Second, Classes: []Class{
+			{Name: "cheap", Effect: Safe, Aim: 600e6, Deadline: 2e9, Worth: 1},
+			{Name: "dear", Effect: Unsafe, Aim: 600e6, Deadline: 2e9, Worth: 10},
+			{Name: "keyed", Effect: Keyed, Group: GroupCell, Window: 1e9, Aim: 600e6, Deadline: 2e9, Worth: 3}}}
+}
+
+// bench drives one Balancer by hand.
+type bench struct {
+	*Balancer
+	t   *testing.T
+	at  time.Duration
+	ids int
+}
+
+func newBench(t *testing.T, set Settings, weights ...float64) *bench {
+	t.Helper()
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &bench{Balancer: b, t: t, at: time.Hour}
+	h.Start(h.at)
+	l := ServerList{Full: true}
+	for i, w := range weights {
+		l.Servers = append(l.Servers, Server{ID: fmt.Sprint("s", i), Weight: w, Cell: i / 2})
+	}
+	h.Handle(h.at, l)
+	return h
+}
+
+// ask brings a request and returns its id and the server it is sent to, "" if none.
+func (h *bench) ask(class int) (id, to string) {
+	h.ids++
+	id = fmt.Sprint("r", h.ids)
+	for _, a := range h.Handle(h.at, Request{ID: id, Class: class, Deadline: h.at + 2*time.Second}) {
+		if a.Kind == Send {
+			to = a.Server
+		}
+	}
+	return id, to
+}
+
+// end ends attempt n of a request and returns the actions that follow, without timers.
+func (h *bench) end(id, server string, n int, result Result, report Report) []Action {
+	return h.Handle(h.at, Outcome{Request: id, Attempt: n, Server: server, Result: result,
+		Took: 50 * time.Millisecond, Closed: result == OK, Report: report})
+}
+
+// tick passes time, with the timer that checks health.
+func (h *bench) tick(d time.Duration) (actions []Action) {
+	for end := h.at + d; h.at < end; {
+		h.at += h.horizon / ticks
+		actions = append(actions, slices.Clone(h.Handle(h.at, TimerFired{tickToken}))...)
+	}
+	return slices.DeleteFunc(actions, func(a Action) bool { return a.Kind == SetTimer })
+}
+
+func report(util, rate float64) Report {
+	r := NoReport
+	r.Util, r.Rate = util, rate
+	return r
+}
+
+func TestDrawsFollowCapacity(t *testing.T) {
+	set := testSettings()
+	set.ListWeights = true
+	h := newBench(t, set, 1, 2, 3, 4)
+	h.weigh()
+	ok, total, _ := h.candidates(&request{class: &set.Classes[0], Request: Request{Deadline: h.at + 1}})
+	const n = 40000
+	got := map[string]float64{}
+	for range n {
+		got[draw(ok, h.rng.Float64()*total).ID]++
+	}
+	for i := range 4 {
+		want := n * float64(i+1) / 10
+		if d := got[fmt.Sprint("s", i)] - want; math.Abs(d) > 4*math.Sqrt(want) {
+			t.Errorf("server %d: drawn %v times, want about %v", i, want+d, want)
+		}
+	}
+}
+
+func TestPickTakesLowestLoad(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	sent := map[string]int{}
+	for range 100 { // nothing ends: the counts of two equal servers stay even, but for draws that miss one
+		_, to := h.ask(1)
+		sent[to]++
+	}
+	if d := sent["s0"] - sent["s1"]; d < -4 || d > 4 {
+		t.Errorf("two equal servers have %v in flight", sent)
+	}
+}
+
+// serve brings n requests one after the other, each answered at once, and counts those sent to the server.
+func (h *bench) serve(n int, server string) (count int) {
+	for range n {
+		id, to := h.ask(0)
+		if to == server {
+			count++
+		}
+		h.end(id, to, 0, OK, NoReport)
+	}
+	return count
+}
+
+func TestTies(t *testing.T) {
+	set := testSettings()
+	set.ListWeights = true
+	h := newBench(t, set, 1, 1.99)
+	if _, to := h.ask(0); to != "s1" { // stays in flight
+		t.Fatalf("the lowest load is at s1, the request went to %s", to)
+	}
+	// Loads are now 1 and 2/1.99: a little more at the larger, within the tolerance, and so the larger wins.
+	if large := h.serve(200, "s1"); large < 190 {
+		t.Errorf("near-tie went to the larger %d of 200 times", large)
+	}
+	h = newBench(t, testSettings(), 1, 1) // equal in all: at random
+	if first := h.serve(400, "s0"); first < 150 || first > 250 {
+		t.Errorf("a full tie went to the first %d of 400 times", first)
+	}
+}
+
+func TestCapacityFromNoisyReports(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	for i := range 400 {
+		h.at += 50 * time.Millisecond
+		noise := 1 + 0.2*math.Sin(float64(i)*1.7)
+		for s, c := range []float64{100, 40} {
+			h.now = h.at
+			h.report(h.byID[fmt.Sprint("s", s)], report(0.5*noise, 0.5*c*(2-noise)))
+		}
+	}
+	h.weigh()
+	for s, want := range []float64{100, 40, 70} { // the last has no estimate: the mean of the others
+		if got := h.byID[fmt.Sprint("s", s)].weight; math.Abs(got-want) > 0.15*want {
+			t.Errorf("server %d: capacity %v, want about %v", s, got, want)
+		}
+	}
+}
+
+// Guards against the idle trap: rate over floored use called an idle server small, and so it stayed idle.
+func TestIdleServerKeepsFairShare(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	for range 50 {
+		h.at += 50 * time.Millisecond
+		h.now = h.at
+		h.report(h.byID["s0"], report(0.5, 50))
+		h.report(h.byID["s1"], report(0.01, 0.2))
+	}
+	h.weigh()
+	if h.byID["s1"].weight < h.byID["s0"].weight {
+		t.Errorf("idle server weighs %v, a busy one %v", h.byID["s1"].weight, h.byID["s0"].weight)
+	}
+}
+
+// Guards against a server that takes requests and answers none while others answer.
+func TestSilentServerIsEjectedAndReadmitted(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for h.byID["s0"].until == 0 {
+		id, to := h.ask(0)
+		if to != "s0" {
+			h.end(id, to, 0, OK, report(0.5, 50))
+		}
+		h.at += 10 * time.Millisecond
+		if h.at > time.Hour+3*time.Second {
+			t.Fatal("a silent server was never ejected")
+		}
+		h.tick(h.horizon / ticks)
+	}
+	for range 20 {
+		if _, to := h.ask(1); to == "s0" {
+			t.Fatal("an unsafe request went to an ejected server")
+		}
+	}
+	h.at = h.byID["s0"].until
+	trials, trial := 0, ""
+	for range 20 {
+		id, to := h.ask(0)
+		if to != "s0" {
+			continue
+		}
+		trials, trial = trials+1, id
+	}
+	if trials != 1 {
+		t.Fatalf("%d trials at once, want 1", trials)
+	}
+	h.end(trial, "s0", 0, OK, NoReport)
+	if h.byID["s0"].until != 0 {
+		t.Error("an answered trial does not readmit")
+	}
+}
+
+// Guards against one costly request passing for a silent server at a quiet balancer.
+func TestOneLateAnswerEjectsNone(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	_, to := h.ask(1)
+	h.tick(h.horizon)
+	if s := h.byID[to]; s.until != 0 {
+		t.Error("ejected for one answer that is an aim late")
+	}
+}
+
+// Guards against ejecting the fleet in a jam, and against a backlog that leaves the ejected out.
+func TestJamEjectsNoneAndRefuses(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 200 { // an ordinary start
+		id, to := h.ask(1)
+		h.end(id, to, 0, OK, report(0.5, 50))
+		h.tick(h.horizon / ticks)
+	}
+	for range 300 { // then nothing is answered
+		h.ask(1)
+	}
+	h.tick(h.horizon)
+	h.weigh()
+	for _, s := range h.servers {
+		if h.ejected(s) {
+			t.Error("a server is kept out though all are silent")
+		}
+	}
+	if h.shed <= 1 {
+		t.Errorf("shed level %v in a jam", h.shed)
+	}
+	refused := 0
+	for range 100 {
+		if _, to := h.ask(0); to == "" {
+			refused++
+		}
+	}
+	if refused < 99 {
+		t.Errorf("%d of 100 cheap requests refused in a jam", refused)
+	}
+}
+
+// Guards against the valuable waiting behind the cheap.
+func TestCheapGivesWayFirst(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	h.shed = 0.1
+	refused := [2]int{}
+	for i := range 2000 {
+		id, to := h.ask(i % 2)
+		if to == "" {
+			refused[i%2]++
+		} else {
+			h.end(id, to, 0, OK, NoReport)
+		}
+	}
+	if refused[0] < 400 || refused[1] > 120 {
+		t.Errorf("refused %d cheap and %d dear of 1000 each", refused[0], refused[1])
+	}
+}
+
+// Guards against long work crowding out short work of the same worth in a jam.
+func TestLongWorkGivesWayFirst(t *testing.T) {
+	set := testSettings()
+	set.Classes[1].Worth = set.Classes[0].Worth
+	h := newBench(t, set, 1, 1)
+	refused := [2]int{}
+	for i := range 4000 {
+		h.shed = 0.3
+		id, to := h.ask(i % 2)
+		if to == "" {
+			refused[i%2]++
+			continue
+		}
+		h.Handle(h.at, Outcome{Request: id, Server: to, Took: time.Duration(20+60*(i%2)) * time.Millisecond,
+			Closed: true, Report: NoReport})
+	}
+	if refused[1] < 2*refused[0] {
+		t.Errorf("refused %d short and %d long of 2000 each", refused[0], refused[1])
+	}
+}
+
+// Guards against a server that fails fast and so looks idle.
+func TestFastFailuresDrawLess(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	bad := 0
+	for range 60 {
+		id, to := h.ask(1)
+		result := OK
+		if to == "s0" {
+			bad, result = bad+1, Failed
+		}
+		h.end(id, to, 0, result, NoReport)
+	}
+	if bad > 6 {
+		t.Errorf("a server that only fails got %d of 60", bad)
+	}
+	h.byID["s0"].failing = failEject
+	id, _ := h.ask(1)
+	r := h.requests[id]
+	h.judge(&attempt{req: r, srv: h.byID["s0"]}, Outcome{Result: Failed})
+	if h.byID["s0"].until == 0 {
+		t.Error("a server that fails again and again is not ejected")
+	}
+}
+
+// Guards against pushing a cold server over: in a jam it has the lowest load of all.
+func TestColdServerInAJam(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1, 1, 1, 1, 1, 1)
+	for range 500 {
+		h.ask(1)
+	}
+	h.shed = 0
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "new", Started: h.at}}})
+	cold := 0
+	const n = 300
+	for range n {
+		if _, to := h.ask(1); to == "new" {
+			cold++
+		}
+	}
+	if most := n*0.3/10 + 8; float64(cold) > most || cold == 0 {
+		t.Errorf("a cold server got %d of %d, want 1 to %.1f", cold, n, most)
+	}
+}
+
+// A restart voids what was learnt, and is seen by the new start time.
+func TestRestartForgets(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	h.now = h.at
+	s := h.byID["s0"]
+	h.report(s, report(0.5, 500))
+	s.failing = 0.9
+	h.eject(s)
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", Started: h.at}}})
+	if s.rate != 0 || s.failing != 0 || s.until != 0 {
+		t.Errorf("after a restart: %+v", s)
+	}
+}
+
+// Guards against a balancer with next to nothing in flight that refuses because its few requests bunch by
+// chance (arewa quiet: 18% refused in a fleet used to a third): in a fleet that is not busy it refuses none.
+func TestQuietBalancerRefusesNone(t *testing.T) {
+	set := testSettings()
+	set.Balancers = 500
+	h := newBench(t, set, 1, 1, 1, 1)
+	for i := range 300 {
+		var ids, tos []string
+		for range 1 + 3*(i%2) { // bunched
+			id, to := h.ask(0)
+			if to == "" {
+				t.Fatalf("request %d is refused", i)
+			}
+			ids, tos = append(ids, id), append(tos, to)
+		}
+		h.tick(h.horizon / 2)
+		for k := range ids {
+			h.Handle(h.at, Outcome{Request: ids[k], Server: tos[k], Took: h.horizon / 2, Closed: true,
+				Report: report(0.35, 35)})
+		}
+		h.tick(h.horizon)
+	}
+}
+
+// Guards against refusing too late where queues are deep: what is in flight tells before late answers do.
+func TestCountsInFlightTellOfAJam(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 200 {
+		id, to := h.ask(1)
+		h.end(id, to, 0, OK, report(1, 50))
+		h.tick(h.horizon / ticks)
+	}
+	if h.shed != 0 {
+		t.Fatalf("shed level %v before the jam", h.shed)
+	}
+	for range 40 {
+		h.ask(1)
+	}
+	h.tick(h.horizon / ticks)
+	if h.shed == 0 {
+		t.Error("40 in flight of 200 sends say nothing")
+	}
+}
+
+// A balancer keeps to a part of a large fleet, a part of its own and the same after a restart; all together
+// use every server; a small fleet or one with few balancers is used whole.
+func TestSubset(t *testing.T) {
+	used := func(me, balancers, servers int) map[string]int {
+		set := testSettings()
+		set.Me, set.Balancers = me, balancers
+		h := newBench(t, set, make([]float64, servers)...)
+		got := map[string]int{}
+		for range 60 {
+			_, to := h.ask(1)
+			h.shed = 0
+			got[to]++
+		}
+		return got
+	}
+	all := map[string]int{}
+	for me := range 200 {
+		one, again := used(me, 200, 40), used(me, 200, 40)
+		if len(one) > subsetLeast || len(again) != len(one) {
+			t.Fatalf("balancer %d uses %d servers, then %d", me, len(one), len(again))
+		}
+		for id := range one {
+			if again[id] == 0 {
+				t.Fatalf("balancer %d uses %s, then not", me, id)
+			}
+			all[id]++
+		}
+	}
+	if len(all) != 40 {
+		t.Errorf("200 balancers use %d of 40 servers", len(all))
+	}
+	set := testSettings() // guards against a busy caller that crowds its few servers (arewa big-2)
+	set.Balancers = 200
+	h := newBench(t, set, make([]float64, 40)...)
+	got := map[string]bool{}
+	for i := range 80 {
+		if i == 40 {
+			h.Handle(h.at, TimerFired{tickToken})
+		}
+		h.shed = 0
+		if _, to := h.ask(1); i >= 40 {
+			got[to] = true
+		}
+	}
+	if len(got) < 2*subsetLeast {
+		t.Errorf("with 40 in flight %d servers are used", len(got))
+	}
+	if n := len(used(0, 4, 20)); n != 20 {
+		t.Errorf("one of 4 balancers uses %d of 20 servers", n)
+	}
+}
+
+func TestKeyedStaysInItsCell(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 30 {
+		id, to := h.ask(2)
+		next := h.end(id, to, 0, Reset, NoReport)
+		if len(next) != 1 || next[0].Kind == Send && h.byID[next[0].Server].Cell != h.byID[to].Cell {
+			t.Fatalf("after a reset at %s: %+v", to, next)
+		}
+		if next[0].Kind == Refuse {
+			t.Fatal("a keyed request that may have run was refused")
+		}
+	}
+}
+
+// Further attempts must not multiply an overload.
+func TestRetryBudget(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	sends := 0
+	const n = 1000
+	for range n {
+		id, to := h.ask(0)
+		for try := 0; to != ""; try++ {
+			sends++
+			next := h.end(id, to, try, Rejected, NoReport)
+			to = ""
+			if len(next) == 1 && next[0].Kind == Send {
+				to = next[0].Server
+			}
+		}
+	}
+	if most := n*(1+retryShare) + retrySaved; float64(sends) > most {
+		t.Errorf("%d attempts for %d requests", sends, n)
+	}
+}
+
+// An own-zone server is preferred while it has room, and no longer.
+func TestOwnZone(t *testing.T) {
+	set := testSettings()
+	set.CrossZonePrice = 0.1
+	h := newBench(t, set, 1, 1)
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s1", Zone: 1}}})
+	h.weigh()
+	if h.byID["s0"].weight < 2*h.byID["s1"].weight {
+		t.Error("an idle server of the own zone is not preferred")
+	}
+	h.byID["s0"].util = 1
+	h.weigh()
+	if h.byID["s0"].weight != h.byID["s1"].weight {
+		t.Error("a full server of the own zone is preferred")
+	}
+}
+
+// Balancers that lose the list together ask again apart, and later each time.
+func TestResubscribe(t *testing.T) {
+	set := testSettings()
+	set.Subscribe = true
+	var waits []time.Duration
+	for seed := range uint64(5) {
+		b, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		first := b.Handle(0, ListUnavailable{})[0]
+		if first.Kind != SetTimer || first.Token != subscribeToken || slices.Contains(waits, first.After) {
+			t.Errorf("seed %d: %+v, earlier waits %v", seed, first, waits)
+		}
+		waits = append(waits, first.After)
+		if a := b.Handle(first.After, TimerFired{subscribeToken}); len(a) != 1 || a[0].Kind != Subscribe {
+			t.Errorf("seed %d: %+v", seed, a)
+		}
+		fail := func(b *Balancer) Action { // asks again, then fails again
+			b.Handle(0, TimerFired{subscribeToken})
+			return b.Handle(0, ListUnavailable{})[0]
+		}
+		for range mostWaits {
+			fail(b)
+			if a := b.Handle(0, ListUnavailable{}); len(a) != 0 {
+				t.Errorf("seed %d: a second timer to ask again: %+v", seed, a)
+			}
+		}
+		set := set // guards against asking so late that the balancer is held to know what it has not heard
+		set.MustAskIn = time.Second
+		bound, _ := New(set, seed)
+		for range 2 * mostWaits {
+			if a := fail(bound); a.After > time.Second {
+				t.Errorf("asks again after %v, must within %v", a.After, set.MustAskIn)
+			}
+		}
+		if last := fail(b); last.After <= first.After {
+			t.Errorf("the wait does not grow: %v, then %v", first.After, last.After)
+		}
+	}
+}
+
+func TestUnknownIsPassedOver(t *testing.T) {
+	h := newBench(t, testSettings(), 1)
+	for _, e := range []Event{Outcome{Request: "no"}, Outcome{Request: "no", Attempt: -1}, ClientGone{"no"},
+		Streaming{Request: "no"}, Probed{Server: "no"}, TimerFired{99}, Request{ID: "x", Class: 9}, PeerMessage{}} {
+		if a := h.Handle(h.at, e); len(a) != 0 {
+			t.Errorf("%#v: %+v", e, a)
+		}
+	}
+}
+
+func TestNoServerRefuses(t *testing.T) {
+	h := newBench(t, testSettings())
+	a := h.Handle(h.at, Request{ID: "x", Deadline: h.at + 1e9})
+	if last := a[len(a)-1]; last.Kind != Refuse {
+		t.Errorf("with no server: %+v", a)
+	}
+}
+
+func TestInvalidSettings(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"classes":  func(s *Settings) { s.Classes = nil },
+		"aim":      func(s *Settings) { s.Classes[0].Aim = 0 },
+		"window":   func(s *Settings) { s.Classes[2].Window = 0 },
+		"attempts": func(s *Settings) { s.MaxAttempts = 0 },
+		"cold":     func(s *Settings) { s.ColdFrom = 0 },
+		"shares":   func(s *Settings) { s.Shares = []float64{2} },
+		"over":     func(s *Settings) { s.OverShareWorth = 2 },
+		"balancer": func(s *Settings) { s.Balancers = 0 },
+		"ask":      func(s *Settings) { s.MustAskIn = -1 },
+		"overload": func(s *Settings) { s.Overload = -1 },
+	} {
+		set := testSettings()
+		spoil(&set)
+		if _, err := New(set, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// Guards against pushing over what a release of the servers has left cold (incident i724a33): together they
+// get what they can do at present of what a warm fleet would be asked, whether a warm server is left or not.
+func TestColdFleetGetsItsPart(t *testing.T) {
+	for _, warm := range []int{0, 1} {
+		set := testSettings()
+		set.Overload = 3
+		h := newBench(t, set)
+		l := ServerList{Full: true}
+		for i := range 10 {
+			s := Server{ID: fmt.Sprint("s", i), Started: h.at}
+			if i < warm {
+				s.Started = 0
+			}
+			l.Servers = append(l.Servers, s)
+		}
+		h.Handle(h.at, l)
+		cold := 0
+		const n = 1000
+		for range n {
+			h.shed = 0
+			if _, to := h.ask(1); to != "" && h.byID[to].Started != 0 {
+				cold++
+			}
+		}
+		if most := 1.5*0.3*n*float64(10-warm)/10 + 50; float64(cold) > most || float64(cold) < most/2 {
+			t.Errorf("with %d warm, cold servers got %d of %d, want at most %.0f", warm, cold, n, most)
+		}
+	}
+}
+
+// Guards against one tenant that sends several times its share crowding out those within theirs, and against
+// refusing more of any while all keep to their shares.
+func TestTenantOverItsShareGivesWayFirst(t *testing.T) {
+	set := testSettings()
+	set.Shares, set.OverShareWorth = []float64{0.5, 0.25, 0.25}, 0.2
+	for _, burst := range []bool{false, true} {
+		h := newBench(t, set, 1, 1)
+		asked, refused := [3]float64{}, [3]float64{}
+		for i := range 6000 {
+			tenant := []int{0, 0, 1, 2}[i%4]
+			if burst && i%8 > 2 {
+				tenant = 1 // more than twice its share
+			}
+			h.shed = 0.3
+			sent := false
+			for _, a := range h.Handle(h.at, Request{ID: fmt.Sprint(i), Tenant: tenant, Deadline: h.at + 2e9}) {
+				if sent = sent || a.Kind == Send; a.Kind == Send {
+					h.end(a.Request, a.Server, 0, OK, NoReport)
+				}
+			}
+			asked[tenant]++
+			if !sent {
+				refused[tenant]++
+			}
+		}
+		in, over := refused[0]/asked[0], refused[1]/asked[1]
+		if burst && over < 1.5*in || !burst && math.Abs(over-in) > 0.06 {
+			t.Errorf("burst %v: refused %.2f of tenant 0, %.2f of tenant 1", burst, in, over)
+		}
+	}
+	h := newBench(t, set, 1, 1)
+	h.Handle(h.at, Request{ID: "x", Tenant: 7, Deadline: h.at + 2e9}) // a tenant that settings do not name
+	h.Handle(h.at, Request{ID: "y", Tenant: -1, Deadline: h.at + 2e9})
+}
+
+// The server of a key is drawn in proportion to capacity, alike at every balancer, and gives way under load.
+func TestHomeOfAKey(t *testing.T) {
+	set := testSettings()
+	set.ListWeights, set.WarmKeys = true, true
+	h, other := newBench(t, set, 1, 2, 3, 4), newBench(t, set, 1, 2, 3, 4)
+	other.rng.Uint64() // another state of chance
+	h.weigh()
+	other.weigh()
+	const n = 20000
+	got := make([]float64, 4)
+	for i := range n {
+		key := fmt.Sprint("key", i)
+		s := home(h.servers, key)
+		if home(other.servers, key).ID != s.ID {
+			t.Fatalf("%s is at home in two places", key)
+		}
+		got[s.ID[1]-'0']++
+	}
+	for i, g := range got {
+		if want := n * float64(i+1) / 10; math.Abs(g-want) > 4*math.Sqrt(want) {
+			t.Errorf("server %d is home to %v keys, want about %v", i, g, want)
+		}
+	}
+	sent := map[string]int{}
+	for i := range 40 { // one key, nothing ends: its home fills up and the rest goes elsewhere
+		e := Request{ID: fmt.Sprint("x", i), Key: "hot", Class: 1, Deadline: h.at + 1e9}
+		for _, a := range h.Handle(h.at, e) {
+			if a.Kind == Send {
+				sent[a.Server]++
+			}
+		}
+	}
+	if len(sent) < 4 {
+		t.Errorf("a hot key keeps to %v", sent)
+	}
+}
+
+// Guards against a server that one costly request made look slow and that then stood idle for good, since it
+// got nothing to show better with (almaty rough-1: two of 15 servers for 30 s).
+func TestOldEstimateFades(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	for range 30 {
+		id, to := h.ask(0)
+		r := report(0.5, 50)
+		if to == "s0" {
+			r = report(0.5, 1)
+		}
+		h.end(id, to, 0, OK, r)
+	}
+	slow := h.byID["s0"]
+	if h.weigh(); slow.capacity > 10 {
+		t.Fatalf("after reports of 2 a second at most the capacity is %v", slow.capacity)
+	}
+	late := h.at + 3*reportTime*h.horizon
+	for h.at < late { // the others go on
+		for _, s := range []string{"s1", "s2"} {
+			h.report(h.byID[s], report(0.5, 50))
+		}
+		h.tick(h.horizon)
+	}
+	if h.weigh(); slow.capacity < 80 {
+		t.Errorf("long after its last report its capacity counts as %v, want near 100 as the others", slow.capacity)
+	}
+}
+
+// Where no server reports, own answers tell: the one that answers in half the time counts twice.
+func TestCapacityWithoutReports(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	for i := range 400 {
+		id, to := h.ask(0)
+		took := 40 * time.Millisecond
+		if to == "s1" {
+			took *= 2
+		}
+		if to == "s2" { // never served: no estimate
+			h.Handle(h.at, Outcome{Request: id, Server: to, Result: Cancelled, Closed: true, Report: NoReport})
+			continue
+		}
+		took += time.Duration(i%5-2) * time.Millisecond
+		h.Handle(h.at, Outcome{Request: id, Server: to, Took: took, Closed: true, Report: NoReport})
+	}
+	h.weigh()
+	for i, want := range []float64{25, 12.5, 18.75} {
+		if got := h.byID[fmt.Sprint("s", i)].rate; i < 2 && math.Abs(got-want) > 0.1*want {
+			t.Errorf("server %d: %v, want about %v", i, got, want)
+		}
+		if got := h.byID[fmt.Sprint("s", i)].weight; math.Abs(got-want) > 0.1*want {
+			t.Errorf("server %d weighs %v, want about %v", i, got, want)
+		}
+	}
+}
+
+// Guards against a keyed request that leaves the cell of its first attempt because a list has moved that
+// attempt's server to another cell since.
+func TestKeyedStaysWhereItWasSent(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	id, to := h.ask(2)
+	cell := h.byID[to].Cell
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: to, Weight: 1, Cell: 1 - cell}}})
+	for _, a := range h.end(id, to, 0, Reset, NoReport) {
+		if a.Kind == Send && (a.Server == to || h.byID[a.Server].Cell != cell) {
+			t.Errorf("first sent to %s in cell %d, then to %s in cell %d", to, cell, a.Server, h.byID[a.Server].Cell)
+		}
+	}
+}
+
+// Guards against a Send or a second answer when a request's outcome, its client's leaving and its timer come
+// together, in any order.
+func TestEndsTogether(t *testing.T) {
+	for _, result := range []Result{Reset, Rejected, TimedOut, OK} {
+		for _, order := range [][3]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+			h := newBench(t, testSettings(), 1, 1, 1)
+			id, to := h.ask(1)
+			h.at += 2 * time.Second // the deadline
+			answers := 0
+			for _, k := range order {
+				e := []Event{Outcome{Request: id, Server: to, Result: result, Closed: result == OK, Report: NoReport},
+					ClientGone{id}, TimerFired{h.token}}[k]
+				for _, a := range h.Handle(h.at, e) {
+					switch a.Kind {
+					case Send:
+						t.Errorf("result %d, order %v: sent at the deadline", result, order)
+					case Refuse, Fail:
+						answers++
+					}
+				}
+			}
+			if answers > 1 || len(h.requests) != 0 {
+				t.Errorf("result %d, order %v: %d answers, %d requests kept", result, order, answers, len(h.requests))
+			}
+		}
+	}
+}
+
+// A request whose time is over when it comes is refused at once, and nothing is sent for it.
+func TestExpiredOnArrival(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	refused := false
+	for _, a := range h.Handle(h.at, Request{ID: "x", Deadline: h.at}) {
+		refused = refused || a.Kind == Refuse
+		if a.Kind == Send {
+			t.Error("sent after its deadline")
+		}
+	}
+	if !refused {
+		t.Error("not refused")
+	}
+}
+
+// Guards against a restarted balancer that trusts its last list, which names servers that have gone since and
+// has an old start of one that is cold: what does not connect goes elsewhere, and the list counts at once.
+func TestStaleRestoredList(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1) // as restored; s0 is gone, s1 has just started again
+	for range 20 {
+		id, to := h.ask(1)
+		for n := 0; to == "s0"; n++ {
+			next := h.end(id, to, n, ConnectFailed, NoReport)
+			if len(next) != 1 || next[0].Kind != Send || next[0].Server == "s0" {
+				t.Fatalf("after no connection to a server that is gone: %+v", next)
+			}
+			to = next[0].Server
+		}
+	}
+	h.Handle(h.at, ServerList{Full: true, Servers: []Server{{ID: "s1", Started: h.at}, {ID: "s2"}, {ID: "s3"}}})
+	cold := 0
+	for range 200 {
+		h.shed = 0
+		switch _, to := h.ask(1); to {
+		case "s0":
+			t.Fatal("sent to a server that the list has dropped")
+		case "s1":
+			cold++
+		}
+	}
+	if cold > 200*3/10/3+15 {
+		t.Errorf("a server that has just started got %d of 200", cold)
+	}
+}
+
+// A server that is named again after it was gone starts afresh and gets requests.
+func TestNamedAgain(t *testing.T) {
+	h := newBench(t, testSettings(), 1)
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", State: Gone}}})
+	if _, to := h.ask(0); to != "" {
+		t.Fatalf("sent to %s, which is gone", to)
+	}
+	h.Handle(h.at, ServerList{Servers: []Server{{ID: "s0", Weight: 1}}})
+	if _, to := h.ask(0); to != "s0" {
+		t.Errorf("named again, but the request went to %q", to)
+	}
+}
+
+// Guards against a list that is late or old: what own traffic shows of a server's health outweighs a list
+// that calls it ready, and nothing outweighs a list that has it draining.
+func TestLateList(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	list := func(state State, id string) {
+		h.Handle(h.at, ServerList{Servers: []Server{{ID: id, Weight: 1, State: state}}})
+	}
+	h.eject(h.byID["s0"]) // dead, and still in the list
+	list(Ready, "s0")
+	list(Draining, "s1")
+	for range 200 {
+		id, to := h.ask(0)
+		if to != "s2" {
+			t.Fatalf("sent to %s: s0 is dead and s1 draining", to)
+		}
+		h.end(id, to, 0, OK, NoReport)
+	}
+}
+
+// Guards against many servers that die at once before the list says so: each request that a dead one did not
+// take is served elsewhere, and soon none is sent there.
+func TestManyDieAtOnce(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1, 1, 1)
+	dead := func(id string) bool { return id < "s2" }
+	late := 0
+	for i := range 300 {
+		id, to := h.ask(0)
+		n := 0
+		for ; dead(to); n++ {
+			if i > 150 {
+				late++
+			}
+			next := h.end(id, to, n, ConnectFailed, NoReport)
+			if len(next) != 1 || next[0].Kind != Send || next[0].Server == to {
+				t.Fatalf("after a failed connection: %+v", next)
+			}
+			to = next[0].Server
+			if n == 2 {
+				t.Fatal("three attempts at dead servers")
+			}
+		}
+		h.end(id, to, n, OK, NoReport)
+	}
+	if late > 2 {
+		t.Errorf("%d late attempts at dead servers", late)
+	}
+}
+
+// Guards against a jam in which all of the cheapest class is refused, so that ejected servers never get the
+// cheap request that tries them and stand empty (incident if77e79).
+func TestTrialIsNotRefused(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1)
+	s := h.byID["s0"]
+	h.eject(s)
+	h.shed = 1e6
+	if id, to := h.ask(0); to != "" {
+		t.Fatalf("%s was sent to %s, not refused", id, to)
+	}
+	h.at = s.until
+	if _, to := h.ask(0); to != "s0" {
+		t.Errorf("a trial went to %q", to)
+	}
+	if _, to := h.ask(0); to != "" {
+		t.Errorf("with the trial under way a request went to %q", to)
+	}
+}
