--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"grebeledge/internal/wire"
-	"grebeledge/logic"
+	"appleledge/internal/wire"
+	"appleledge/logic"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"grebeledge/logic"
+	"appleledge/logic"
 )
 
 // Kind says what a Message is.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"grebeledge/logic"
+	"appleledge/logic"
 )
 
 // AppendAction appends the line of an instance's action.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"grebeledge/logic"
+	"appleledge/logic"
 )
 
 // bootInfo is the start-up object of an instance, as far as the module has a use for it.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"grebeledge/logic"
+	"appleledge/logic"
 )
 
 const boot = `{"Balancers":3,"Classes":[{"AimNs":600000000,"DeadlineNs":1200000000,"Effect":"repeatable","Group":"all",` +
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"grebeledge/logic"
+	"appleledge/logic"
 )
 
 func Example() {
