Add the real agent: the module's decisions on sockets

Checked before it was built: http.Transport repeats GETs and keyed requests on a dead kept connection by itself, and its ClientConn hides how much of a request was written. So the agent owns its connections: http.Request.Write into one buffer, one write, http.ReadResponse. A write that ends short never ran; any break after it may have.

The settings decoder of internal/wire now also gives what the agent needs (DecodeSettings); what it gives the adapter is unchanged. On sockets a refusal may always carry Retry-After, so the module's come-back time is let through.

--- /dev/null
+++ b/internal/agent/backend.go
@@ -0,0 +1,181 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"appleledge/internal/wire"
+	"appleledge/logic"
+)
+
+const (
+	maxBody       = 64 << 10 // the longest body of a message
+	maxFigure     = 1e9      // a load report with more in it is malformed
+	timeoutHeader = "X-Timeout"
+	mostInterim   = 8 // 1xx answers before the final one
+)
+
+// attempt is one Send: a request on its way to one backend.
+type attempt struct {
+	call    *call
+	number  int
+	server  string
+	backend *backend // its life at the time of the Send
+	sent    time.Duration
+	until   time.Duration // when the agent stops waiting
+}
+
+// outcome is how an attempt ended. Every Send gets exactly one.
+type outcome struct {
+	attempt     *attempt
+	result      logic.Result
+	report      logic.Report
+	body        []byte // of an OK
+	contentType string
+}
+
+// sender makes attempts.
+type sender struct {
+	pool   *pool
+	clock  clock
+	fields []string // of load reports
+	noted  func(err error)
+}
+
+// try makes the attempt and returns its outcome, which is exact: what may have run is never said not to have.
+func (s *sender) try(ctx context.Context, a *attempt) outcome {
+	out := outcome{attempt: a, result: logic.NotSent, report: logic.NoReport}
+	ctx, cancel := context.WithDeadline(ctx, s.clock.at(a.until))
+	defer cancel()
+	c, err := s.pool.get(ctx, a.backend)
+	switch {
+	case errors.Is(err, errNotReady) || err != nil && ctx.Err() != nil:
+		return out
+	case err != nil:
+		out.result = logic.ConnectFailed
+		return out
+	case !s.stillWanted(a):
+		s.pool.put(c, true)
+		return out
+	}
+	keep := s.exchange(c, a, &out)
+	s.pool.put(c, keep)
+	return out
+}
+
+// stillWanted is asked just before the first byte goes out. A dial may have taken long: meanwhile the backend
+// may have begun to drain or started anew, or the request may have ended.
+func (s *sender) stillWanted(a *attempt) bool {
+	return s.clock.now() < a.until && !a.call.closed.Load() && s.pool.takesNew(a.backend)
+}
+
+// exchange writes the request and reads the whole answer; keep says whether the connection is in order then.
+func (s *sender) exchange(c *conn, a *attempt, out *outcome) (keep bool) {
+	req, text, err := s.request(a)
+	if err != nil || c.SetDeadline(s.clock.at(a.until)) != nil {
+		return false
+	}
+	if n, err := c.Write(text); err != nil && n < len(text) {
+		out.result = logic.ConnectFailed // the backend begins a request when its last byte has come
+		return false
+	}
+	resp, err := readResponse(c, req)
+	if err != nil {
+		out.result = broken(err)
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil {
+		out.result = broken(err) // also a 200: what came is not the whole answer
+		return false
+	}
+	out.report = s.readReport(resp.Header.Get("X-Server-Load"))
+	switch code := resp.StatusCode; {
+	case len(body) > maxBody:
+		out.result = logic.Failed
+		return false
+	case code == http.StatusOK:
+		out.result, out.body, out.contentType = logic.OK, body, resp.Header.Get("Content-Type")
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Not-Processed") == "1":
+		out.result = logic.Rejected
+	default:
+		out.result = logic.Failed
+	}
+	return !resp.Close
+}
+
+// request returns the message for the backend, also as text.
+func (s *sender) request(a *attempt) (*http.Request, []byte, error) {
+	in := a.call
+	req := &http.Request{Method: in.method, URL: in.url, Host: in.host, Header: in.header.Clone(),
+		ContentLength: int64(len(in.body)), Body: http.NoBody}
+	if len(in.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(in.body))
+	}
+	left := max(0, a.until-s.clock.now())
+	req.Header.Set(timeoutHeader, strconv.FormatInt(left.Microseconds(), 10)+"u")
+	var text bytes.Buffer
+	if err := req.Write(&text); err != nil {
+		return nil, nil, fmt.Errorf("writing the request: %w", err)
+	}
+	return req, text.Bytes(), nil
+}
+
+// readResponse reads the head of the final answer, past interim ones.
+func readResponse(c *conn, req *http.Request) (*http.Response, error) {
+	for range mostInterim {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, err
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// broken is the result of a request that was written whole and got no whole answer.
+func broken(err error) logic.Result {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return logic.TimedOut
+	}
+	return logic.Reset
+}
+
+// readReport reads the load report of an answer. A malformed one is no report.
+func (s *sender) readReport(text string) logic.Report {
+	if text == "" {
+		return logic.NoReport
+	}
+	r, err := parseReport(text, s.fields)
+	if err != nil {
+		s.noted(err)
+		return logic.NoReport
+	}
+	return r
+}
+
+func parseReport(text string, fields []string) (logic.Report, error) {
+	r := logic.NoReport
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || math.IsNaN(x) || x < 0 || x > maxFigure {
+			return r, fmt.Errorf("load report %.100q", text)
+		}
+		for _, f := range fields {
+			if f == name {
+				wire.SetFigure(&r, name, x)
+			}
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,119 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"appleledge/internal/wire"
+)
+
+// Config is what the platform tells an agent.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // host and port
+	Seed      uint64 // for random numbers
+	Cores     float64
+	MemoryMB  int
+	Sockets   int // file descriptors that the process may hold
+	Site      wire.Site
+
+	known list
+}
+
+// configFile is the form of the file that PROXY_CONFIG names.
+type configFile struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// Limits that hold where the configuration states none.
+const (
+	defaultSockets  = 1024
+	defaultMemoryMB = 192
+)
+
+// LoadConfig reads the configuration that the environment points to.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("PROXY_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+	}
+	cfg, err := parseConfig(data, getenv)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// parseConfig decodes and checks the file's text. Variables that are set go before it.
+func parseConfig(data []byte, getenv func(string) string) (cfg Config, err error) {
+	var f configFile
+	if err := json.Unmarshal(data, &f); err != nil {
+		return cfg, err
+	}
+	prefer := func(variable, text string) string {
+		if v := getenv(variable); v != "" {
+			return v
+		}
+		return text
+	}
+	cfg = Config{Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
+		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets}
+	if cfg.Sockets <= 0 {
+		cfg.Sockets = defaultSockets
+	}
+	if cfg.MemoryMB <= 0 {
+		cfg.MemoryMB = defaultMemoryMB
+	}
+	if _, _, err := net.SplitHostPort(cfg.Listen); err != nil {
+		return cfg, fmt.Errorf("listen: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(cfg.Discovery); err != nil {
+		return cfg, fmt.Errorf("discovery: %w", err)
+	}
+	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return cfg, fmt.Errorf("seed: %w", err)
+	}
+	if cfg.Site, err = decodeSite(f.Settings); err != nil {
+		return cfg, fmt.Errorf("settings: %w", err)
+	}
+	if len(f.Known) > 0 {
+		if cfg.known, err = parseList(f.Known); err != nil {
+			return cfg, fmt.Errorf("known: %w", err)
+		}
+	}
+	return cfg, nil
+}
+
+// decodeSite reads the settings and checks what the agent, rather than the module, needs of them.
+func decodeSite(data []byte) (wire.Site, error) {
+	if len(data) == 0 {
+		return wire.Site{}, errors.New("missing")
+	}
+	site, err := wire.DecodeSettings(data)
+	if err != nil {
+		return site, err
+	}
+	if site.ConnectTimeout <= 0 || site.ConnIdle <= 0 {
+		return site, errors.New("the connect time-out and the idle limit must be above 0")
+	}
+	// On sockets any refusal may carry Retry-After, also where the simulator's clients are given none.
+	site.Logic.MaxRetryAfter = site.MaxRetryAfter
+	return site, nil
+}
--- /dev/null
+++ b/internal/agent/discovery.go
@@ -0,0 +1,253 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"appleledge/logic"
+)
+
+// Times of the calls to discovery. A change counts as told 2 s after the wait of a watch is over, so silence
+// must be noticed before that; and a watch is a new one when the next call comes 200 ms late.
+const (
+	watchWait   = time.Second             // how long a watch may wait for news
+	callTimeout = 1500 * time.Millisecond // for an answer, past that wait
+	retryPause  = 250 * time.Millisecond  // after a call that failed
+	earlyPause  = 100 * time.Millisecond  // after a watch that came back early with no news
+	longestList = 1 << 20
+)
+
+// list is a list of backends or a change of it, in discovery's form.
+type list struct {
+	Version int64             `json:"version"`
+	Full    bool              `json:"full"`
+	Servers []json.RawMessage `json:"servers"`
+}
+
+// entry is a backend of the list.
+type entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+var states = map[string]logic.State{"Ready": logic.Ready, "Terminating": logic.Draining, "Gone": logic.Gone}
+
+// member is a backend as the agent knows it.
+type member struct {
+	logic.Server
+	addr string
+}
+
+func parseList(data []byte) (l list, err error) {
+	err = json.Unmarshal(data, &l)
+	return l, err
+}
+
+// discovery follows the list of backends and hands what changes to deliver.
+type discovery struct {
+	url       string
+	client    *http.Client
+	clock     clock
+	zones     []string
+	asked     bool          // watch only when the module subscribes
+	subscribe chan struct{} // holds one subscription
+	deliver   func(event)
+	log       *slog.Logger
+
+	version int64
+	have    map[string]member
+	badOnce bool
+	down    bool
+}
+
+func newDiscovery(cfg Config, c clock, deliver func(event), log *slog.Logger) *discovery {
+	return &discovery{
+		url:       "http://" + cfg.Discovery + "/v1/endpoints",
+		client:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
+		clock:     c,
+		zones:     cfg.Site.Zones,
+		asked:     cfg.Site.Logic.Subscribe,
+		subscribe: make(chan struct{}, 1),
+		deliver:   deliver,
+		log:       log,
+		have:      map[string]member{},
+		version:   -1,
+	}
+}
+
+// ask subscribes to the list. A subscription that waits to begin is enough.
+func (d *discovery) ask() {
+	select {
+	case d.subscribe <- struct{}{}:
+	default:
+	}
+}
+
+// restore starts from the list that an earlier life of the agent had.
+func (d *discovery) restore(l list) {
+	l.Full = true
+	d.version = l.Version
+	d.deliver(listed{full: true, members: d.members(l)})
+}
+
+// run follows the list until the context ends. In an outage the last list stays in force.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if d.asked {
+			select {
+			case <-d.subscribe:
+			case <-ctx.Done():
+				return
+			}
+		}
+		err := d.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if !d.down {
+			d.down = true
+			d.log.Warn("discovery out of reach, keeping the last list", "version", d.version, "error", err)
+		}
+		if d.asked {
+			d.deliver(listUnavailable{})
+		} else {
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// follow fetches the whole list, then watches for changes until a call fails or a change was missed.
+func (d *discovery) follow(ctx context.Context) error {
+	if err := d.call(ctx, "", 0); err != nil {
+		return err
+	}
+	for {
+		before, began := d.version, time.Now()
+		query := fmt.Sprintf("?since=%d&timeout_ms=%d", d.version, watchWait.Milliseconds())
+		if err := d.call(ctx, query, watchWait); err != nil {
+			return err
+		}
+		// A watch that does not wait must not be called again in a tight loop.
+		if d.version == before && time.Since(began) < watchWait/2 {
+			sleep(ctx, earlyPause)
+		}
+	}
+}
+
+// call makes one call and takes in what it brings.
+func (d *discovery) call(ctx context.Context, query string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, longestList))
+	if err != nil {
+		return err
+	}
+	l, err := parseList(body)
+	if err != nil {
+		return fmt.Errorf("discovery's list: %w", err)
+	}
+	return d.take(l, query == "")
+}
+
+// take applies a list that is not older than what is held.
+func (d *discovery) take(l list, whole bool) error {
+	if whole && !l.Full {
+		return errors.New("discovery answered a call for the whole list with changes")
+	}
+	if l.Version < d.version && !l.Full {
+		return fmt.Errorf("discovery went back from version %d to %d", d.version, l.Version)
+	}
+	if d.down {
+		d.down = false
+		d.log.Info("discovery is back", "version", l.Version)
+	}
+	if l.Version < d.version || l.Version == d.version && !l.Full {
+		return nil // what is held is newer
+	}
+	members := d.members(l)
+	d.version = l.Version
+	d.deliver(listed{full: l.Full, members: members})
+	return nil
+}
+
+// members decodes the entries. A malformed one is passed over, which must not look as if its backend had been
+// taken from the list: what was held of it stands.
+func (d *discovery) members(l list) []member {
+	out := make([]member, 0, len(l.Servers))
+	for _, raw := range l.Servers {
+		m, id, err := d.member(raw)
+		if err != nil {
+			if !d.badOnce {
+				d.badOnce = true
+				d.log.Warn("passing over a malformed list entry; further ones are not logged", "entry", id, "error", err)
+			}
+			if old, ok := d.have[id]; ok {
+				out = append(out, old)
+			}
+			continue
+		}
+		out = append(out, m)
+	}
+	if l.Full {
+		clear(d.have)
+	}
+	for _, m := range out {
+		d.have[m.ID] = m
+		if m.State == logic.Gone {
+			delete(d.have, m.ID)
+		}
+	}
+	return out
+}
+
+func (d *discovery) member(raw json.RawMessage) (m member, id string, err error) {
+	var e entry
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return m, e.ID, err
+	}
+	state, ok := states[e.State]
+	if e.ID == "" || !ok {
+		return m, e.ID, fmt.Errorf("id %q with state %q", e.ID, e.State)
+	}
+	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != logic.Gone {
+		return m, e.ID, err
+	}
+	return member{addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell,
+		Weight: e.Weight, Started: d.clock.fromUnix(e.StartedMS)}}, e.ID, nil
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -5,7 +5,6 @@
 	"bufio"
 	"bytes"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -257,22 +256,27 @@
 		if i >= len(fields) {
 			break
 		}
-		switch fields[i] {
-		case "util":
-			r.Util = x
-		case "qps":
-			r.Rate = x
-		case "eps":
-			r.Errors = x
-		case "inflight":
-			r.InFlight = x
-		case "queue":
-			r.Queue = x
-		}
+		SetFigure(&r, fields[i], x)
 	}
 	return r
 }
 
+// SetFigure sets the figure of a load report that goes by that name; names that are not known are passed over.
+func SetFigure(r *logic.Report, name string, x float64) {
+	switch name {
+	case "util":
+		r.Util = x
+	case "qps":
+		r.Rate = x
+	case "eps":
+		r.Errors = x
+	case "inflight":
+		r.InFlight = x
+	case "queue":
+		r.Queue = x
+	}
+}
+
 func (d *Decoder) fault(format string, args ...any) {
 	if d.bad == nil {
 		d.bad = fmt.Errorf(format, args...)
@@ -345,14 +349,10 @@
 		d.fault("Launch without BootInfo")
 		return logic.Settings{}
 	}
-	var boot bootInfo
-	if err := json.Unmarshal(v.MarshalTo(nil), &boot); err != nil {
-		d.fault("BootInfo: %v", err)
-	}
-	set, err := boot.settings()
+	site, err := DecodeSettings(v.MarshalTo(nil))
 	if err != nil {
 		d.fault("BootInfo: %v", err)
 	}
-	d.instances[instance] = boot.Report.Fields
-	return set
+	d.instances[instance] = site.ReportFields
+	return site.Logic
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -8,7 +9,35 @@
 	"appleledge/logic"
 )
 
-// bootInfo is the start-up object of an instance, as far as the module has a use for it.
+// Site is what the settings of an instance tell of its deployment, to the module and to the agent round it.
+type Site struct {
+	Logic          logic.Settings
+	ReportFields   []string      // the figures of a load report, in order
+	Tenants        []string      // names, in the order of the module's numbers
+	Zones          []string      // the same
+	ConnectTimeout time.Duration // a connection that is not up by then has failed
+	ConnIdle       time.Duration // servers close connections that stand idle for so long
+	MostHeld       int           // requests that may be open at a time; 0: no limit
+	MaxRetryAfter  time.Duration // the longest come-back time that clients heed
+}
+
+// DecodeSettings reads the settings object of an instance.
+func DecodeSettings(data []byte) (Site, error) {
+	var boot bootInfo
+	if err := json.Unmarshal(data, &boot); err != nil {
+		return Site{}, err
+	}
+	set, err := boot.settings()
+	site := Site{Logic: set, ReportFields: boot.Report.Fields, Zones: boot.Zones,
+		ConnectTimeout: time.Duration(boot.Ceilings.ConnectTimeoutNs), ConnIdle: time.Duration(boot.Ceilings.ConnIdleNs),
+		MostHeld: boot.Ceilings.MostHeld, MaxRetryAfter: time.Duration(boot.Ceilings.MaxRetryAfterNs)}
+	for _, t := range boot.Tenants {
+		site.Tenants = append(site.Tenants, t.Name)
+	}
+	return site, err
+}
+
+// bootInfo is the start-up object of an instance, as far as there is a use for it.
 type bootInfo struct {
 	Balancers int
 	Classes   []struct {
@@ -19,7 +48,9 @@
 	Ceilings struct {
 		ParallelTries, RetryAfter bool
 		MaxRetryAfterNs           int64
-		MostTries                 int
+		ConnectTimeoutNs          int64
+		ConnIdleNs                int64
+		MostTries, MostHeld       int
 	}
 	Discovery string
 	Domain    struct{ WarmKeys bool }
@@ -29,7 +60,11 @@
 		ColdFrom, OverloadFactor float64
 		ColdNs, MustAskInNs      int64
 	}
-	Tenants        []struct{ Portion float64 }
+	Tenants []struct {
+		Name    string
+		Portion float64
+	}
+	Zones          []string
 	OverShareWorth float64
 	TickNs         int64
 	Me             int
