--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,263 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestServes(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), io.Discard)
+	got := send(t, a.newRequest(t, http.MethodPost, "/refund-record/a%2Fb?x=1&y=%20", "the form"))
+	if got.status != http.StatusOK || got.body != "fine" || got.close {
+		t.Errorf("answer %+v", got)
+	}
+	r := b.seen[0]
+	if r.RequestURI != "/refund-record/a%2Fb?x=1&y=%20" || b.bodys[0] != "the form" || b.requests() != 1 {
+		t.Errorf("the backend saw %d: %s %q", b.requests(), r.RequestURI, b.bodys[0])
+	}
+	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// What nobody answers is ended before the client's deadline: as a refusal, which says when to come back, only
+// where trying again is harmless.
+func TestSilentBackend(t *testing.T) {
+	b := newBackend(t, silent)
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), io.Discard)
+	for method, want := range map[string]struct {
+		path   string
+		status int
+		after  string
+	}{
+		http.MethodGet:  {"/form-check", http.StatusServiceUnavailable, "0.3"},
+		http.MethodPost: {"/refund-record", http.StatusBadGateway, ""},
+	} {
+		began := time.Now()
+		got := send(t, a.newRequest(t, method, want.path, ""))
+		if got.status != want.status || got.header.Get("Retry-After") != want.after {
+			t.Errorf("%s: %+v", want.path, got)
+		}
+		if took := time.Since(began); took >= 2*time.Second {
+			t.Errorf("%s: answered after %v, the client waits for 2s", want.path, took)
+		}
+	}
+}
+
+// Without a backend that takes connections the answer comes at once and is a refusal, as nothing has run.
+func TestNoBackendIsRefusedAtOnce(t *testing.T) {
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", refusing(t), "Ready", 0)), io.Discard)
+	r := a.newRequest(t, http.MethodPost, "/refund-record", "")
+	r.Header.Set("X-Timeout", "3000000m")
+	if got := send(t, r); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("%+v", got)
+	}
+}
+
+// An unsafe request that may have run goes nowhere else and is not called harmless to try again.
+func TestUnsafeIsSentOnce(t *testing.T) {
+	b := newBackend(t, closes)
+	addr := b.Addr().String()
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", addr, "Ready", 0), entryText("s-2", addr, "Ready", 0)), io.Discard)
+	r := a.newRequest(t, http.MethodPost, "/pay", "x")
+	r.Header.Del("Idempotency-Key")
+	if got := send(t, r); got.status != http.StatusBadGateway || b.requests() != 1 {
+		t.Errorf("%d attempts, %+v", b.requests(), got)
+	}
+}
+
+// A safe request is sent again by the module when its connection breaks.
+func TestSafeIsSentAgain(t *testing.T) {
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool { return n > 1 && says(served)(c, r, n) })
+	addr := b.Addr().String()
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", addr, "Ready", 0), entryText("s-2", addr, "Ready", 0)), io.Discard)
+	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK || b.requests() != 2 {
+		t.Errorf("%d attempts, %+v", b.requests(), got)
+	}
+}
+
+// Bad input gets a plain 4xx, which unlike 429 and 503 promises nothing, and goes to no backend.
+func TestBadInput(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), io.Discard)
+	with := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	without := func(name string) func(*http.Request) { return func(r *http.Request) { r.Header.Del(name) } }
+	for name, c := range map[string]struct {
+		path, body string
+		change     func(*http.Request)
+		want       int
+	}{
+		"unknown class":     {"/elsewhere", "", func(*http.Request) {}, http.StatusNotFound},
+		"no class":          {"/", "", func(*http.Request) {}, http.StatusNotFound},
+		"no time-out":       {"/refund-record", "", without("X-Timeout"), http.StatusBadRequest},
+		"time-out, no unit": {"/refund-record", "", with("X-Timeout", "480"), http.StatusBadRequest},
+		"time-out, no sum":  {"/refund-record", "", with("X-Timeout", "m"), http.StatusBadRequest},
+		"time-out below 0":  {"/refund-record", "", with("X-Timeout", "-5m"), http.StatusBadRequest},
+		"time-out NaN":      {"/refund-record", "", with("X-Timeout", "NaNm"), http.StatusBadRequest},
+		"no id":             {"/refund-record", "", without("X-Request-ID"), http.StatusBadRequest},
+		"no key":            {"/refund-record", "", without("Idempotency-Key"), http.StatusBadRequest},
+		"long body": {"/refund-record", strings.Repeat("x", maxBody+1), func(*http.Request) {},
+			http.StatusRequestEntityTooLarge},
+	} {
+		r := a.newRequest(t, http.MethodPost, c.path, c.body)
+		c.change(r)
+		if got := send(t, r); got.status != c.want {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+	if n := b.requests(); n != 0 {
+		t.Errorf("%d were forwarded", n)
+	}
+	if got := send(t, a.newRequest(t, http.MethodPost, "/refund-record", strings.Repeat("x", maxBody))); got.status != http.StatusOK {
+		t.Errorf("the longest body: %+v", got)
+	}
+}
+
+func TestTimeoutForms(t *testing.T) {
+	for text, want := range map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
+		"0.5m": 500 * time.Microsecond, "1e300m": longestTimeout} {
+		if got, err := parseTimeout(text); err != nil || got != want {
+			t.Errorf("%s: %v, %v", text, got, err)
+		}
+	}
+}
+
+// Two open requests under one id could not be told apart: the second must not take the first one's answer.
+func TestSecondRequestUnderOneID(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool { <-release; return says(served)(c, r, n) })
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), io.Discard)
+	first := a.newRequest(t, http.MethodPost, "/refund-record", "")
+	first.Header.Set("X-Timeout", "60000m")
+	second := first.Clone(context.Background())
+	got := make(chan reply)
+	go func() { got <- send(t, first) }()
+	eventually(t, "the first is at the backend", func() bool { return b.requests() == 1 })
+	if r := send(t, second); r.status != http.StatusConflict {
+		t.Errorf("second: %+v", r)
+	}
+	close(release)
+	if r := <-got; r.status != http.StatusOK || b.requests() != 1 {
+		t.Errorf("first: %+v after %d attempts", r, b.requests())
+	}
+}
+
+// A client that leaves ends its request; the attempt runs on, since its outcome teaches, and frees its place.
+func TestClientLeaves(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool { <-release; return says(served)(c, r, n) })
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), io.Discard)
+	r := a.newRequest(t, http.MethodPost, "/refund-record", "")
+	r.Header.Set("X-Timeout", "60000m")
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error)
+	go func() { _, err := http.DefaultClient.Do(r.WithContext(ctx)); left <- err }()
+	eventually(t, "it is at the backend", func() bool { return b.requests() == 1 })
+	leave()
+	if err := <-left; err == nil {
+		t.Error("the client got an answer")
+	}
+	close(release)
+	next := a.newRequest(t, http.MethodGet, "/form-check", "")
+	if got := send(t, next); got.status != http.StatusOK {
+		t.Errorf("the next request: %+v", got)
+	}
+}
+
+// After the signal to end, new connections still come and are served, each answer closes its connection, and
+// what was taken before is answered too.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool {
+		if n == 1 {
+			<-release
+		}
+		return says(served)(c, r, n)
+	})
+	addr := b.Addr().String()
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", addr, "Ready", 0)), io.Discard)
+	got := make(chan reply)
+	go func() { got <- send(t, a.newRequest(t, http.MethodGet, "/form-check", "")) }()
+	eventually(t, "the first is at the backend", func() bool { return b.requests() == 1 })
+	a.stop()
+	eventually(t, "it stops being ready", func() bool { return a.status(t, "/ready") == http.StatusServiceUnavailable })
+	if r := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); r.status != http.StatusOK || !r.close {
+		t.Errorf("on a new connection: %+v", r)
+	}
+	close(release)
+	if r := <-got; r.status != http.StatusOK || !r.close {
+		t.Errorf("taken before: %+v", r)
+	}
+	select {
+	case err := <-a.done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the agent did not end")
+	}
+	if c, err := net.Dial("tcp", a.addr); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+}
+
+// Before it holds a list the agent is not ready, and a list that it had in an earlier life is one.
+func TestReadiness(t *testing.T) {
+	b := newBackend(t, says(served))
+	for known, want := range map[string]int{
+		"null": http.StatusServiceUnavailable,
+		listText(4, true, entryText("s-1", b.Addr().String(), "Ready", 0)): http.StatusOK,
+	} {
+		cfg, err := parseConfig(configText(refusing(t), known), noEnv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := listen(t)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- serve(ctx, cfg, l, slog.New(slog.DiscardHandler)) }()
+		a := &running{url: "http://" + l.Addr().String()}
+		eventually(t, "the answer to /ready", func() bool { return a.status(t, "/ready") == want })
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Requests on one kept connection are all answered on it, in order.
+func TestClientConnectionIsKept(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), io.Discard)
+	c, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for i := range 3 {
+		r := a.newRequest(t, http.MethodPost, "/refund-record", "x")
+		if err := r.Write(c); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != "fine" {
+			t.Errorf("%d: %q, %v", i, body, err)
+		}
+	}
+}
