Guard the key window, endless answers and protocol switches; log changes of the list

An attempt now carries the time until which it may begin. - http.ReadResponse reads a head of any length (backend.go): a garbling backend could fill the memory. An answer may hold 512 KiB in all now. - a 101 left its connection in the pool; it is a broken exchange now. The draining test no longer hangs on the 0.6 s for which a draining agent accepts.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,15 +18,15 @@
 )
 
 const (
-	acceptOn      = 600 * time.Millisecond // new connections come for up to 0.4 s after the signal to end
-	drainMost     = 100 * time.Millisecond // past the longest deadline, to end before the platform kills
-	sweepEvery    = time.Second
-	spareSockets  = 64 // for the listener, discovery, the runtime and files
-	backendShare  = 0.45
-	idleShare     = 0.75 // of the clients' connections, from which answers close theirs
-	heldShare     = 0.75 // of the clients' connections that may wait for an answer at a time
-	leastSockets  = 128
-	mostSocketsIn = 4096 // more are never needed, whatever the limit allows
+	acceptOn     = 600 * time.Millisecond // new connections come for up to 0.4 s after the signal to end
+	drainMost    = 100 * time.Millisecond // past the longest deadline, to end before the platform kills
+	sweepEvery   = time.Second
+	spareSockets = 64 // for the listener, discovery, the runtime and files
+	backendShare = 0.45
+	idleShare    = 0.75 // of the clients' connections, from which answers close theirs
+	heldShare    = 0.75 // of the clients' connections that may wait for an answer at a time
+	leastSockets = 128  // with fewer there is no point in running
+	mostSockets  = 4096 // more are never needed, whatever the limit allows
 )
 
 // Run serves until the context ends, then drains as the platform's restarts want it.
@@ -51,7 +51,7 @@
 	defer parts.Wait()
 	defer stop()
 
-	room := min(max(cfg.Sockets, leastSockets), mostSocketsIn) - spareSockets
+	room := min(max(cfg.Sockets, leastSockets), mostSockets) - spareSockets
 	toBackends := int(float64(room) * backendShare)
 	fromClients := room - toBackends
 	clk := newClock()
@@ -74,7 +74,7 @@
 	if cfg.Site.MostHeld > 0 {
 		held = min(held, int64(cfg.Site.MostHeld))
 	}
-	s := &server{site: cfg.Site, loop: loop, clock: clk, mostHeld: held,
+	s := &server{site: cfg.Site, loop: loop, clock: clk, mostHeld: held, acceptFor: cfg.acceptFor,
 		mostIdle: int64(float64(fromClients) * idleShare)}
 	return s.serve(ctx, s.httpServer(log), netutil.LimitListener(listener, fromClients), log)
 }
@@ -94,7 +94,7 @@
 	for _, c := range s.site.Logic.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptOn+longest+drainMost)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.acceptFor+longest+drainMost)
 	defer cancel()
 	err := s.drain(limited, srv)
 	srv.Close()
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -21,7 +21,8 @@
 	maxBody       = 64 << 10 // the longest body of a message
 	maxFigure     = 1e9      // a load report with more in it is malformed
 	timeoutHeader = "X-Timeout"
-	mostInterim   = 8 // 1xx answers before the final one
+	mostInterim   = 8         // 1xx answers before the final one
+	maxAnswer     = 512 << 10 // all of an answer, however its head and chunks are cut
 )
 
 // attempt is one Send: a request on its way to one backend.
@@ -32,6 +33,7 @@
 	backend *backend // its life at the time of the Send
 	sent    time.Duration
 	until   time.Duration // when the agent stops waiting
+	writeBy time.Duration // when it is too late to begin: at until, or earlier for a keyed request sent before
 }
 
 // outcome is how an attempt ended. Every Send gets exactly one.
@@ -73,9 +75,9 @@
 }
 
 // stillWanted is asked just before the first byte goes out. A dial may have taken long: meanwhile the backend
-// may have begun to drain or started anew, or the request may have ended.
+// may have begun to drain or started anew, the request may have ended, or the backends may have forgotten its key.
 func (s *sender) stillWanted(a *attempt) bool {
-	return s.clock.now() < a.until && !a.call.closed.Load() && s.pool.takesNew(a.backend)
+	return s.clock.now() < a.writeBy && !a.call.closed.Load() && s.pool.takesNew(a.backend)
 }
 
 // exchange writes the request and reads the whole answer; keep says whether the connection is in order then.
@@ -84,6 +86,7 @@
 	if err != nil || c.SetDeadline(s.clock.at(a.until)) != nil {
 		return false
 	}
+	c.left.N = maxAnswer // http.ReadResponse takes a head of any length
 	if n, err := c.Write(text); err != nil && n < len(text) {
 		out.result = logic.ConnectFailed // the backend begins a request when its last byte has come
 		return false
@@ -135,7 +138,7 @@
 func readResponse(c *conn, req *http.Request) (*http.Response, error) {
 	for range mostInterim {
 		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"appleledge/internal/wire"
 )
@@ -22,7 +23,8 @@
 	Sockets   int // file descriptors that the process may hold
 	Site      wire.Site
 
-	known list
+	known     list
+	acceptFor time.Duration
 }
 
 // configFile is the form of the file that PROXY_CONFIG names.
@@ -74,7 +76,7 @@
 	}
 	cfg = Config{Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
 		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets}
+		Sockets: f.Limits.Sockets, acceptFor: acceptOn}
 	if cfg.Sockets <= 0 {
 		cfg.Sockets = defaultSockets
 	}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -192,6 +192,7 @@
 	}
 	members := d.members(l)
 	d.version = l.Version
+	d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
 	d.deliver(listed{full: l.Full, members: members})
 	return nil
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -24,10 +24,13 @@
 	body          []byte
 	deadline      time.Duration
 	again         bool
-	answer        chan answer // holds one, so that the loop never waits for a client
-	closed        atomic.Bool // has its answer, or the client left; set by the loop only
+	window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
+	answer        chan answer   // holds one, so that the loop never waits for a client
+	closed        atomic.Bool   // has its answer, or the client left; set by the loop only
 
-	sends, out int // attempts made and in flight; the loop's
+	// The loop's own:
+	sends, out int           // attempts made and in flight
+	ranSince   time.Duration // when the first attempt was sent that may have run; 0 without one
 }
 
 // answer is the final answer to a client.
@@ -148,7 +151,7 @@
 
 func (l *loop) outcome(o outcome) {
 	a, c := o.attempt, o.attempt.call
-	c.out--
+	c.ended(o)
 	if o.result == logic.OK {
 		l.finish(c, answer{status: http.StatusOK, body: o.body, contentType: o.contentType})
 	}
@@ -189,16 +192,37 @@
 
 // send starts an attempt in a goroutine of its own, so that a dead dial holds up nothing else.
 func (l *loop) send(act logic.Action) {
-	c := l.calls[act.Request]
-	now := l.clock.now()
-	a := &attempt{call: c, number: c.sends, server: act.Server, backend: l.pool.backend(act.Server), sent: now,
-		until: c.deadline}
+	a := l.calls[act.Request].attempt(act, l.clock.now())
+	a.backend = l.pool.backend(act.Server)
+	l.attempts.Go(func() { l.tell(l.sender.try(l.ctx, a)) })
+}
+
+// attempt is the next attempt of the request.
+func (c *call) attempt(act logic.Action, now time.Duration) *attempt {
+	a := &attempt{call: c, number: c.sends, server: act.Server, sent: now, until: c.deadline}
 	if act.After > 0 {
 		a.until = min(a.until, now+act.After)
 	}
+	a.writeBy = a.until
+	if c.ranSince == 0 {
+		c.ranSince = now
+	} else if c.window > 0 { // the module decides by the time now, but the dial may take until after the window
+		a.writeBy = min(a.until, c.ranSince+c.window)
+	}
 	c.sends++
 	c.out++
-	l.attempts.Go(func() { l.tell(l.sender.try(l.ctx, a)) })
+	return a
+}
+
+// ended counts an attempt as over.
+func (c *call) ended(o outcome) {
+	c.out--
+	switch o.result {
+	case logic.NotSent, logic.ConnectFailed, logic.Rejected:
+		if c.ranSince == o.attempt.sent {
+			c.ranSince = 0
+		}
+	}
 }
 
 // finish gives a request its answer, unless it has one.
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -42,6 +43,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	left      *io.LimitedReader // under reader: what an answer may still bring
 	backend   *backend
 	idleSince time.Time
 }
@@ -153,7 +155,8 @@
 		b.conns--
 		return nil, fmt.Errorf("connecting to %s: %w", b.id, err)
 	}
-	c = &conn{Conn: raw, reader: bufio.NewReader(raw), backend: b}
+	left := &io.LimitedReader{R: raw}
+	c = &conn{Conn: raw, reader: bufio.NewReader(left), left: left, backend: b}
 	p.open[c] = struct{}{}
 	return c, nil
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -33,14 +33,15 @@
 
 // server is the side that faces the clients.
 type server struct {
-	site     wire.Site
-	loop     *loop
-	clock    clock
-	mostHeld int64 // requests open at a time
-	mostIdle int64 // client connections beyond which answers close theirs
-	held     atomic.Int64
-	conns    atomic.Int64
-	leaving  atomic.Bool
+	site      wire.Site
+	loop      *loop
+	clock     clock
+	mostHeld  int64         // requests open at a time
+	mostIdle  int64         // client connections beyond which answers close theirs
+	acceptFor time.Duration // new connections are accepted for so long after the signal to end
+	held      atomic.Int64
+	conns     atomic.Int64
+	leaving   atomic.Bool
 }
 
 // badRequest is a request that is answered with a plain 4xx and never forwarded.
@@ -136,12 +137,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &call{
+	c := &call{
 		id: id, class: class, tenant: slices.Index(s.site.Tenants, r.Header.Get("X-Tenant-Id")),
 		key: r.Header.Get("X-Route-Key"), method: r.Method, host: r.Host, url: r.URL, header: forwarded(r.Header),
 		body: body, deadline: began + timeout - min(deadlineMargin, timeout/4), again: r.Header.Get("X-Retried") == "1",
 		answer: make(chan answer, 1),
-	}, nil
+	}
+	if of := s.site.Logic.Classes[class]; of.Effect == logic.Keyed {
+		c.window = of.Window
+	}
+	return c, nil
 }
 
 // parseTimeout reads a number and a unit, m for milliseconds or u for microseconds.
@@ -227,6 +232,6 @@
 func (s *server) drain(ctx context.Context, srv *http.Server) error {
 	s.leaving.Store(true)
 	srv.SetKeepAlivesEnabled(false)
-	sleep(ctx, acceptOn)
+	sleep(ctx, s.acceptFor)
 	return srv.Shutdown(ctx)
 }
