--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -140,6 +141,22 @@
 	}
 }
 
+// When too much is open, what comes is refused at once, and connections close so that their number falls: past
+// the limit on descriptors nothing would be answered at all.
+func TestTooMuchOpen(t *testing.T) {
+	s := &server{clock: newClock(), mostHeld: 1, mostIdle: 1}
+	s.held.Store(1)
+	s.conns.Store(2)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/form-check", nil))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "1" || w.Header().Get("Connection") != "close" {
+		t.Errorf("%d %v", w.Code, w.Header())
+	}
+	if s.held.Load() != 1 {
+		t.Errorf("%d are held", s.held.Load())
+	}
+}
+
 func TestTimeoutForms(t *testing.T) {
 	for text, want := range map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
 		"0.5m": 500 * time.Microsecond, "1e300m": longestTimeout} {
