--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,13 +18,14 @@
 )
 
 const (
-	acceptOn     = 600 * time.Millisecond // new connections come for up to 0.4 s after the signal to end
-	drainMost    = 100 * time.Millisecond // past the longest deadline, to end before the platform kills
+	// New connections come for up to 0.4 s after the signal to end, and the platform kills 0.7 s after the longest
+	// deadline at the soonest. The drain accepts for longer than the one and ends before the other.
+	acceptOn  = 550 * time.Millisecond
+	drainMost = 50 * time.Millisecond // past that deadline
+
 	sweepEvery   = time.Second
 	spareSockets = 64 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
-	idleShare    = 0.75 // of the clients' connections, from which answers close theirs
-	heldShare    = 0.75 // of the clients' connections that may wait for an answer at a time
 	leastSockets = 128  // with fewer there is no point in running
 	mostSockets  = 4096 // more are never needed, whatever the limit allows
 )
@@ -51,9 +52,7 @@
 	defer parts.Wait()
 	defer stop()
 
-	room := min(max(cfg.Sockets, leastSockets), mostSockets) - spareSockets
-	toBackends := int(float64(room) * backendShare)
-	fromClients := room - toBackends
+	toBackends, fromClients := shareSockets(cfg.Sockets)
 	clk := newClock()
 	conns := newPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, toBackends)
 	var badReport sync.Once
@@ -70,15 +69,17 @@
 	}
 	parts.Go(func() { disco.run(inner) })
 
-	held := int64(float64(fromClients) * heldShare)
-	if cfg.Site.MostHeld > 0 {
-		held = min(held, int64(cfg.Site.MostHeld))
-	}
-	s := &server{site: cfg.Site, loop: loop, clock: clk, mostHeld: held, acceptFor: cfg.acceptFor,
-		mostIdle: int64(float64(fromClients) * idleShare)}
+	s := newServer(cfg, loop, clk, fromClients)
 	return s.serve(ctx, s.httpServer(log), netutil.LimitListener(listener, fromClients), log)
 }
 
+// shareSockets says how many connections to backends and from clients there may be, within a limit on descriptors.
+func shareSockets(limit int) (toBackends, fromClients int) {
+	room := min(max(limit, leastSockets), mostSockets) - spareSockets
+	toBackends = int(float64(room) * backendShare)
+	return toBackends, room - toBackends
+}
+
 // serve answers clients until the context ends and what was taken by then is answered.
 func (s *server) serve(ctx context.Context, srv *http.Server, l net.Listener, log *slog.Logger) error {
 	failed := make(chan error, 1)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -145,7 +145,7 @@
 // When too much is open, what comes is refused at once, and connections close so that their number falls: past
 // the limit on descriptors nothing would be answered at all.
 func TestTooMuchOpen(t *testing.T) {
-	s := &server{clock: newClock(), mostHeld: 1, mostIdle: 1}
+	s := &server{clock: newClock(), mostHeld: 1, mostConns: 1}
 	s.held.Store(1)
 	s.conns.Store(2)
 	w := httptest.NewRecorder()
@@ -158,6 +158,19 @@
 	}
 }
 
+// Connections on both sides together stay under the limit on descriptors, with some to spare, and the drain
+// between the times that the platform states: 0.4 s and 0.7 s past the longest deadline.
+func TestLimitsOfThePlatform(t *testing.T) {
+	for _, limit := range []int{256, 1024, 4096} {
+		if to, from := shareSockets(limit); to < 1 || from < 1 || to+from > limit-spareSockets {
+			t.Errorf("of %d: %d to backends, %d from clients", limit, to, from)
+		}
+	}
+	if acceptOn <= 400*time.Millisecond || acceptOn+drainMost >= 700*time.Millisecond {
+		t.Errorf("accepts for %v, ends %v past the deadline", acceptOn, acceptOn+drainMost)
+	}
+}
+
 func TestTimeoutForms(t *testing.T) {
 	for text, want := range map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
 		"0.5m": 500 * time.Microsecond, "1e300m": longestTimeout} {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -27,6 +27,7 @@
 	clientIdle      = 2 * time.Minute       // an idle client connection is closed
 	maxHeader       = 32 << 10
 	heldRetry       = time.Second // the come-back time when too much is open
+	fullShare       = 0.75        // of the clients' connections: past it requests are refused and answers close theirs
 	requestIDHeader = "X-Request-ID"
 	keyHeader       = "Idempotency-Key"
 )
@@ -37,7 +38,7 @@
 	loop      *loop
 	clock     clock
 	mostHeld  int64         // requests open at a time
-	mostIdle  int64         // client connections beyond which answers close theirs
+	mostConns int64         // client connections beyond which answers close theirs
 	acceptFor time.Duration // new connections are accepted for so long after the signal to end
 	held      atomic.Int64
 	conns     atomic.Int64
@@ -52,6 +53,16 @@
 
 func (e badRequest) Error() string { return e.text }
 
+// newServer returns a server with room for so many connections from clients.
+func newServer(cfg Config, l *loop, c clock, most int) *server {
+	full := int64(float64(most) * fullShare)
+	s := &server{site: cfg.Site, loop: l, clock: c, mostHeld: full, mostConns: full, acceptFor: cfg.acceptFor}
+	if cfg.Site.MostHeld > 0 {
+		s.mostHeld = min(full, int64(cfg.Site.MostHeld))
+	}
+	return s
+}
+
 // httpServer returns the net/http server that s answers for.
 func (s *server) httpServer(log *slog.Logger) *http.Server {
 	return &http.Server{
@@ -74,7 +85,7 @@
 // ServeHTTP gives each request its one answer.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.clock.now()
-	if s.leaving.Load() || s.conns.Load() > s.mostIdle {
+	if s.leaving.Load() || s.conns.Load() > s.mostConns {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
