Pin dead dials, a drain during a dial and the order in which connections are used

Dials are held by a hook of the dialer, so that no address off the machine and no exact time is needed. All passed as the code was; nothing of the agent changed.

--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -310,3 +311,83 @@
 		t.Errorf("%v %+v %v", out.result, out.report, f.reports)
 	}
 }
+
+// holdDials makes dials to that address wait for the channel to close, as a machine that says nothing does.
+func (f *fixture) holdDials(addr string, until chan struct{}) (began chan struct{}) {
+	began = make(chan struct{}, 1)
+	f.pool.dialer.ControlContext = func(ctx context.Context, _, to string, _ syscall.RawConn) error {
+		if to != addr {
+			return nil
+		}
+		began <- struct{}{}
+		select {
+		case <-until:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return began
+}
+
+// A dial that is never up fails in the connect time-out, and meanwhile holds up nothing else.
+func TestDeadDial(t *testing.T) {
+	dead, fine := newBackend(t, says(served)), newBackend(t, says(served))
+	f := newFixture(t, dead.Addr().String(), 100)
+	f.pool.dialer.Timeout = time.Second
+	began := f.holdDials(dead.Addr().String(), nil)
+	first := f.attempt(patience)
+	f.pool.update(false, []member{{Server: logic.Server{ID: "other"}, addr: fine.Addr().String()}})
+	done := make(chan outcome)
+	go func() { done <- f.try(context.Background(), first) }()
+	<-began
+	second := f.attempt(patience)
+	second.backend = f.pool.backend("other")
+	if out := f.try(context.Background(), second); out.result != logic.OK {
+		t.Errorf("to another backend meanwhile: %v", out.result)
+	}
+	if out := <-done; out.result != logic.ConnectFailed || dead.requests() != 0 {
+		t.Errorf("the dead dial: %v", out.result)
+	}
+}
+
+// A backend that begins to drain while the dial goes on gets nothing, though the connection comes up.
+func TestDrainDuringDial(t *testing.T) {
+	b := newBackend(t, says(served))
+	addr := b.Addr().String()
+	f := newFixture(t, addr, 100)
+	f.pool.dialer.Timeout = patience
+	up := make(chan struct{})
+	began := f.holdDials(addr, up)
+	a := f.attempt(patience)
+	done := make(chan outcome)
+	go func() { done <- f.try(context.Background(), a) }()
+	<-began
+	f.list(addr, logic.Draining, 0)
+	close(up)
+	if out := <-done; out.result != logic.NotSent || b.requests() != 0 || len(f.pool.open) != 0 {
+		t.Errorf("%v with %d requests, %d connections left", out.result, b.requests(), len(f.pool.open))
+	}
+}
+
+// The connection used last is used first, so that those not needed grow old and close.
+func TestMostRecentlyUsedFirst(t *testing.T) {
+	b := newBackend(t, says(served))
+	f := newFixture(t, b.Addr().String(), 100)
+	var held []*conn
+	for range 3 {
+		c, err := f.pool.get(context.Background(), f.pool.backend("b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	for _, i := range []int{0, 2, 1} {
+		f.pool.put(held[i], true)
+	}
+	for _, want := range []int{1, 2, 0} {
+		if c, err := f.pool.get(context.Background(), f.pool.backend("b")); err != nil || c != held[want] {
+			t.Errorf("not connection %d: %v", want, err)
+		}
+	}
+}
