Reload the configuration on SIGHUP and follow discovery to another address

Cause, by reading and by a test that sends real signals to the program: main.go handled SIGTERM only.

Now SIGHUP reads the file again (reload.go), in which the file's address wins; the old discovery's calls end at once; the new one's whole list is taken whatever its version; until then the last list stands. A bad file is one log line. At one and the same address versions still only go forward.

--- a/cmd/appleledge/main.go
+++ b/cmd/appleledge/main.go
@@ -26,6 +26,8 @@
 }
 
 func run() error {
+	hangups := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := agent.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -35,5 +37,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", cfg.Name)
-	return agent.Run(ctx, cfg, log)
+	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) { return agent.ReloadConfig(os.Getenv) }}
+	return agent.Run(ctx, cfg, reloads, log)
 }
--- /dev/null
+++ b/cmd/appleledge/main_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program, in a process of its own that takes real signals.
+func TestMain(m *testing.M) {
+	if os.Getenv("APPLELEDGE_AS_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const config = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"settings":{"Balancers":1,"Me":0,"TickNs":5000000,
+ "WeightKind":"silent","Discovery":"automatic","Zones":["z"],"Report":{"Fields":["util"],"Via":"piggyback"},
+ "Ceilings":{"ConnIdleNs":15000000000,"ConnectTimeoutNs":5000000000,"MostHeld":10,"MostTries":2},
+ "Classes":[{"AimNs":600000000,"DeadlineNs":2000000000,"Effect":"repeatable","Group":"all","Name":"c","Worth":2}]}}`
+
+// SIGHUP, which ends a process that does not handle it, reads the file again, and SIGTERM drains with exit code 0.
+func TestSignals(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	program := exec.Command(os.Args[0])
+	program.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "PROXY_CONFIG="+file)
+	log, err := program.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	giveUp := time.AfterFunc(20*time.Second, func() { program.Process.Kill() })
+	defer giveUp.Stop()
+	lines := bufio.NewScanner(log)
+	reach := func(text string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), text) {
+				return
+			}
+		}
+		t.Fatalf("the log ended before %q", text)
+	}
+	reach("listening")
+	for range 2 {
+		program.Process.Signal(syscall.SIGHUP)
+		reach("configuration reloaded")
+	}
+	program.Process.Signal(syscall.SIGTERM)
+	reach("drained")
+	for lines.Scan() {
+	}
+	if err := program.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -31,16 +31,16 @@
 )
 
 // Run serves until the context ends, then drains as the platform's restarts want it.
-func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+func Run(ctx context.Context, cfg Config, reloads Reloads, log *slog.Logger) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	return serve(ctx, cfg, listener, log)
+	return serve(ctx, cfg, reloads, listener, log)
 }
 
 // serve is Run on a listener that is open.
-func serve(ctx context.Context, cfg Config, listener net.Listener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg Config, reloads Reloads, listener net.Listener, log *slog.Logger) error {
 	defer listener.Close()
 	balancer, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
@@ -68,6 +68,7 @@
 		disco.restore(cfg.known)
 	}
 	parts.Go(func() { disco.run(inner) })
+	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
 
 	s := newServer(cfg, loop, clk, fromClients)
 	return s.serve(ctx, s.httpServer(log), netutil.LimitListener(listener, fromClients), log)
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -62,6 +62,17 @@
 	return cfg, nil
 }
 
+// ReloadConfig reads the file again. It has been replaced since the process started and the environment has not, so
+// that the file's address of discovery goes first.
+func ReloadConfig(getenv func(string) string) (Config, error) {
+	return LoadConfig(func(variable string) string {
+		if variable == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return getenv(variable)
+	})
+}
+
 // parseConfig decodes and checks the file's text. Variables that are set go before it.
 func parseConfig(data []byte, getenv func(string) string) (cfg Config, err error) {
 	var f configFile
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"appleledge/logic"
@@ -58,7 +59,6 @@
 
 // discovery follows the list of backends and hands what changes to deliver.
 type discovery struct {
-	url       string
 	client    *http.Client
 	clock     clock
 	zones     []string
@@ -67,6 +67,12 @@
 	deliver   func(event)
 	log       *slog.Logger
 
+	mu   sync.Mutex
+	addr string             // where discovery is; mu guards it and what follows
+	drop context.CancelFunc // ends the calls to the present address
+
+	// Those of the goroutine that runs:
+	at      string // the address that is followed
 	version int64
 	have    map[string]member
 	badOnce bool
@@ -75,7 +81,9 @@
 
 func newDiscovery(cfg Config, c clock, deliver func(event), log *slog.Logger) *discovery {
 	return &discovery{
-		url:       "http://" + cfg.Discovery + "/v1/endpoints",
+		addr:      cfg.Discovery,
+		drop:      func() {},
+		at:        cfg.Discovery,
 		client:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
 		clock:     c,
 		zones:     cfg.Site.Zones,
@@ -103,9 +111,41 @@
 	d.deliver(listed{full: true, members: d.members(l)})
 }
 
-// run follows the list until the context ends. In an outage the last list stays in force.
+// move points to another discovery. Calls to the old one end at once, whether or not it still answers.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr = addr
+	d.drop()
+}
+
+// run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		session, end := d.begin(ctx)
+		d.session(session)
+		end()
+	}
+}
+
+// begin starts a session with discovery at its present address, which lasts until the address changes. Another
+// discovery counts versions of its own: they may start lower than those of the one before.
+func (d *discovery) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	session, end := context.WithCancel(ctx)
+	d.drop = end
+	if d.at != d.addr {
+		d.at, d.version, d.down = d.addr, -1, false
+		d.client.CloseIdleConnections()
+		d.ask() // the module's subscription was with the old one
+	}
+	return session, end
+}
+
+// session follows the list at one address until the context ends.
+func (d *discovery) session(ctx context.Context) {
 	for ctx.Err() == nil {
 		if d.asked {
 			select {
@@ -152,7 +192,7 @@
 func (d *discovery) call(ctx context.Context, query string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -257,7 +257,7 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		a.done <- serve(ctx, cfg, l, slog.New(slog.DiscardHandler))
+		a.done <- serve(ctx, cfg, Reloads{}, l, slog.New(slog.DiscardHandler))
 	}()
 	t.Cleanup(func() { stop(); <-finished })
 	eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
