Take no Transfer-Encoding from clients, and close after bad input

Cause: net/http prefers chunks and drops a Content-Length beside them unseen, so the rest of what that length covered was read as a second request.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -103,6 +103,7 @@
 		if bad, ok := errors.AsType[badRequest](err); ok {
 			status = bad.status
 		}
+		w.Header().Set("Connection", "close") // what comes behind it may be a part of it
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -127,6 +128,11 @@
 
 // accept reads a request and checks it.
 func (s *server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (*call, error) {
+	// Beside a length, chunks may hide a second request in what the length makes the body. net/http drops such a length
+	// unseen, so that chunks can't be had at all; clients always send a length.
+	if len(r.TransferEncoding) > 0 {
+		return nil, badRequest{http.StatusLengthRequired, "only a body with a Content-Length is taken"}
+	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class := slices.IndexFunc(s.site.Logic.Classes, func(c logic.Class) bool { return c.Name == name })
 	if class < 0 {
