Make room among client connections, bound slow ones, and check requests whole before they count

Now clients.go holds the connections: when its places are taken it closes those that never brought a request in order, then those between requests, then those being read, the oldest first; one whose request is open stays.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"appleledge/logic"
 )
 
@@ -24,9 +22,9 @@
 	drainMost = 50 * time.Millisecond // past that deadline
 
 	sweepEvery   = time.Second
-	spareSockets = 64 // for the listener, discovery, the runtime and files
+	spareSockets = 24 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
-	leastSockets = 128  // with fewer there is no point in running
+	leastSockets = 100  // with fewer there is no point in running
 	mostSockets  = 4096 // more are never needed, whatever the limit allows
 )
 
@@ -71,7 +69,7 @@
 	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
 
 	s := newServer(cfg, loop, clk, fromClients)
-	return s.serve(ctx, s.httpServer(log), netutil.LimitListener(listener, fromClients), log)
+	return s.serve(ctx, s.httpServer(log), newClientConns(listener, fromClients), log)
 }
 
 // shareSockets says how many connections to backends and from clients there may be, within a limit on descriptors.
--- /dev/null
+++ b/internal/agent/clients.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+)
+
+// clientConns is a listener that holds at most so many connections. When it is full it makes room by closing what has
+// been without a request for longest: those who connect and say nothing, or ask once and stay, must not keep out the
+// others.
+type clientConns struct {
+	net.Listener
+	most int
+
+	mu     sync.Mutex
+	room   *sync.Cond
+	closed bool
+	open   map[*clientConn]struct{}
+}
+
+// clientConn is one of them; the table's lock guards its state.
+type clientConn struct {
+	net.Conn
+	table  *clientConns
+	use    connUse
+	served bool // has brought a request that was in order
+	since  time.Time
+}
+
+// connUse orders connections by how readily they are closed to make room.
+type connUse int
+
+const (
+	unused  connUse = iota // no request has begun
+	reading                // one has begun, but is not known to be in order
+	inUse                  // one that is in order is open: never closed
+)
+
+func newClientConns(l net.Listener, most int) *clientConns {
+	t := &clientConns{Listener: l, most: most, open: map[*clientConn]struct{}{}}
+	t.room = sync.NewCond(&t.mu)
+	return t
+}
+
+// Accept makes room for a connection before it takes one, so that the limit on descriptors always holds.
+func (t *clientConns) Accept() (net.Conn, error) {
+	t.makeRoom()
+	raw, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &clientConn{Conn: raw, table: t, since: time.Now()}
+	t.open[c] = struct{}{}
+	return c, nil
+}
+
+func (t *clientConns) makeRoom() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.open) >= t.most && !t.closed {
+		c := t.leastUseful()
+		if c == nil {
+			t.room.Wait()
+			continue
+		}
+		t.mu.Unlock()
+		c.Close()
+		runtime.Gosched() // its reader lets go of the descriptor only when it has run
+		t.mu.Lock()
+	}
+}
+
+// leastUseful is the connection to close first: one that never brought a request in order, then one between
+// requests, then one that is being read; among like ones the oldest.
+func (t *clientConns) leastUseful() (least *clientConn) {
+	rank := func(c *clientConn) int {
+		if c.use == unused && c.served {
+			return 1
+		}
+		return 2 * int(c.use)
+	}
+	for c := range t.open {
+		if c.use == inUse {
+			continue
+		}
+		if least == nil || rank(c) < rank(least) || rank(c) == rank(least) && c.since.Before(least.since) {
+			least = c
+		}
+	}
+	return least
+}
+
+// Close closes the listener, not the connections.
+func (t *clientConns) Close() error {
+	t.mu.Lock()
+	t.closed = true
+	t.room.Broadcast()
+	t.mu.Unlock()
+	return t.Listener.Close()
+}
+
+// Close closes the connection and frees its place.
+func (c *clientConn) Close() error {
+	err := c.Conn.Close()
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	delete(c.table.open, c)
+	c.table.room.Signal()
+	return err
+}
+
+// CloseWrite lets net/http end an answer so that a client which still sends can read it.
+func (c *clientConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+func (c *clientConn) now(use connUse) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.use, c.since = use, time.Now()
+	c.served = c.served || use == inUse
+	if use != inUse {
+		c.table.room.Signal()
+	}
+}
+
+// connState is told by net/http what happens on a connection.
+func connState(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*clientConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.now(reading)
+	case http.StateIdle:
+		c.now(unused)
+	}
+}
+
+type connKey struct{}
+
+// connContext lets handlers find the connection of their request.
+func connContext(ctx context.Context, raw net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, raw)
+}
+
+// hold marks the connection of a request as in use. It is given back when net/http has written the answer.
+func hold(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		c.now(inUse)
+	}
+}
--- /dev/null
+++ b/internal/agent/clients_test.go
@@ -0,0 +1,212 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// dial opens a connection to the agent that closes with the test.
+func (a *running) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// ends waits until the far side closes the connection, and returns what came before.
+func ends(t *testing.T, c net.Conn) string {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(patience))
+	text, err := io.ReadAll(c)
+	if err, ok := err.(net.Error); ok && err.Timeout() {
+		t.Fatalf("still open, after %q", text)
+	}
+	return string(text)
+}
+
+// Clients that connect and say nothing, or ask once and stay, must not keep usual ones out: when all places are
+// taken, they are closed to make room, long before their time is up.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := startWith(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0, func(cfg *Config) {
+		cfg.Sockets = leastSockets
+	})
+	_, places := shareSockets(leastSockets)
+	for i := range 4 * places {
+		c := a.dial(t)
+		if i%2 == 0 {
+			io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+		}
+	}
+	began := time.Now()
+	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK {
+		t.Errorf("%+v", got)
+	}
+	if took := time.Since(began); took > headerTimeout {
+		t.Errorf("served after %v only", took)
+	}
+}
+
+// Room is made by those without a request: one that is being served stays, and so does the number of places.
+func TestWhoMakesRoom(t *testing.T) {
+	table := newClientConns(listen(t), 3)
+	accept := func() *clientConn {
+		t.Helper()
+		far, err := net.Dial("tcp", table.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { far.Close() })
+		c, err := table.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c.(*clientConn)
+	}
+	busy, kept, silent := accept(), accept(), accept()
+	busy.now(inUse)
+	kept.now(inUse)
+	connState(kept, http.StateIdle)
+	reader := accept()
+	connState(reader, http.StateActive)
+	for i, want := range []*clientConn{silent, kept, reader} {
+		if _, open := table.open[want]; i > 0 && !open {
+			t.Errorf("connection %d was closed too early", i)
+		}
+		if i > 0 {
+			accept().now(inUse)
+		}
+		if _, open := table.open[want]; open {
+			t.Errorf("connection %d should have made room", i)
+		}
+	}
+	if _, open := table.open[busy]; !open || len(table.open) != 3 {
+		t.Errorf("busy open: %v, %d in all", open, len(table.open))
+	}
+	// With all in use the next one waits, until one is free or the listener closes.
+	done := make(chan error)
+	go func() { _, err := table.Accept(); done <- err }()
+	table.Close()
+	if err := <-done; err == nil {
+		t.Error("accepted beyond the limit")
+	}
+}
+
+// Whoever sends no whole request is answered or closed within the 3 s that are owed, whatever he says of his time.
+func TestSlowClientsAreClosed(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	if headerTimeout+bodyTimeout >= 3*time.Second {
+		t.Errorf("a head may take %v and a body %v", headerTimeout, bodyTimeout)
+	}
+	head := "POST /refund-record HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: 1\r\nX-Tenant-Id: lerwick-port\r\nIdempotency-Key: 1\r\n"
+	for name, text := range map[string]string{
+		"nothing":   "",
+		"half head": head[:60],
+		"half body": head + "X-Timeout: 999999m\r\nContent-Length: 100\r\n\r\nhalf",
+	} {
+		c := a.dial(t)
+		io.WriteString(c, text)
+		if got := ends(t, c); strings.Contains(got, " 200 ") || strings.Contains(got, " 503 ") {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+	if b.requests() != 0 {
+		t.Error("something went on to a backend")
+	}
+}
+
+// A body in chunks is not taken. Beside a length it may hold a request that the length would have made a part of the
+// body: net/http reads the chunks, and what follows them as a request of its own.
+func TestHiddenRequestIsNotPassedOn(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	inner := "GET /form-check HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: 2\r\nX-Tenant-Id: lerwick-port\r\nX-Timeout: 999m\r\n\r\n"
+	for _, length := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(inner)+5), ""} {
+		c := a.dial(t)
+		io.WriteString(c, "POST /refund-record HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: 1\r\nX-Tenant-Id: lerwick-port\r\n"+
+			"X-Timeout: 999m\r\nIdempotency-Key: 1\r\n"+length+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+inner)
+		got := ends(t, c)
+		if !strings.HasPrefix(got, "HTTP/1.1 411 ") || strings.Count(got, "HTTP/1.1") != 1 {
+			t.Errorf("answered %q", got)
+		}
+	}
+	if n := b.requests(); n != 0 {
+		t.Errorf("%d were passed on", n)
+	}
+}
+
+// A client that ends its sending has gone, and gets no answer. Returning from the handler without one would make
+// net/http answer 200, which no backend said.
+func TestHalfClosedClientIsNotAnswered(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool { <-release; return says(served)(c, r, n) })
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	r := a.newRequest(t, http.MethodGet, "/form-check", "")
+	if err := r.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "it is at the backend", func() bool { return b.requests() == 1 })
+	c.(*net.TCPConn).CloseWrite()
+	if got := ends(t, c); got != "" {
+		t.Errorf("answered %q", got)
+	}
+	close(release)
+}
+
+// A connection with no request open closes after a while, so that those kept for good do not pile up.
+func TestIdleClientsAreClosed(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	c := a.dial(t)
+	r := a.newRequest(t, http.MethodGet, "/form-check", "")
+	if err := r.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	ends(t, c)
+	if open := time.Since(began); open < 2*time.Second {
+		t.Errorf("closed after %v already", open)
+	}
+}
+
+// Only what a backend needs goes on to it: other headers could change how it reads the message.
+func TestForwardedHeaders(t *testing.T) {
+	b := newBackend(t, says(served))
+	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
+	r := a.newRequest(t, http.MethodPost, "/refund-record", "x")
+	for _, name := range []string{"Te", "Upgrade", "Trailer", "Keep-Alive", "X-Not-Processed", "Cookie", "X-Server-Load"} {
+		r.Header.Set(name, "x")
+	}
+	r.Header.Set("X-Attrs", "a=1")
+	if got := send(t, r.WithContext(context.Background())); got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	for name := range b.seen[0].Header {
+		switch name {
+		case "X-Request-Id", "Idempotency-Key", "X-Tenant-Id", "X-Route-Key", "X-Timeout", "X-Attrs", "User-Agent", "Content-Length":
+		default:
+			t.Errorf("%s went on", name)
+		}
+	}
+	if b.seen[0].Header.Get("X-Attrs") != "a=1" {
+		t.Error("X-Attrs did not go on")
+	}
+}
