Fail a spoilt answer as soon as it can't be good

Spoilt ones are noise with no line in it, heads without end, wrong status lines, chunks with no size, two or negative lengths and bodies of 3 GB.

At fault, by tests that fail without the mend (backend.go): a body with neither length nor chunks that ended with the connection was served though it may be cut; noise without a line, half a head and half a body held the attempt until its deadline; 512 KiB of a 3 GB body or an endless head were read. Now the first bytes must be an answer's, a head has 16 KiB, a body must state its end and have at most 64 KiB, and once begun an answer has 0.5 s. The first load report that can be read counts, also behind one that can't.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -22,7 +23,12 @@
 	maxFigure     = 1e9      // a load report with more in it is malformed
 	timeoutHeader = "X-Timeout"
 	mostInterim   = 8         // 1xx answers before the final one
-	maxAnswer     = 512 << 10 // all of an answer, however its head and chunks are cut
+	maxHead       = 16 << 10  // of an answer, with interim ones
+	maxAnswer     = 128 << 10 // its body, however the chunks are cut
+	startOfAnswer = "HTTP/1."
+
+	// Backends send an answer in one go. One that stops half way is spoilt, and its connection stays open.
+	answerTimeout = 500 * time.Millisecond
 )
 
 // attempt is one Send: a request on its way to one backend.
@@ -86,26 +92,17 @@
 	if err != nil || c.SetDeadline(s.clock.at(a.until)) != nil {
 		return false
 	}
-	c.left.N = maxAnswer // http.ReadResponse takes a head of any length
 	if n, err := c.Write(text); err != nil && n < len(text) {
 		out.result = logic.ConnectFailed // the backend begins a request when its last byte has come
 		return false
 	}
-	resp, err := readResponse(c, req)
+	resp, body, err := s.readAnswer(c, req, a)
 	if err != nil {
 		out.result = broken(err)
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil {
-		out.result = broken(err) // also a 200: what came is not the whole answer
-		return false
-	}
-	out.report = s.readReport(resp.Header.Get("X-Server-Load"))
+	out.report = s.readReport(resp.Header.Values("X-Server-Load"))
 	switch code := resp.StatusCode; {
-	case len(body) > maxBody:
-		out.result = logic.Failed
-		return false
 	case code == http.StatusOK:
 		out.result, out.body, out.contentType = logic.OK, body, resp.Header.Get("Content-Type")
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
@@ -117,6 +114,65 @@
 	return !resp.Close
 }
 
+// errSpoilt is an answer that can't be what a backend made for the request. The request may have run.
+var errSpoilt = errors.New("spoilt answer")
+
+// readAnswer reads a whole answer, or fails as soon as it can't become one: a spoilt answer may never end.
+func (s *sender) readAnswer(c *conn, req *http.Request, a *attempt) (*http.Response, []byte, error) {
+	c.left.N = maxHead // http.ReadResponse takes a head of any length
+	if err := startsWell(c.reader); err != nil {
+		return nil, nil, err
+	}
+	if end := s.clock.now() + answerTimeout; end < a.until {
+		if err := c.SetReadDeadline(s.clock.at(end)); err != nil {
+			return nil, nil, err
+		}
+	}
+	resp, err := readResponse(c, req)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
+	}
+	body, err := readWhole(c, resp)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
+	}
+	return resp, body, nil
+}
+
+// startsWell waits for the answer's first bytes, and fails at the first that no answer begins with: noise may hold
+// no end of a line, for which the parser would wait.
+func startsWell(r *bufio.Reader) error {
+	for n := 1; n <= len(startOfAnswer); n++ {
+		got, err := r.Peek(n)
+		if err != nil {
+			return err
+		}
+		if got[n-1] != startOfAnswer[n-1] {
+			return errSpoilt
+		}
+	}
+	return nil
+}
+
+// readWhole reads the body, which has to say where it ends: one that ends where the connection does may be cut.
+func readWhole(c *conn, resp *http.Response) ([]byte, error) {
+	length := resp.ContentLength
+	if length > maxBody || length < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, fmt.Errorf("a length of %d", length)
+	}
+	c.left.N = maxAnswer
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errors.New("a body over 64 KiB")
+	}
+	return body, err
+}
+
 // request returns the message for the backend, also as text.
 func (s *sender) request(a *attempt) (*http.Request, []byte, error) {
 	in := a.call
@@ -147,23 +203,22 @@
 
 // broken is the result of a request that was written whole and got no whole answer.
 func broken(err error) logic.Result {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errSpoilt) {
 		return logic.TimedOut
 	}
 	return logic.Reset
 }
 
-// readReport reads the load report of an answer. A malformed one is no report.
-func (s *sender) readReport(text string) logic.Report {
-	if text == "" {
-		return logic.NoReport
-	}
-	r, err := parseReport(text, s.fields)
-	if err != nil {
+// readReport reads the load report of an answer: the first that can be read. A malformed one is no report.
+func (s *sender) readReport(texts []string) logic.Report {
+	for _, text := range texts {
+		r, err := parseReport(text, s.fields)
+		if err == nil {
+			return r
+		}
 		s.noted(err)
-		return logic.NoReport
 	}
-	return r
+	return logic.NoReport
 }
 
 func parseReport(text string, fields []string) (logic.Report, error) {
