Count no stuck attempt as a jam, and send elsewhere what had no place

The stuck attempts stay in flight up to their deadline, three times the aim, and setShed counted each as one more in a jam. Those out for longer than their aim count no more.

Two of the suspicions, confirmed by tests that fail without the mend: no free place in the pool was told to the module as a connect failure of the backend (backend.go, try), and a request that was not sent for it was refused though it could have gone elsewhere (logic.go, outcome).

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -66,8 +66,8 @@
 	defer cancel()
 	c, err := s.pool.get(ctx, a.backend)
 	switch {
-	case errors.Is(err, errNotReady) || err != nil && ctx.Err() != nil:
-		return out
+	case errors.Is(err, errNotReady) || errors.Is(err, errNoRoom) || err != nil && ctx.Err() != nil:
+		return out // the agent's own lack says nothing of the backend
 	case err != nil:
 		out.result = logic.ConnectFailed
 		return out
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -269,6 +269,10 @@
 	if _, err := f.pool.get(context.Background(), b); !errors.Is(err, errNoRoom) {
 		t.Errorf("a third of at most 8/4: %v", err)
 	}
+	// It is the agent's own lack: told as a failure of the backend, it would make the module shun one that is well.
+	if out := f.try(context.Background(), f.attempt(patience)); out.result != logic.NotSent {
+		t.Errorf("an attempt with no place: %v", out.result)
+	}
 	var others []member
 	for i := range 9 {
 		others = append(others, member{Server: logic.Server{ID: fmt.Sprint(i)}, addr: fine.Addr().String()})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
 	mostWaits   = 4    // doublings of the wait before the list is asked again
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
-	retryShare  = 0.1  // further attempts as a share of first ones
+	retryShare  = 0.2  // further attempts as a share of first ones
 	retrySaved  = 10   // most further attempts saved up
 	shedFrom    = 0.4  // mean time taken over aim from which work of mean worth is refused
 	shedSlope   = 6    // rise of the share refused with that mean
@@ -482,7 +482,7 @@
 	case r.closed || o.Closed:
 		b.close(r)
 	case r.out > 0: // the other copy goes on
-	case b.budget >= 1 && o.Result != NotSent:
+	case b.budget >= 1:
 		b.budget--
 		b.try(r)
 	default:
@@ -527,7 +527,9 @@
 			busy, known = busy+(1-s.trust*(1-s.busy))*s.capacity, known+s.capacity
 		}
 		for _, a := range s.inFlight {
-			wait, out = wait+1/a.req.class.Aim.Seconds(), out+1
+			if b.now-a.sent <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
+				wait, out = wait+1/a.req.class.Aim.Seconds(), out+1
+			}
 		}
 	}
 	b.crowd = int(out / subsetFull) // a busy caller must not crowd its few servers
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -403,6 +403,37 @@
 	}
 }
 
+// Also where servers are busy, what is out for longer than its aim is stuck: late answers tell of a jam by then.
+func TestStuckIsNoJam(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 12 {
+		h.ask(1)
+	}
+	h.tick(h.set.Classes[1].Aim + h.horizon/ticks)
+	for range 100 {
+		id, to := h.ask(1)
+		h.end(id, to, 0, OK, report(1, 50))
+	}
+	h.late = 0
+	h.tick(h.horizon / ticks)
+	if h.shed != 0 {
+		t.Errorf("shed level %v with a few stuck", h.shed)
+	}
+}
+
+// What was not sent, as the agent had no place for it, goes elsewhere and speaks against no server.
+func TestNotSentGoesElsewhere(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	id, to := h.ask(1)
+	actions := h.end(id, to, 0, NotSent, NoReport)
+	if len(actions) != 1 || actions[0].Kind != Send || actions[0].Server == to {
+		t.Errorf("after %s: %+v", to, actions)
+	}
+	if s := h.byID[to]; s.failing != 0 {
+		t.Errorf("failing %v", s.failing)
+	}
+}
+
 // A balancer keeps to a part of a large fleet, a part of its own and the same after a restart; all together
 // use every server; a small fleet or one with few balancers is used whole.
 func TestSubset(t *testing.T) {
