Send a second copy of a request whose answer is late

Checked: connects and the pool are not the cause (8 to 15 failed connects in 3,000 attempts).

copyLate (logic.go) looks at each tick for attempts that are out for twice their class's usual time and sends one copy elsewhere, where the class allows a repeat: the same maySend decides. Half of the budget for further attempts is kept for repeats, and where servers report a use over 0.65 none goes out.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,8 @@
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.2  // further attempts as a share of first ones
 	retrySaved  = 10   // most further attempts saved up
+	copyAfter   = 2    // times the usual time to an answer, after which a second copy may go out
+	copyTo      = 0.65 // reported use of the servers up to which it may
 	shedFrom    = 0.4  // mean time taken over aim from which work of mean worth is refused
 	shedSlope   = 6    // rise of the share refused with that mean
 	busyFrom    = 0.75 // reported use from which late answers are taken for a sign of a jam
@@ -83,6 +85,7 @@
 		b.timer(tickToken, b.horizon/ticks)
 		b.checkHealth()
 		b.setShed()
+		b.copyLate()
 	case subscribeToken:
 		b.asking = false
 		b.act(Action{Kind: Subscribe})
@@ -456,6 +459,10 @@
 		b.finish(r)
 		return
 	}
+	b.send(r, s)
+}
+
+func (b *Balancer) send(r *request, s *server) {
 	if len(s.inFlight) == 0 {
 		s.heard = b.now
 	}
@@ -467,6 +474,33 @@
 	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID})
 }
 
+// copyLate sends a second copy of requests whose answer is late: it may never come, where a connection fell
+// silent or a server hangs, and by the deadline nothing is gained any more. A part of the budget is kept for
+// repeats of what has failed, and none is sent where servers are busy: all is late there, and copies make it
+// worse.
+func (b *Balancer) copyLate() {
+	if b.shed > 0 || b.busy > copyTo {
+		return
+	}
+	var late []*request
+	for _, s := range b.servers {
+		for _, a := range s.inFlight {
+			if b.now-a.sent > time.Duration(copyAfter*b.usual[a.req.Class]) && a.req.out == 1 {
+				late = append(late, a.req)
+			}
+		}
+	}
+	for _, r := range late {
+		if b.budget < retrySaved/2 {
+			return
+		}
+		if s := b.pick(r); s != nil && !r.tried(s) {
+			b.budget--
+			b.send(r, s)
+		}
+	}
+}
+
 func (b *Balancer) outcome(o Outcome) {
 	r := b.requests[o.Request]
 	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
@@ -544,6 +578,7 @@
 		busy, known = 1, 1
 	}
 	busy /= known
+	b.busy = busy
 	part := min(1, max(0, (busy-busyFrom)/(busyFull-busyFrom)))
 	jam := min(1, max(0, (busy-idleTo)/(busyFrom-idleTo)))
 	b.shed = shedSlope * max(0, part*(b.late-shedFrom), jam*(little-shedFrom))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -434,6 +434,39 @@
 	}
 }
 
+// An answer that is late may never come: a second copy goes out where the class allows one and servers are not busy.
+func TestLateRequestIsCopied(t *testing.T) {
+	for name, c := range map[string]struct {
+		class, copies int
+		util          float64
+	}{"safe": {0, 1, 0.3}, "keyed": {1, 1, 0.3}, "unsafe": {2, 0, 0.3}, "busy": {0, 0, 0.9}} {
+		set := testSettings()
+		set.ParallelCopies = true
+		set.Classes = []Class{{Name: "s", Effect: Safe, Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
+			{Name: "k", Effect: Keyed, Window: 3 * time.Second, Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
+			{Name: "u", Effect: Unsafe, Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}}
+		h := newBench(t, set, 1, 1, 1, 1)
+		for range 100 {
+			id, to := h.ask(0)
+			h.end(id, to, 0, OK, report(c.util, 50))
+		}
+		h.tick(h.horizon / ticks)
+		id, to := h.ask(c.class)
+		copies := 0
+		for _, a := range h.tick(time.Duration(2 * copyAfter * h.usual[c.class])) {
+			if a.Kind == Send && a.Request == id {
+				copies++
+				if a.Server == to {
+					t.Errorf("%s: the copy went to the same server", name)
+				}
+			}
+		}
+		if copies != c.copies {
+			t.Errorf("%s: %d copies", name, copies)
+		}
+	}
+}
+
 // A balancer keeps to a part of a large fleet, a part of its own and the same after a restart; all together
 // use every server; a small fleet or one with few balancers is used whole.
 func TestSubset(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -31,6 +31,7 @@
 	asked    []float64     // requests lately, a tenant each
 	askedAll float64
 	reports  bool    // some server has reported its load
+	busy     float64 // use of the servers, as they report it
 	shed     float64 // share of requests of mean worth that is refused
 	whole    float64 // capacity of all when warm
 	total    float64 // and at present
