Ask discovery before the known list is used after a restart

Now discovery has 0.5 s to answer first, the known list comes after that, and any list from discovery counts as newer than it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,9 +62,6 @@
 	loop.subscribe = disco.ask
 	parts.Go(func() { loop.run(inner) })
 	parts.Go(func() { every(inner, sweepEvery, conns.sweep) })
-	if len(cfg.known.Servers) > 0 {
-		disco.restore(cfg.known)
-	}
 	parts.Go(func() { disco.run(inner) })
 	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
 
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -22,6 +22,7 @@
 	watchWait   = time.Second             // how long a watch may wait for news
 	callTimeout = 1500 * time.Millisecond // for an answer, past that wait
 	retryPause  = 250 * time.Millisecond  // after a call that failed
+	firstWait   = 500 * time.Millisecond  // for the first list, before one from an earlier life is used
 	earlyPause  = 100 * time.Millisecond  // after a watch that came back early with no news
 	longestList = 1 << 20
 )
@@ -62,6 +63,7 @@
 	client    *http.Client
 	clock     clock
 	zones     []string
+	known     list          // of an earlier life of the agent
 	asked     bool          // watch only when the module subscribes
 	subscribe chan struct{} // holds one subscription
 	deliver   func(event)
@@ -87,6 +89,7 @@
 		client:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
 		clock:     c,
 		zones:     cfg.Site.Zones,
+		known:     cfg.known,
 		asked:     cfg.Site.Logic.Subscribe,
 		subscribe: make(chan struct{}, 1),
 		deliver:   deliver,
@@ -104,13 +107,30 @@
 	}
 }
 
-// restore starts from the list that an earlier life of the agent had.
-func (d *discovery) restore(l list) {
+// restore starts from the list that an earlier life of the agent had. Whatever discovery says next is newer, also
+// where it counts from a lower version by then.
+func (d *discovery) restore() {
+	l := d.known
 	l.Full = true
-	d.version = l.Version
 	d.deliver(listed{full: true, members: d.members(l)})
 }
 
+// first gets the first list. The known one may name backends that have gone or drain since, and the agent is ready as
+// soon as it holds any: it is used only where discovery does not answer at once.
+func (d *discovery) first(ctx context.Context) {
+	if len(d.known.Servers) == 0 {
+		return
+	}
+	if !d.asked { // else the module says when to ask
+		soon, cancel := context.WithTimeout(ctx, firstWait)
+		defer cancel()
+		if d.call(soon, "", 0) == nil {
+			return
+		}
+	}
+	d.restore()
+}
+
 // move points to another discovery. Calls to the old one end at once, whether or not it still answers.
 func (d *discovery) move(addr string) {
 	d.mu.Lock()
@@ -122,6 +142,7 @@
 // run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
+	d.first(ctx)
 	for ctx.Err() == nil {
 		session, end := d.begin(ctx)
 		d.session(session)
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -136,6 +136,28 @@
 	}
 }
 
+// After a restart discovery's list comes before the known one, which may name what has gone; the known one is used
+// where discovery does not answer, and any list from discovery is newer then, whatever its version.
+func TestKnownListIsTheSecondChoice(t *testing.T) {
+	f := newFakeDiscovery(t, 3, entryText("s-new", "127.0.0.1:1", "Ready", 0))
+	known, err := parseList([]byte(listText(41, true, entryText("s-old", "127.0.0.1:2", "Ready", 0))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, ids := range map[string][]string{"answers": {"s-new"}, "is silent at first": {"s-old", "s-new"}} {
+		d, events := follower(t, f.Addr().String(), io.Discard)
+		d.known = known
+		f.silence(len(ids) > 1)
+		follow(t, d)
+		for _, want := range ids {
+			if l := next(t, events); len(l.members) != 1 || l.members[0].ID != want {
+				t.Errorf("%s: %+v, want %s", name, l, want)
+			}
+			f.silence(false)
+		}
+	}
+}
+
 // A malformed entry neither spoils the list nor takes its backend from it, and is logged once.
 func TestMalformedEntries(t *testing.T) {
 	var log lockedBuffer
