--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.2  // further attempts as a share of first ones
 	retrySaved  = 10   // most further attempts saved up
-	copyAfter   = 2    // times the usual time to an answer, after which a second copy may go out
+	copyAfter   = 2.5  // times the usual time to an answer, after which a second copy may go out
 	copyTo      = 0.65 // reported use of the servers up to which it may
 	shedFrom    = 0.4  // mean time taken over aim from which work of mean worth is refused
 	shedSlope   = 6    // rise of the share refused with that mean
