--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,17 +1,20 @@
-// Package agent puts a real agent round the decision module: clients, backends and discovery on sockets.
-// It carries out what the module decides and tells it what happens.
+// Package agent puts a real agent together: the engine round the decision module, its fronts, carriers and fleet, as
+// the platform's configuration wants them.
 package agent
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
+	"appleledge/internal/engine"
+	"appleledge/internal/fleet"
+	"appleledge/internal/httpcarrier"
+	"appleledge/internal/httpfront"
+	"appleledge/internal/intake"
 	"appleledge/logic"
 )
 
@@ -51,24 +54,39 @@
 	defer stop()
 
 	toBackends, fromClients := shareSockets(cfg.Sockets)
-	clk := newClock()
-	conns := newPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, toBackends)
+	clk := engine.NewClock()
+	conns := fleet.NewPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, toBackends)
+	core := engine.New(balancer, clk, conns, log)
+	disco := fleet.NewDiscovery(fleet.Source{Addr: cfg.Discovery, Zones: cfg.Site.Zones, Known: cfg.known,
+		Asked: cfg.Site.Logic.Subscribe}, clk, core.Tell, log)
+	core.OnSubscribe(disco.Ask)
+	parts.Go(func() { core.Run(inner) })
+	parts.Go(func() { every(inner, sweepEvery, conns.Sweep) })
+	parts.Go(func() { disco.Run(inner) })
+	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
+
 	var badReport sync.Once
-	loop := newLoop(balancer, clk, conns, &sender{pool: conns, clock: clk, fields: cfg.Site.ReportFields,
-		noted: func(err error) {
+	front := httpfront.New(httpfront.Options{
+		Rules:  intake.Rules{Classes: cfg.Site.Logic.Classes, Tenants: cfg.Site.Tenants},
+		Engine: core,
+		Clock:  clk,
+		Carrier: &httpcarrier.Carrier{Pool: conns, Clock: clk, Fields: cfg.Site.ReportFields, Noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
-		}}, log)
-	disco := newDiscovery(cfg, clk, loop.tell, log)
-	loop.subscribe = disco.ask
-	parts.Go(func() { loop.run(inner) })
-	parts.Go(func() { every(inner, sweepEvery, conns.sweep) })
-	parts.Go(func() { disco.run(inner) })
-	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
+		}},
+		Most:      fromClients,
+		MostHeld:  cfg.Site.MostHeld,
+		AcceptFor: cfg.acceptFor,
+		Log:       log,
+	})
+	return front.Serve(ctx, listener, longestDeadline(cfg)+drainMost)
+}
 
-	s := newServer(cfg, loop, clk, fromClients)
-	clients := newClientConns(listener, fromClients)
-	s.crowded = clients.crowded
-	return s.serve(ctx, s.httpServer(log), clients, log)
+// longestDeadline is the longest that any client waits.
+func longestDeadline(cfg Config) (longest time.Duration) {
+	for _, c := range cfg.Site.Logic.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
 }
 
 // shareSockets says how many connections to backends and from clients there may be, within a limit on descriptors.
@@ -78,34 +96,6 @@
 	return toBackends, room - toBackends
 }
 
-// serve answers clients until the context ends and what was taken by then is answered.
-func (s *server) serve(ctx context.Context, srv *http.Server, l net.Listener, log *slog.Logger) error {
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l) }()
-	log.Info("listening", "addr", l.Addr().String())
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serving clients: %w", err)
-	case <-ctx.Done():
-	}
-	log.Info("draining")
-	var longest time.Duration
-	for _, c := range s.site.Logic.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.acceptFor+longest+drainMost)
-	defer cancel()
-	err := s.drain(limited, srv)
-	srv.Close()
-	if errors.Is(err, context.DeadlineExceeded) {
-		log.Warn("drained, but some connections were still open")
-		err = nil
-	}
-	<-failed
-	log.Info("drained")
-	return err
-}
-
 // every calls f at intervals until the context ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
 	t := time.NewTicker(interval)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,11 +7,13 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"appleledge/internal/httpfront"
+	"appleledge/internal/intake"
 )
 
 func TestServes(t *testing.T) {
@@ -21,9 +23,9 @@
 	if got.status != http.StatusOK || got.body != "fine" || got.close {
 		t.Errorf("answer %+v", got)
 	}
-	r := b.seen[0]
-	if r.RequestURI != "/refund-record/a%2Fb?x=1&y=%20" || b.bodys[0] != "the form" || b.requests() != 1 {
-		t.Errorf("the backend saw %d: %s %q", b.requests(), r.RequestURI, b.bodys[0])
+	r, body := b.Request(0)
+	if r.RequestURI != "/refund-record/a%2Fb?x=1&y=%20" || body != "the form" || b.Requests() != 1 {
+		t.Errorf("the backend saw %d: %s %q", b.Requests(), r.RequestURI, body)
 	}
 	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK {
 		t.Errorf("answer %+v", got)
@@ -62,13 +64,13 @@
 
 // An unsafe request that may have run goes nowhere else and is not called harmless to try again.
 func TestUnsafeIsSentOnce(t *testing.T) {
-	b := newBackend(t, closes)
+	b := newBackend(t, func(net.Conn, *http.Request, int) bool { return false })
 	addr := b.Addr().String()
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", addr, "Ready", 0), entryText("s-2", addr, "Ready", 0)), 0)
 	r := a.newRequest(t, http.MethodPost, "/pay", "x")
 	r.Header.Del("Idempotency-Key")
-	if got := send(t, r); got.status != http.StatusBadGateway || b.requests() != 1 {
-		t.Errorf("%d attempts, %+v", b.requests(), got)
+	if got := send(t, r); got.status != http.StatusBadGateway || b.Requests() != 1 {
+		t.Errorf("%d attempts, %+v", b.Requests(), got)
 	}
 }
 
@@ -77,8 +79,8 @@
 	b := newBackend(t, func(c net.Conn, r *http.Request, n int) bool { return n > 1 && says(served)(c, r, n) })
 	addr := b.Addr().String()
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", addr, "Ready", 0), entryText("s-2", addr, "Ready", 0)), 0)
-	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK || b.requests() != 2 {
-		t.Errorf("%d attempts, %+v", b.requests(), got)
+	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK || b.Requests() != 2 {
+		t.Errorf("%d attempts, %+v", b.Requests(), got)
 	}
 }
 
@@ -108,9 +110,9 @@
 		"GET with a body":   {"/form-check", "x", func(r *http.Request) { r.Method = http.MethodGet }, http.StatusBadRequest},
 		"time-out twice":    {"/refund-record", "", func(r *http.Request) { r.Header.Add("X-Timeout", "1m") }, http.StatusBadRequest},
 		"two ids":           {"/refund-record", "", func(r *http.Request) { r.Header.Add("X-Request-ID", "2") }, http.StatusBadRequest},
-		"long id":           {"/refund-record", "", with("X-Request-ID", strings.Repeat("x", longestID+1)), http.StatusBadRequest},
+		"long id":           {"/refund-record", "", with("X-Request-ID", strings.Repeat("x", 129)), http.StatusBadRequest},
 		"unknown tenant":    {"/refund-record", "", with("X-Tenant-Id", "nobody"), http.StatusBadRequest},
-		"long body": {"/refund-record", strings.Repeat("x", maxBody+1), func(*http.Request) {},
+		"long body": {"/refund-record", strings.Repeat("x", intake.MaxBody+1), func(*http.Request) {},
 			http.StatusRequestEntityTooLarge},
 	} {
 		r := a.newRequest(t, http.MethodPost, c.path, c.body)
@@ -119,62 +121,21 @@
 			t.Errorf("%s: %+v", name, got)
 		}
 	}
-	if n := b.requests(); n != 0 {
+	if n := b.Requests(); n != 0 {
 		t.Errorf("%d were forwarded", n)
 	}
-	if got := send(t, a.newRequest(t, http.MethodPost, "/refund-record", strings.Repeat("x", maxBody))); got.status != http.StatusOK {
+	if got := send(t, a.newRequest(t, http.MethodPost, "/refund-record", strings.Repeat("x", intake.MaxBody))); got.status != http.StatusOK {
 		t.Errorf("the longest body: %+v", got)
 	}
 }
 
-// A request ends early enough that its answer is out before the client's deadline, which may be near.
-func TestDeadlineMargin(t *testing.T) {
-	cfg, err := parseConfig(configText("127.0.0.1:8500", "null"), noEnv)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &server{site: cfg.Site, clock: newClock()}
-	for text, timeout := range map[string]time.Duration{"2000m": 2 * time.Second, "8m": 8 * time.Millisecond} {
-		r := (&running{}).newRequest(t, http.MethodGet, "/form-check", "")
-		r.Header.Set("X-Timeout", text)
-		r.Body = http.NoBody
-		c, err := s.accept(nil, r, 5*time.Second)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if end := 5*time.Second + timeout; c.deadline >= end || c.deadline < end-timeout/4 {
-			t.Errorf("%s from 5s on: ends at %v", text, c.deadline)
-		}
-	}
-}
-
-// When too much is open, what comes is refused at once: past the limit on descriptors nothing would be answered at
-// all.
-func TestTooMuchOpen(t *testing.T) {
-	b := newBackend(t, silent)
-	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
-	s := newServer(Config{Site: a.site}, nil, newClock(), 1)
-	s.mostHeld = 1
-	s.held.Store(1)
-	w := httptest.NewRecorder()
-	r := a.newRequest(t, http.MethodGet, "/form-check", "")
-	r.ContentLength = 0
-	s.ServeHTTP(w, r)
-	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "1" {
-		t.Errorf("%d %v", w.Code, w.Header())
-	}
-	if s.held.Load() != 1 {
-		t.Errorf("%d are held", s.held.Load())
-	}
-}
-
 // Connections on both sides together stay under the limit on descriptors, with some to spare, and the drain
 // between the times that the platform states: 0.4 s and 0.7 s past the longest deadline.
 func TestLimitsOfThePlatform(t *testing.T) {
 	for _, limit := range []int{256, 1024, 4096} {
 		if to, from := shareSockets(limit); to < 1 || from < 1 || to+from > limit-spareSockets {
 			t.Errorf("of %d: %d to backends, %d from clients", limit, to, from)
-		} else if third := limit / 3; to < third || newServer(Config{}, nil, newClock(), from).mostHeld < int64(third) {
+		} else if third := limit / 3; to < third || int(httpfront.HeldPart*float64(from)) < third {
 			t.Errorf("of %d: usual clients can't hold the third that is theirs", limit)
 		}
 	}
@@ -183,21 +144,6 @@
 	}
 }
 
-func TestTimeoutForms(t *testing.T) {
-	for text, want := range map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
-		"0.5m": 500 * time.Microsecond, "999999999999m": time.Second} {
-		if got, err := parseTimeout(text, time.Second); err != nil || got != want {
-			t.Errorf("%s: %v, %v", text, got, err)
-		}
-	}
-	for _, text := range []string{"", "m", "0m", "-5m", "+5m", "5", "5s", "1e3m", "0x10m", "infm", "NaNm", "5.m", ".5m", "1_0m",
-		" 5m", "9999999999999m"} {
-		if got, err := parseTimeout(text, time.Second); err == nil {
-			t.Errorf("%q gives %v", text, got)
-		}
-	}
-}
-
 // Two open requests under one id could not be told apart: the second must not take the first one's answer.
 func TestSecondRequestUnderOneID(t *testing.T) {
 	release := make(chan struct{})
@@ -208,13 +154,13 @@
 	second := first.Clone(context.Background())
 	got := make(chan reply)
 	go func() { got <- send(t, first) }()
-	eventually(t, "the first is at the backend", func() bool { return b.requests() == 1 })
+	eventually(t, "the first is at the backend", func() bool { return b.Requests() == 1 })
 	if r := send(t, second); r.status != http.StatusConflict {
 		t.Errorf("second: %+v", r)
 	}
 	close(release)
-	if r := <-got; r.status != http.StatusOK || b.requests() != 1 {
-		t.Errorf("first: %+v after %d attempts", r, b.requests())
+	if r := <-got; r.status != http.StatusOK || b.Requests() != 1 {
+		t.Errorf("first: %+v after %d attempts", r, b.Requests())
 	}
 }
 
@@ -228,7 +174,7 @@
 	ctx, leave := context.WithCancel(context.Background())
 	left := make(chan error)
 	go func() { _, err := http.DefaultClient.Do(r.WithContext(ctx)); left <- err }()
-	eventually(t, "it is at the backend", func() bool { return b.requests() == 1 })
+	eventually(t, "it is at the backend", func() bool { return b.Requests() == 1 })
 	leave()
 	if err := <-left; err == nil {
 		t.Error("the client got an answer")
@@ -254,7 +200,7 @@
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", addr, "Ready", 0)), 3*time.Second)
 	got := make(chan reply)
 	go func() { got <- send(t, a.newRequest(t, http.MethodGet, "/form-check", "")) }()
-	eventually(t, "the first is at the backend", func() bool { return b.requests() == 1 })
+	eventually(t, "the first is at the backend", func() bool { return b.Requests() == 1 })
 	a.stop()
 	eventually(t, "it stops being ready", func() bool { return a.status(t, "/ready") == http.StatusServiceUnavailable })
 	if r := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); r.status != http.StatusOK || !r.close {
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"appleledge/internal/httpfront"
 )
 
 // dial opens a connection to the agent that closes with the test.
@@ -52,7 +54,7 @@
 	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK {
 		t.Errorf("%+v", got)
 	}
-	if took := time.Since(began); took > headerTimeout {
+	if took := time.Since(began); took > httpfront.HeaderTimeout {
 		t.Errorf("served after %v only", took)
 	}
 }
@@ -76,58 +78,12 @@
 	})
 }
 
-// Room is made by those without a request: one that is being served stays, and so does the number of places.
-func TestWhoMakesRoom(t *testing.T) {
-	table := newClientConns(listen(t), 3)
-	accept := func() *clientConn {
-		t.Helper()
-		far, err := net.Dial("tcp", table.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { far.Close() })
-		c, err := table.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return c.(*clientConn)
-	}
-	busy, kept, silent := accept(), accept(), accept()
-	busy.now(inUse)
-	kept.now(inUse)
-	connState(kept, http.StateIdle)
-	reader := accept()
-	connState(reader, http.StateActive)
-	for i, want := range []*clientConn{silent, kept, reader} {
-		if _, open := table.open[want]; i > 0 && !open {
-			t.Errorf("connection %d was closed too early", i)
-		}
-		if i > 0 {
-			accept().now(inUse)
-		}
-		if _, open := table.open[want]; open {
-			t.Errorf("connection %d should have made room", i)
-		}
-	}
-	if _, open := table.open[busy]; !open || len(table.open) != 3 {
-		t.Errorf("busy open: %v, %d in all", open, len(table.open))
-	}
-	// With all in use the next one waits, until one is free or the listener closes.
-	done := make(chan error)
-	go func() { _, err := table.Accept(); done <- err }()
-	table.Close()
-	if err := <-done; err == nil {
-		t.Error("accepted beyond the limit")
-	}
-}
-
 // Whoever sends no whole request is answered or closed within the 3 s that are owed, whatever he says of his time.
 func TestSlowClientsAreClosed(t *testing.T) {
 	b := newBackend(t, says(served))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
-	if headerTimeout+bodyTimeout >= 3*time.Second {
-		t.Errorf("a head may take %v and a body %v", headerTimeout, bodyTimeout)
+	if httpfront.HeaderTimeout+httpfront.BodyTimeout >= 3*time.Second {
+		t.Errorf("a head may take %v and a body %v", httpfront.HeaderTimeout, httpfront.BodyTimeout)
 	}
 	head := "POST /refund-record HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: 1\r\nX-Tenant-Id: lerwick-port\r\nIdempotency-Key: 1\r\n"
 	for name, text := range map[string]string{
@@ -141,7 +97,7 @@
 			t.Errorf("%s: %q", name, got)
 		}
 	}
-	if b.requests() != 0 {
+	if b.Requests() != 0 {
 		t.Error("something went on to a backend")
 	}
 }
@@ -161,7 +117,7 @@
 			t.Errorf("answered %q", got)
 		}
 	}
-	if n := b.requests(); n != 0 {
+	if n := b.Requests(); n != 0 {
 		t.Errorf("%d were passed on", n)
 	}
 }
@@ -177,7 +133,7 @@
 	if err := r.Write(c); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "it is at the backend", func() bool { return b.requests() == 1 })
+	eventually(t, "it is at the backend", func() bool { return b.Requests() == 1 })
 	c.(*net.TCPConn).CloseWrite()
 	if got := ends(t, c); got != "" {
 		t.Errorf("answered %q", got)
@@ -218,14 +174,15 @@
 	if got := send(t, r.WithContext(context.Background())); got.status != http.StatusOK {
 		t.Fatalf("%+v", got)
 	}
-	for name := range b.seen[0].Header {
+	seen, _ := b.Request(0)
+	for name := range seen.Header {
 		switch name {
 		case "X-Request-Id", "Idempotency-Key", "X-Tenant-Id", "X-Route-Key", "X-Timeout", "X-Attrs", "User-Agent", "Content-Length":
 		default:
 			t.Errorf("%s went on", name)
 		}
 	}
-	if b.seen[0].Header.Get("X-Attrs") != "a=1" {
+	if seen.Header.Get("X-Attrs") != "a=1" {
 		t.Error("X-Attrs did not go on")
 	}
 }
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -50,24 +50,3 @@
 		t.Error("no PROXY_CONFIG is no error")
 	}
 }
-
-// Started times come from another machine's clock: 0 means long ago, and nothing else may become 0.
-func TestClock(t *testing.T) {
-	c := newClock()
-	if c.fromUnix(0) != 0 {
-		t.Error("0 does not stay 0")
-	}
-	if got := c.fromUnix(c.epoch.UnixMilli() + 5000); got <= 4900*time.Millisecond || got > 5*time.Second {
-		t.Errorf("5 s after the epoch is %v", got)
-	}
-	if c.fromUnix(1) >= 0 {
-		t.Error("a start before the epoch is not below 0")
-	}
-	exact := clock{time.UnixMilli(77)}
-	if exact.fromUnix(77) == 0 {
-		t.Error("a start at the epoch became 0")
-	}
-	if c.now() <= 0 {
-		t.Error("the clock starts at 0")
-	}
-}
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"os"
 	"reflect"
+
+	"appleledge/internal/fleet"
 )
 
 // Reloads says when the configuration is to be read again, and how.
@@ -15,7 +17,7 @@
 
 // follow reads the configuration again at each signal and points discovery to where it says. A file that can't be
 // used changes nothing: the agent goes on with what it has.
-func (r Reloads) follow(ctx context.Context, cfg Config, d *discovery, log *slog.Logger) {
+func (r Reloads) follow(ctx context.Context, cfg Config, d *fleet.Discovery, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -31,6 +33,6 @@
 		if !reflect.DeepEqual(fresh.Site, cfg.Site) {
 			log.Warn("settings have changed, which takes effect at the next start only")
 		}
-		d.move(fresh.Discovery)
+		d.Move(fresh.Discovery)
 	}
 }
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"appleledge/internal/testbed"
 )
 
 // reloading is an agent with a configuration file that a test replaces.
@@ -18,7 +20,7 @@
 	t    *testing.T
 	file string
 	hup  chan os.Signal
-	log  lockedBuffer
+	log  testbed.LockedBuffer
 }
 
 func startReloading(t *testing.T, discovery string) *reloading {
@@ -76,7 +78,7 @@
 	old := newFakeDiscovery(t, 41, entryText("s-1", first.Addr().String(), "Ready", 0))
 	a := startReloading(t, old.Addr().String())
 	a.answers("old!")
-	old.silence(true)
+	old.Silence(true)
 	fresh := newFakeDiscovery(t, 3, entryText("s-2", second.Addr().String(), "Ready", 0))
 	began := time.Now()
 	a.reload(configText(fresh.Addr().String(), "null"))
@@ -85,7 +87,7 @@
 		t.Errorf("the new discovery's list was in force after %v", took)
 	}
 	a.reload(configText(old.Addr().String(), "null")) // and once more, to one that says nothing: the last list stands
-	eventually(t, "the first discovery is asked again", func() bool { wholes, _ := old.calls(); return wholes == 2 })
+	eventually(t, "the first discovery is asked again", func() bool { wholes, _ := old.Calls(); return wholes == 2 })
 	a.answers("new!")
 }
 
@@ -96,24 +98,11 @@
 	a := startReloading(t, d.Addr().String())
 	for i, text := range []string{"", "{", strings.Replace(string(configText("127.0.0.1:1", "null")), "by_key", "by_luck", 1)} {
 		a.reload([]byte(text))
-		eventually(t, "the log tells of it", func() bool { return a.log.count("not reloaded") == i+1 })
+		eventually(t, "the log tells of it", func() bool { return a.log.Count("not reloaded") == i+1 })
 	}
 	a.answers("fine")
-	d.set(2, true, entryText("s-1", b.Addr().String(), "Ready", 0), entryText("s-2", b.Addr().String(), "Ready", 0))
-	eventually(t, "the old discovery is still heard", func() bool { return a.log.count("version=2") == 1 })
-}
-
-// Where the list is subscribed to, the new discovery is asked without waiting for the module, whose subscription
-// was with the old one.
-func TestMoveOfAnAskedDiscovery(t *testing.T) {
-	f := newFakeDiscovery(t, 1, entryText("s-1", "127.0.0.1:1", "Ready", 0))
-	d, events := follower(t, refusing(t), &lockedBuffer{})
-	d.asked = true
-	follow(t, d)
-	d.move(f.Addr().String())
-	if l := next(t, events); len(l.members) != 1 {
-		t.Errorf("%+v", l)
-	}
+	d.Set(2, true, entryText("s-1", b.Addr().String(), "Ready", 0), entryText("s-2", b.Addr().String(), "Ready", 0))
+	eventually(t, "the old discovery is still heard", func() bool { return a.log.Count("version=2") == 1 })
 }
 
 func TestReloadEndsWithTheAgent(t *testing.T) {
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,354 @@
+// Package engine owns the decision module: the life of each call and its attempts, the timers, and the one final
+// answer. One goroutine does it all. The engine knows no protocol: a call carries a payload that only its front and
+// its carrier read.
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"appleledge/logic"
+)
+
+// Call is a client's request, by whatever front it came. A front fills it in and hands it to Engine.Arrive; the
+// engine gives it to Caller once, as one final answer, unless the client leaves first.
+type Call struct {
+	ID            string
+	Class, Tenant int
+	Key           string        // what the request is about; may be empty
+	Deadline      time.Duration // when the request is ended, on the engine's clock
+	Again         bool          // the client's own repeat
+	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
+	Payload       any           // what the front took, for the carrier
+	Carrier       Carrier
+	Caller        Caller
+
+	closed atomic.Bool // has its answer, or the client left; set by the engine only
+
+	// The engine's own:
+	sends, out int           // attempts made and in flight
+	ranSince   time.Duration // when the first attempt was sent that may have run; 0 without one
+}
+
+// Closed reports whether the call needs no answer any more. It may be asked from any goroutine.
+func (c *Call) Closed() bool { return c.closed.Load() }
+
+// Close marks a call as over before the engine has it, or in tests.
+func (c *Call) Close() { c.closed.Store(true) }
+
+// Caller waits for the final answer of a call.
+type Caller interface {
+	// Answer is called at most once, on the engine's goroutine, and must not block.
+	Answer(Answer)
+}
+
+// AnswerKind says how a call ended.
+type AnswerKind int
+
+// The kinds of final answers.
+const (
+	Served   AnswerKind = iota // Payload is what a backend made for it
+	Refused                    // trying again is harmless
+	Failed                     // no promise about its effect
+	Conflict                   // another call is open under the same id; this one was never looked at
+)
+
+// Answer is the final answer to a call.
+type Answer struct {
+	Kind       AnswerKind
+	Payload    any           // of a Served one, from the carrier
+	RetryAfter time.Duration // when to come back; 0 where nothing is said
+}
+
+// Carrier makes attempts.
+type Carrier interface {
+	// Carry makes one attempt and returns how it ended, exactly: what may have run is never said not to have. It
+	// runs in a goroutine of its own and ends with the context, or at the attempt's Until.
+	Carry(ctx context.Context, a *Attempt) Outcome
+}
+
+// Attempt is one Send of the module: a call on its way to one server.
+type Attempt struct {
+	Call    *Call
+	Number  int
+	Server  string
+	Life    Life // the server's, at the time of the Send
+	Sent    time.Duration
+	Until   time.Duration // when to stop waiting
+	WriteBy time.Duration // when it is too late to begin: at Until, or earlier for a keyed request sent before
+}
+
+// Outcome is how an attempt ended. Every attempt gets exactly one.
+type Outcome struct {
+	Attempt *Attempt
+	Result  logic.Result
+	Report  logic.Report
+	Payload any // of an OK: what the client gets
+}
+
+// Member is a server of the list.
+type Member struct {
+	logic.Server
+	Addr string // host and port
+}
+
+// Life is one life of a server under one address, as the fleet keeps it; only carriers look into it.
+type Life any
+
+// Fleet holds what carriers need to reach the servers of the list.
+type Fleet interface {
+	// Update takes the list or a change of it and returns how many servers are ready.
+	Update(full bool, members []Member) (ready int)
+	// Life returns the present life of a server.
+	Life(server string) Life
+	// Close ends all connections.
+	Close()
+}
+
+// event is something that the engine is told: one of the types below, or an Outcome.
+type event interface{}
+
+type (
+	// arrived brings a new request.
+	arrived struct{ call *Call }
+	// clientLeft says that nobody waits for the answer any more.
+	clientLeft struct{ call *Call }
+	// Listed brings the list of servers or a change of it.
+	Listed struct {
+		Full    bool
+		Members []Member
+	}
+	// ListUnavailable says that a subscription ended or could not be had.
+	ListUnavailable struct{}
+)
+
+// Engine is the one goroutine that owns the module: events come in by a channel, and it carries out what the
+// module decides. It does no I/O itself and waits for nothing but the next event or timer.
+type Engine struct {
+	balancer  *logic.Balancer
+	clock     Clock
+	fleet     Fleet
+	subscribe func()
+	log       *slog.Logger
+	events    chan event
+	done      chan struct{} // closed when the engine has ended
+	ready     atomic.Bool   // there is a server to send to
+
+	ctx      context.Context // of the attempts
+	attempts sync.WaitGroup
+	calls    map[string]*Call // open, or with attempts in flight
+	timers   timers
+}
+
+const eventQueue = 1024
+
+// New returns an engine round the module. It does nothing before Run.
+func New(b *logic.Balancer, c Clock, f Fleet, log *slog.Logger) *Engine {
+	return &Engine{balancer: b, clock: c, fleet: f, log: log, subscribe: func() {},
+		events: make(chan event, eventQueue), done: make(chan struct{}), calls: map[string]*Call{}}
+}
+
+// OnSubscribe sets what asks for the list of servers when the module wants it. It is called before Run, if at all.
+func (e *Engine) OnSubscribe(ask func()) { e.subscribe = ask }
+
+// Done is closed when the engine has ended: no call gets an answer from it any more.
+func (e *Engine) Done() <-chan struct{} { return e.done }
+
+// Ready reports whether there is a server to send to.
+func (e *Engine) Ready() bool { return e.ready.Load() }
+
+// Arrive hands over a call.
+func (e *Engine) Arrive(c *Call) { e.Tell(arrived{c}) }
+
+// ClientLeft says that nobody waits for the call's answer any more.
+func (e *Engine) ClientLeft(c *Call) { e.Tell(clientLeft{c}) }
+
+// Tell hands an event to the engine, unless it has ended.
+func (e *Engine) Tell(ev any) {
+	select {
+	case e.events <- ev:
+	case <-e.done:
+	}
+}
+
+// Run handles events until the context ends, and returns when all attempts have.
+func (e *Engine) Run(ctx context.Context) {
+	defer e.attempts.Wait()
+	defer e.fleet.Close()
+	defer close(e.done)
+	e.ctx = ctx
+	e.do(e.balancer.Start(e.clock.Now()))
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-e.events:
+			e.handle(ev)
+		case <-wake.C:
+		}
+		e.fire()
+		if len(e.timers) > 0 {
+			wake.Reset(e.timers[0].due - e.clock.Now())
+		}
+	}
+}
+
+func (e *Engine) handle(ev event) {
+	switch ev := ev.(type) {
+	case arrived:
+		e.arrive(ev.call)
+	case Outcome:
+		e.outcome(ev)
+	case clientLeft:
+		if !ev.call.closed.Load() {
+			ev.call.closed.Store(true)
+			e.decide(logic.ClientGone{Request: ev.call.ID})
+			e.forget(ev.call)
+		}
+	case Listed:
+		e.list(ev)
+	case ListUnavailable:
+		e.decide(logic.ListUnavailable{})
+	}
+}
+
+// decide asks the module and carries out what it says.
+func (e *Engine) decide(ev logic.Event) { e.do(e.balancer.Handle(e.clock.Now(), ev)) }
+
+// arrive takes a new call. A second one under the id of one that is not over could not be told from it.
+func (e *Engine) arrive(c *Call) {
+	if e.calls[c.ID] != nil {
+		c.closed.Store(true)
+		c.Caller.Answer(Answer{Kind: Conflict})
+		return
+	}
+	e.calls[c.ID] = c
+	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again})
+}
+
+func (e *Engine) outcome(o Outcome) {
+	a, c := o.Attempt, o.Attempt.Call
+	c.ended(o)
+	if o.Result == logic.OK {
+		e.finish(c, Answer{Kind: Served, Payload: o.Payload})
+	}
+	e.decide(logic.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: o.Result,
+		Took: e.clock.Now() - a.Sent, Closed: c.closed.Load(), Report: o.Report})
+	e.forget(c)
+}
+
+func (e *Engine) list(l Listed) {
+	ready := e.fleet.Update(l.Full, l.Members)
+	servers := make([]logic.Server, len(l.Members))
+	for i, m := range l.Members {
+		servers[i] = m.Server
+	}
+	e.decide(logic.ServerList{Full: l.Full, Servers: servers})
+	if is := ready > 0; e.ready.Swap(is) != is {
+		e.log.Info("backends to send to", "any", is, "ready", ready)
+	}
+}
+
+// do carries out the module's actions. It makes no use of Cancel, Probe and Tell so far.
+func (e *Engine) do(actions []logic.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case logic.Send:
+			e.send(a)
+		case logic.Refuse:
+			e.finish(e.calls[a.Request], Answer{Kind: Refused, RetryAfter: a.After})
+		case logic.Fail:
+			e.finish(e.calls[a.Request], Answer{Kind: Failed})
+		case logic.SetTimer:
+			heap.Push(&e.timers, timer{due: e.clock.Now() + a.After, token: a.Token})
+		case logic.Subscribe:
+			e.subscribe()
+		}
+	}
+}
+
+// send starts an attempt in a goroutine of its own, so that a dead dial holds up nothing else.
+func (e *Engine) send(act logic.Action) {
+	c := e.calls[act.Request]
+	a := c.attempt(act, e.clock.Now())
+	a.Life = e.fleet.Life(act.Server)
+	e.attempts.Go(func() { e.Tell(c.Carrier.Carry(e.ctx, a)) })
+}
+
+// attempt is the next attempt of the request.
+func (c *Call) attempt(act logic.Action, now time.Duration) *Attempt {
+	a := &Attempt{Call: c, Number: c.sends, Server: act.Server, Sent: now, Until: c.Deadline}
+	if act.After > 0 {
+		a.Until = min(a.Until, now+act.After)
+	}
+	a.WriteBy = a.Until
+	if c.ranSince == 0 {
+		c.ranSince = now
+	} else if c.Window > 0 { // the module decides by the time now, but the dial may take until after the window
+		a.WriteBy = min(a.Until, c.ranSince+c.Window)
+	}
+	c.sends++
+	c.out++
+	return a
+}
+
+// ended counts an attempt as over.
+func (c *Call) ended(o Outcome) {
+	c.out--
+	switch o.Result {
+	case logic.NotSent, logic.ConnectFailed, logic.Rejected:
+		if c.ranSince == o.Attempt.Sent {
+			c.ranSince = 0
+		}
+	}
+}
+
+// finish gives a call its answer, unless it has one.
+func (e *Engine) finish(c *Call, a Answer) {
+	if c == nil || c.closed.Load() {
+		return
+	}
+	c.closed.Store(true)
+	c.Caller.Answer(a)
+	e.forget(c)
+}
+
+// forget drops a call that is over. While attempts are in flight it is kept: their outcomes still teach.
+func (e *Engine) forget(c *Call) {
+	if c.closed.Load() && c.out == 0 {
+		delete(e.calls, c.ID)
+	}
+}
+
+// fire tells the module of the timers that are due.
+func (e *Engine) fire() {
+	for len(e.timers) > 0 && e.timers[0].due <= e.clock.Now() {
+		e.decide(logic.TimerFired{Token: heap.Pop(&e.timers).(timer).token})
+	}
+}
+
+// timer is a timer of the module.
+type timer struct {
+	due   time.Duration
+	token uint64
+}
+
+// timers is a heap by the time that they are due.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
--- a/internal/agent/loop_test.go
+++ b/internal/engine/engine_test.go
@@ -1,4 +1,4 @@
-package agent
+package engine
 
 import (
 	"container/heap"
@@ -22,29 +22,29 @@
 		"turned away":  {window, logic.Rejected, deadline},
 		"not keyed":    {0, logic.Reset, deadline},
 	} {
-		r := &call{deadline: deadline, window: c.window}
+		r := &Call{Deadline: deadline, Window: c.window}
 		first := r.attempt(logic.Action{Server: "b"}, time.Second)
-		if first.writeBy != deadline {
-			t.Errorf("%s: the first may begin until %v", name, first.writeBy)
+		if first.WriteBy != deadline {
+			t.Errorf("%s: the first may begin until %v", name, first.WriteBy)
 		}
-		r.ended(outcome{attempt: first, result: c.first})
+		r.ended(Outcome{Attempt: first, Result: c.first})
 		second := r.attempt(logic.Action{Server: "b"}, 2*time.Second)
-		if second.writeBy != c.want || second.number != 1 || second.until != deadline || r.out != 1 {
+		if second.WriteBy != c.want || second.Number != 1 || second.Until != deadline || r.out != 1 {
 			t.Errorf("%s: %+v with %d out", name, second, r.out)
 		}
 	}
 }
 
 func TestAttemptEndsWithItsOwnTimeout(t *testing.T) {
-	r := &call{deadline: 9 * time.Second}
-	if a := r.attempt(logic.Action{After: time.Second}, time.Second); a.until != 2*time.Second || a.writeBy != a.until {
+	r := &Call{Deadline: 9 * time.Second}
+	if a := r.attempt(logic.Action{After: time.Second}, time.Second); a.Until != 2*time.Second || a.WriteBy != a.Until {
 		t.Errorf("%+v", a)
 	}
 }
 
 // Timers fire in the order of their times, whatever the order in which they were set.
 func TestTimersInOrder(t *testing.T) {
-	l := &loop{clock: newClock()}
+	l := &Engine{clock: NewClock()}
 	for _, after := range []time.Duration{5 * time.Second, time.Second, 3 * time.Second} {
 		l.do([]logic.Action{{Kind: logic.SetTimer, After: after, Token: uint64(after / time.Second)}})
 	}
@@ -54,3 +54,24 @@
 		}
 	}
 }
+
+// Started times come from another machine's clock: 0 means long ago, and nothing else may become 0.
+func TestClock(t *testing.T) {
+	c := NewClock()
+	if c.FromUnix(0) != 0 {
+		t.Error("0 does not stay 0")
+	}
+	if got := c.FromUnix(c.epoch.UnixMilli() + 5000); got <= 4900*time.Millisecond || got > 5*time.Second {
+		t.Errorf("5 s after the epoch is %v", got)
+	}
+	if c.FromUnix(1) >= 0 {
+		t.Error("a start before the epoch is not below 0")
+	}
+	exact := Clock{time.UnixMilli(77)}
+	if exact.FromUnix(77) == 0 {
+		t.Error("a start at the epoch became 0")
+	}
+	if c.Now() <= 0 {
+		t.Error("the clock starts at 0")
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/fleet/discovery.go
@@ -1,4 +1,4 @@
-package agent
+package fleet
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"appleledge/internal/engine"
 	"appleledge/logic"
 )
 
@@ -27,8 +28,8 @@
 	longestList = 1 << 20
 )
 
-// list is a list of backends or a change of it, in discovery's form.
-type list struct {
+// List is a list of backends or a change of it, in discovery's form.
+type List struct {
 	Version int64             `json:"version"`
 	Full    bool              `json:"full"`
 	Servers []json.RawMessage `json:"servers"`
@@ -47,26 +48,21 @@
 
 var states = map[string]logic.State{"Ready": logic.Ready, "Terminating": logic.Draining, "Gone": logic.Gone}
 
-// member is a backend as the agent knows it.
-type member struct {
-	logic.Server
-	addr string
-}
-
-func parseList(data []byte) (l list, err error) {
+// ParseList reads a list in discovery's form.
+func ParseList(data []byte) (l List, err error) {
 	err = json.Unmarshal(data, &l)
 	return l, err
 }
 
-// discovery follows the list of backends and hands what changes to deliver.
-type discovery struct {
+// Discovery follows the list of backends and hands what changes to deliver.
+type Discovery struct {
 	client    *http.Client
-	clock     clock
+	clock     engine.Clock
 	zones     []string
-	known     list          // of an earlier life of the agent
+	known     List          // of an earlier life of the agent
 	asked     bool          // watch only when the module subscribes
 	subscribe chan struct{} // holds one subscription
-	deliver   func(event)
+	deliver   func(any)
 	log       *slog.Logger
 
 	mu   sync.Mutex
@@ -76,31 +72,40 @@
 	// Those of the goroutine that runs:
 	at      string // the address that is followed
 	version int64
-	have    map[string]member
+	have    map[string]engine.Member
 	badOnce bool
 	down    bool
 }
 
-func newDiscovery(cfg Config, c clock, deliver func(event), log *slog.Logger) *discovery {
-	return &discovery{
-		addr:      cfg.Discovery,
+// Source says where discovery is and how its lists are to be read.
+type Source struct {
+	Addr  string   // host and port
+	Zones []string // names, in the order of the module's numbers
+	Known List     // what an earlier life of the agent had; may be empty
+	Asked bool     // watch only when the module subscribes
+}
+
+// NewDiscovery returns a follower of the list that hands what changes, as events of the engine, to deliver.
+func NewDiscovery(src Source, c engine.Clock, deliver func(any), log *slog.Logger) *Discovery {
+	return &Discovery{
+		addr:      src.Addr,
 		drop:      func() {},
-		at:        cfg.Discovery,
+		at:        src.Addr,
 		client:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
 		clock:     c,
-		zones:     cfg.Site.Zones,
-		known:     cfg.known,
-		asked:     cfg.Site.Logic.Subscribe,
+		zones:     src.Zones,
+		known:     src.Known,
+		asked:     src.Asked,
 		subscribe: make(chan struct{}, 1),
 		deliver:   deliver,
 		log:       log,
-		have:      map[string]member{},
+		have:      map[string]engine.Member{},
 		version:   -1,
 	}
 }
 
-// ask subscribes to the list. A subscription that waits to begin is enough.
-func (d *discovery) ask() {
+// Ask subscribes to the list. A subscription that waits to begin is enough.
+func (d *Discovery) Ask() {
 	select {
 	case d.subscribe <- struct{}{}:
 	default:
@@ -109,15 +114,15 @@
 
 // restore starts from the list that an earlier life of the agent had. Whatever discovery says next is newer, also
 // where it counts from a lower version by then.
-func (d *discovery) restore() {
+func (d *Discovery) restore() {
 	l := d.known
 	l.Full = true
-	d.deliver(listed{full: true, members: d.members(l)})
+	d.deliver(engine.Listed{Full: true, Members: d.members(l)})
 }
 
 // first gets the first list. The known one may name backends that have gone or drain since, and the agent is ready as
 // soon as it holds any: it is used only where discovery does not answer at once.
-func (d *discovery) first(ctx context.Context) {
+func (d *Discovery) first(ctx context.Context) {
 	if len(d.known.Servers) == 0 {
 		return
 	}
@@ -131,16 +136,16 @@
 	d.restore()
 }
 
-// move points to another discovery. Calls to the old one end at once, whether or not it still answers.
-func (d *discovery) move(addr string) {
+// Move points to another discovery. Calls to the old one end at once, whether or not it still answers.
+func (d *Discovery) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.addr = addr
 	d.drop()
 }
 
-// run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
-func (d *discovery) run(ctx context.Context) {
+// Run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
+func (d *Discovery) Run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	d.first(ctx)
 	for ctx.Err() == nil {
@@ -152,7 +157,7 @@
 
 // begin starts a session with discovery at its present address, which lasts until the address changes. Another
 // discovery counts versions of its own: they may start lower than those of the one before.
-func (d *discovery) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+func (d *Discovery) begin(ctx context.Context) (context.Context, context.CancelFunc) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	session, end := context.WithCancel(ctx)
@@ -160,13 +165,13 @@
 	if d.at != d.addr {
 		d.at, d.version, d.down = d.addr, -1, false
 		d.client.CloseIdleConnections()
-		d.ask() // the module's subscription was with the old one
+		d.Ask() // the module's subscription was with the old one
 	}
 	return session, end
 }
 
 // session follows the list at one address until the context ends.
-func (d *discovery) session(ctx context.Context) {
+func (d *Discovery) session(ctx context.Context) {
 	for ctx.Err() == nil {
 		if d.asked {
 			select {
@@ -184,7 +189,7 @@
 			d.log.Warn("discovery out of reach, keeping the last list", "version", d.version, "error", err)
 		}
 		if d.asked {
-			d.deliver(listUnavailable{})
+			d.deliver(engine.ListUnavailable{})
 		} else {
 			sleep(ctx, retryPause)
 		}
@@ -192,7 +197,7 @@
 }
 
 // follow fetches the whole list, then watches for changes until a call fails or a change was missed.
-func (d *discovery) follow(ctx context.Context) error {
+func (d *Discovery) follow(ctx context.Context) error {
 	if err := d.call(ctx, "", 0); err != nil {
 		return err
 	}
@@ -210,7 +215,7 @@
 }
 
 // call makes one call and takes in what it brings.
-func (d *discovery) call(ctx context.Context, query string, wait time.Duration) error {
+func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
@@ -229,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	l, err := parseList(body)
+	l, err := ParseList(body)
 	if err != nil {
 		return fmt.Errorf("discovery's list: %w", err)
 	}
@@ -237,7 +242,7 @@
 }
 
 // take applies a list that is not older than what is held.
-func (d *discovery) take(l list, whole bool) error {
+func (d *Discovery) take(l List, whole bool) error {
 	if whole && !l.Full {
 		return errors.New("discovery answered a call for the whole list with changes")
 	}
@@ -254,14 +259,14 @@
 	members := d.members(l)
 	d.version = l.Version
 	d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
-	d.deliver(listed{full: l.Full, members: members})
+	d.deliver(engine.Listed{Full: l.Full, Members: members})
 	return nil
 }
 
 // members decodes the entries. A malformed one is passed over, which must not look as if its backend had been
 // taken from the list: what was held of it stands.
-func (d *discovery) members(l list) []member {
-	out := make([]member, 0, len(l.Servers))
+func (d *Discovery) members(l List) []engine.Member {
+	out := make([]engine.Member, 0, len(l.Servers))
 	for _, raw := range l.Servers {
 		m, id, err := d.member(raw)
 		if err != nil {
@@ -288,7 +293,7 @@
 	return out
 }
 
-func (d *discovery) member(raw json.RawMessage) (m member, id string, err error) {
+func (d *Discovery) member(raw json.RawMessage) (m engine.Member, id string, err error) {
 	var e entry
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return m, e.ID, err
@@ -300,8 +305,8 @@
 	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != logic.Gone {
 		return m, e.ID, err
 	}
-	return member{addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell,
-		Weight: e.Weight, Started: d.clock.fromUnix(e.StartedMS)}}, e.ID, nil
+	return engine.Member{Addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(d.zones, e.Zone), Cell: e.Cell,
+		Weight: e.Weight, Started: d.clock.FromUnix(e.StartedMS)}}, e.ID, nil
 }
 
 // sleep waits, or until the context ends.
--- /dev/null
+++ b/internal/fleet/discovery_test.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/testbed"
+	"appleledge/logic"
+)
+
+// follower is a discovery client whose events a test reads.
+func follower(t *testing.T, url string, log io.Writer) (*Discovery, chan any) {
+	t.Helper()
+	events := make(chan any, 100)
+	return NewDiscovery(Source{Addr: url, Zones: []string{"edinburgh-dc"}}, engine.NewClock(), func(ev any) { events <- ev }, slog.New(slog.NewTextHandler(log, nil))), events
+}
+
+// follow runs it until the test ends.
+func follow(t *testing.T, d *Discovery) {
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { d.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+}
+
+func next(t *testing.T, events chan any) engine.Listed {
+	t.Helper()
+	select {
+	case ev := <-events:
+		return ev.(engine.Listed)
+	case <-time.After(testbed.Patience):
+		t.Fatal("no list came")
+	}
+	return engine.Listed{}
+}
+
+func TestFollowsChanges(t *testing.T) {
+	f := testbed.NewDiscovery(t, 41, testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0), testbed.EntryText("s-2", "127.0.0.1:2", "Ready", 5))
+	d, events := follower(t, f.Addr().String(), io.Discard)
+	follow(t, d)
+	if l := next(t, events); !l.Full || len(l.Members) != 2 || l.Members[0].Addr != "127.0.0.1:1" || l.Members[1].Started == 0 ||
+		l.Members[0].Started != 0 {
+		t.Errorf("%+v", l)
+	}
+	f.Set(43, false, testbed.EntryText("s-1", "127.0.0.1:1", "Terminating", 0))
+	if l := next(t, events); l.Full || len(l.Members) != 1 || l.Members[0].State != logic.Draining {
+		t.Errorf("%+v", l)
+	}
+	f.Set(44, false, testbed.EntryText("s-1", "", "Gone", 0))
+	if l := next(t, events); l.Full || len(l.Members) != 1 || l.Members[0].State != logic.Gone {
+		t.Errorf("%+v", l)
+	}
+	if wholes, _ := f.Calls(); wholes != 1 {
+		t.Errorf("%d calls for the whole list", wholes)
+	}
+}
+
+// Watches go on back to back: a later call would be a new watch, and what changed meanwhile might be missed.
+func TestWatchesGoOn(t *testing.T) {
+	f := testbed.NewDiscovery(t, 1, testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0))
+	d, events := follower(t, f.Addr().String(), io.Discard)
+	follow(t, d)
+	next(t, events)
+	testbed.Eventually(t, "a second watch", func() bool { _, n := f.Calls(); return n > 1 })
+	if len(events) > 0 {
+		t.Error("a watch without news brought some")
+	}
+}
+
+// In an outage the last list stands; the silence is noticed, and the first list after it is a whole one.
+func TestOutage(t *testing.T) {
+	f := testbed.NewDiscovery(t, 1, testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0))
+	var log testbed.LockedBuffer
+	d, events := follower(t, f.Addr().String(), &log)
+	follow(t, d)
+	next(t, events)
+	f.Silence(true)
+	testbed.Eventually(t, "the silence is noticed", func() bool { return log.Count("out of reach") == 1 })
+	if len(events) > 0 {
+		t.Errorf("the outage changed the list: %+v", <-events)
+	}
+	f.Set(5, true, testbed.EntryText("s-2", "127.0.0.1:2", "Ready", 0))
+	f.Silence(false)
+	if l := next(t, events); !l.Full || len(l.Members) != 1 || l.Members[0].ID != "s-2" {
+		t.Errorf("%+v", l)
+	}
+	if log.Count("discovery is back") != 1 {
+		t.Error("its end is not in the log")
+	}
+}
+
+// An older list than the one held, such as a late answer or an agent restored from a newer one, changes nothing.
+func TestVersionsOnlyGoForward(t *testing.T) {
+	d, events := follower(t, testbed.Refusing(t), io.Discard)
+	takes := func(text string, whole bool) error {
+		t.Helper()
+		l, err := ParseList([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d.take(l, whole)
+	}
+	ready := testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0)
+	for _, step := range []struct {
+		text   string
+		whole  bool
+		fails  bool
+		events int
+	}{
+		{testbed.ListText(7, true, ready), true, false, 1},
+		{testbed.ListText(6, true, ready), true, false, 0},
+		{testbed.ListText(7, false, ready), false, false, 0},
+		{testbed.ListText(6, false, ready), false, true, 0},
+		{testbed.ListText(9, false, ready), true, true, 0},
+		{testbed.ListText(9, false, ready), false, false, 1},
+	} {
+		if err := takes(step.text, step.whole); (err != nil) != step.fails {
+			t.Errorf("%s: %v", step.text, err)
+		}
+		if len(events) != step.events {
+			t.Errorf("%s: %d events", step.text, len(events))
+		}
+		for len(events) > 0 {
+			<-events
+		}
+	}
+	if d.version != 9 {
+		t.Errorf("version %d", d.version)
+	}
+}
+
+// After a restart discovery's list comes before the known one, which may name what has gone; the known one is used
+// where discovery does not answer, and any list from discovery is newer then, whatever its version.
+func TestKnownListIsTheSecondChoice(t *testing.T) {
+	f := testbed.NewDiscovery(t, 3, testbed.EntryText("s-new", "127.0.0.1:1", "Ready", 0))
+	known, err := ParseList([]byte(testbed.ListText(41, true, testbed.EntryText("s-old", "127.0.0.1:2", "Ready", 0))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, ids := range map[string][]string{"answers": {"s-new"}, "is silent at first": {"s-old", "s-new"}} {
+		d, events := follower(t, f.Addr().String(), io.Discard)
+		d.known = known
+		f.Silence(len(ids) > 1)
+		follow(t, d)
+		for _, want := range ids {
+			if l := next(t, events); len(l.Members) != 1 || l.Members[0].ID != want {
+				t.Errorf("%s: %+v, want %s", name, l, want)
+			}
+			f.Silence(false)
+		}
+	}
+}
+
+// A malformed entry neither spoils the list nor takes its backend from it, and is logged once.
+func TestMalformedEntries(t *testing.T) {
+	var log testbed.LockedBuffer
+	d, events := follower(t, testbed.Refusing(t), &log)
+	for i, entries := range [][]string{
+		{testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0), testbed.EntryText("s-2", "127.0.0.1:2", "Ready", 0)},
+		{testbed.EntryText("s-1", "127.0.0.1:1", "Asleep", 0), testbed.EntryText("s-3", "no address", "Ready", 0), `{"id":9}`, `"x"`,
+			testbed.EntryText("s-4", "127.0.0.1:4", "Ready", 0)},
+	} {
+		l, err := ParseList([]byte(testbed.ListText(i, true, entries...)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := d.take(l, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-events
+	var ids []string
+	for _, m := range next(t, events).Members {
+		ids = append(ids, m.ID)
+	}
+	if got := strings.Join(ids, " "); got != "s-1 s-4" {
+		t.Errorf("the list is %q", got)
+	}
+	if n := log.Count("malformed"); n != 1 {
+		t.Errorf("%d lines in the log", n)
+	}
+}
+
+// Where the list must be asked for, the module says when; a failed call is told to it.
+func TestAskedDiscovery(t *testing.T) {
+	d, events := follower(t, testbed.Refusing(t), io.Discard)
+	d.asked = true
+	follow(t, d)
+	d.Ask()
+	select {
+	case ev := <-events:
+		if _, ok := ev.(engine.ListUnavailable); !ok {
+			t.Errorf("%+v", ev)
+		}
+	case <-time.After(testbed.Patience):
+		t.Fatal("the failure was not told")
+	}
+}
+
+// Where the list is subscribed to, the new discovery is asked without waiting for the module, whose subscription
+// was with the old one.
+func TestMoveOfAnAskedDiscovery(t *testing.T) {
+	f := testbed.NewDiscovery(t, 1, testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0))
+	d, events := follower(t, testbed.Refusing(t), &testbed.LockedBuffer{})
+	d.asked = true
+	follow(t, d)
+	d.Move(f.Addr().String())
+	if l := next(t, events); len(l.Members) != 1 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/agent/pool.go
+++ b/internal/fleet/pool.go
@@ -1,4 +1,5 @@
-package agent
+// Package fleet is what an agent has of the servers: the list, as discovery tells it, and the connections.
+package fleet
 
 import (
 	"bufio"
@@ -11,73 +12,75 @@
 	"syscall"
 	"time"
 
+	"appleledge/internal/engine"
 	"appleledge/logic"
 )
 
-// pool holds the connections to backends. Each carries one request at a time, and all that happens to it is
+// Pool holds the connections to backends. Each carries one request at a time, and all that happens to it is
 // done here and in the attempt that holds it: http.Transport would send a request again by itself when a kept
 // connection turns out dead, which counts as an attempt that nobody decided on.
-type pool struct {
-	dialer     net.Dialer
+type Pool struct {
+	Dialer     net.Dialer    // opens connections; not to be changed once in use
 	idleFor    time.Duration // connections idle for longer are not used again
 	most       int           // connections of all backends
 	perBackend int           // of one, so that a silent one does not use up all
 
 	mu       sync.Mutex
 	closed   bool
-	backends map[string]*backend
-	open     map[*conn]struct{}
+	backends map[string]*Backend
+	open     map[*Conn]struct{}
 	opening  int // dials under way
 }
 
-// backend is one life of a backend under one address: a restart or another address makes a new one.
-type backend struct {
+// Backend is one life of a backend under one address: a restart or another address makes a new one.
+type Backend struct {
 	id, addr string
 	started  time.Duration
 	ready    bool // may get new requests; the pool's lock guards what follows
 	conns    int  // open, or being opened
-	idle     []*conn
+	idle     []*Conn
 }
 
-// conn is a connection to a backend.
-type conn struct {
+// Conn is a connection to a backend.
+type Conn struct {
 	net.Conn
-	reader    *bufio.Reader
-	left      *io.LimitedReader // under reader: what an answer may still bring
-	backend   *backend
+	Reader    *bufio.Reader
+	left      *io.LimitedReader // under Reader: what an answer may still bring
+	backend   *Backend
 	idleSince time.Time
 }
 
 // Reasons why there is no connection.
 var (
-	errNotReady = errors.New("the backend takes no new requests")
-	errNoRoom   = errors.New("too many connections are open")
+	ErrNotReady = errors.New("the backend takes no new requests")
+	ErrNoRoom   = errors.New("too many connections are open")
 )
 
 // nearIdle is the part of the backends' idle limit after which a connection is not used again: a request that
 // crosses the backend's close is lost with it.
 const nearIdle = 0.8
 
-func newPool(connectTimeout, idle time.Duration, most int) *pool {
-	return &pool{
-		dialer:     net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+// NewPool returns a pool of at most so many connections, which backends close when they stand idle for so long.
+func NewPool(connectTimeout, idle time.Duration, most int) *Pool {
+	return &Pool{
+		Dialer:     net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
 		idleFor:    time.Duration(float64(idle) * nearIdle),
 		most:       most,
 		perBackend: max(1, most/4),
-		backends:   map[string]*backend{},
-		open:       map[*conn]struct{}{},
+		backends:   map[string]*Backend{},
+		open:       map[*Conn]struct{}{},
 	}
 }
 
-// update takes a list or a change of it and returns how many backends are ready.
-func (p *pool) update(full bool, members []member) (ready int) {
+// Update takes a list or a change of it and returns how many backends are ready.
+func (p *Pool) Update(full bool, members []engine.Member) (ready int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	named := make(map[string]bool, len(members))
 	for _, m := range members {
 		named[m.ID] = true
 		b := p.backends[m.ID]
-		if b != nil && (m.State == logic.Gone || b.addr != m.addr || b.started != m.Started) {
+		if b != nil && (m.State == logic.Gone || b.addr != m.Addr || b.started != m.Started) {
 			p.retire(b)
 			b = nil
 		}
@@ -85,7 +88,7 @@
 			continue
 		}
 		if b == nil {
-			b = &backend{id: m.ID, addr: m.addr, started: m.Started}
+			b = &Backend{id: m.ID, addr: m.Addr, started: m.Started}
 			p.backends[m.ID] = b
 		}
 		if b.ready = m.State == logic.Ready; !b.ready {
@@ -103,13 +106,13 @@
 }
 
 // retire ends a backend's life: nothing new goes to it, and its connections close as they come free.
-func (p *pool) retire(b *backend) {
+func (p *Pool) retire(b *Backend) {
 	b.ready = false
 	p.closeIdle(b)
 	delete(p.backends, b.id)
 }
 
-func (p *pool) closeIdle(b *backend) {
+func (p *Pool) closeIdle(b *Backend) {
 	for _, c := range b.idle {
 		p.drop(c)
 	}
@@ -117,33 +120,52 @@
 }
 
 // drop closes a connection that is in no idle list.
-func (p *pool) drop(c *conn) {
+func (p *Pool) drop(c *Conn) {
 	c.Close()
 	delete(p.open, c)
 	c.backend.conns--
 }
 
-// backend returns the present life of a backend, or nil.
-func (p *pool) backend(id string) *backend {
+// Backend returns the present life of a backend, or nil.
+func (p *Pool) Backend(id string) *Backend {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.backends[id]
 }
 
-// takesNew reports whether the backend may still get something new in this life.
-func (p *pool) takesNew(b *backend) bool {
+// Life is Backend in the engine's terms.
+func (p *Pool) Life(id string) engine.Life { return p.Backend(id) }
+
+// Count says how many connections are open, and how many of them wait for use.
+func (p *Pool) Count() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.backends {
+		idle += len(b.idle)
+	}
+	return len(p.open), idle
+}
+
+// Addr is the address of this life of the backend, host and port.
+func (b *Backend) Addr() string { return b.addr }
+
+// Allow lets the far end send so many bytes more.
+func (c *Conn) Allow(n int64) { c.left.N = n }
+
+// TakesNew reports whether the backend may still get something new in this life.
+func (p *Pool) TakesNew(b *Backend) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return b != nil && b.ready
 }
 
-// get returns a connection to the backend: the one used last, or else a new one.
-func (p *pool) get(ctx context.Context, b *backend) (*conn, error) {
+// Get returns a connection to the backend: the one used last, or else a new one.
+func (p *Pool) Get(ctx context.Context, b *Backend) (*Conn, error) {
 	c, err := p.reuse(b)
 	if c != nil || err != nil {
 		return c, err
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", b.addr)
+	raw, err := p.Dialer.DialContext(ctx, "tcp", b.addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -156,17 +178,17 @@
 		return nil, fmt.Errorf("connecting to %s: %w", b.id, err)
 	}
 	left := &io.LimitedReader{R: raw}
-	c = &conn{Conn: raw, reader: bufio.NewReader(left), left: left, backend: b}
+	c = &Conn{Conn: raw, Reader: bufio.NewReader(left), left: left, backend: b}
 	p.open[c] = struct{}{}
 	return c, nil
 }
 
 // reuse returns an idle connection. Without one it makes room for a new one and returns nil.
-func (p *pool) reuse(b *backend) (*conn, error) {
+func (p *Pool) reuse(b *Backend) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b == nil || !b.ready {
-		return nil, errNotReady
+		return nil, ErrNotReady
 	}
 	for len(b.idle) > 0 {
 		last := len(b.idle) - 1
@@ -178,7 +200,7 @@
 		p.drop(c)
 	}
 	if p.closed || b.conns >= p.perBackend || len(p.open)+p.opening >= p.most && !p.evict() {
-		return nil, errNoRoom
+		return nil, ErrNoRoom
 	}
 	b.conns++
 	p.opening++
@@ -186,8 +208,8 @@
 }
 
 // evict closes the connection that has stood idle for longest.
-func (p *pool) evict() bool {
-	var oldest *backend
+func (p *Pool) evict() bool {
+	var oldest *Backend
 	for _, b := range p.backends {
 		if len(b.idle) > 0 && (oldest == nil || b.idle[0].idleSince.Before(oldest.idle[0].idleSince)) {
 			oldest = b
@@ -201,11 +223,11 @@
 	return true
 }
 
-// put gives a connection back; it is kept when its last exchange left it in order.
-func (p *pool) put(c *conn, keep bool) {
+// Put gives a connection back; it is kept when its last exchange left it in order.
+func (p *Pool) Put(c *Conn, keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !keep || p.closed || !c.backend.ready || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if !keep || p.closed || !c.backend.ready || c.Reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		p.drop(c)
 		return
 	}
@@ -213,8 +235,8 @@
 	c.backend.idle = append(c.backend.idle, c)
 }
 
-// sweep closes idle connections that will not be used again.
-func (p *pool) sweep() {
+// Sweep closes idle connections that will not be used again.
+func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, b := range p.backends {
@@ -231,8 +253,8 @@
 	}
 }
 
-// close closes all connections, also those in use.
-func (p *pool) close() {
+// Close closes all connections, also those in use.
+func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
@@ -246,7 +268,7 @@
 
 // quiet reports whether an idle connection is open and nothing has come on it. A backend that died or closed
 // it shows here, before a request is risked on it.
-func (c *conn) quiet() bool {
+func (c *Conn) quiet() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
--- /dev/null
+++ b/internal/fleet/pool_test.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/testbed"
+	"appleledge/logic"
+)
+
+// newTestPool is a pool with one backend, b.
+func newTestPool(t *testing.T, addr string, most int) *Pool {
+	p := NewPool(2*time.Second, time.Minute, most)
+	t.Cleanup(p.Close)
+	p.Update(true, []engine.Member{{Server: logic.Server{ID: "b"}, Addr: addr}})
+	return p
+}
+
+// take gets a connection, or ends the test.
+func take(t *testing.T, p *Pool, backend string) *Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), p.Backend(backend))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A kept connection that the far end has closed is found out before a request is lost on it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	l := testbed.Listen(t)
+	p := newTestPool(t, l.Addr().String(), 100)
+	first := take(t, p, "b")
+	p.Put(first, true)
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	far.Close()
+	testbed.Eventually(t, "the close has come", func() bool { return !first.quiet() })
+	if take(t, p, "b") == first {
+		t.Error("the closed connection was used")
+	}
+}
+
+func TestConnectionsAreKeptButNotTooLong(t *testing.T) {
+	p := newTestPool(t, testbed.Listen(t).Addr().String(), 100)
+	first := take(t, p, "b")
+	for range 3 {
+		p.Put(first, true)
+		if take(t, p, "b") != first {
+			t.Fatal("a new connection for requests one after another")
+		}
+	}
+	p.Put(first, true)
+	p.idleFor = 0 // all that is idle is near the backend's limit now
+	second := take(t, p, "b")
+	if second == first {
+		t.Error("a connection near the idle limit was used again")
+	}
+	p.Put(second, true)
+	p.Sweep()
+	if open, idle := p.Count(); open+idle != 0 {
+		t.Error("the sweep left an old connection open")
+	}
+}
+
+// A silent backend gets only its part of the connections, and what is idle makes room for what is needed.
+func TestConnectionLimits(t *testing.T) {
+	quiet, fine := testbed.Listen(t), testbed.Listen(t)
+	p := newTestPool(t, quiet.Addr().String(), 8)
+	for range 2 {
+		take(t, p, "b")
+	}
+	if _, err := p.Get(context.Background(), p.Backend("b")); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("a third of at most 8/4: %v", err)
+	}
+	var others []engine.Member
+	for i := range 9 {
+		others = append(others, engine.Member{Server: logic.Server{ID: fmt.Sprint(i)}, Addr: fine.Addr().String()})
+	}
+	p.Update(false, others)
+	for i := range 9 {
+		p.Put(take(t, p, fmt.Sprint(i)), true)
+	}
+	if open, _ := p.Count(); open > 8 {
+		t.Errorf("%d connections of at most 8", open)
+	}
+}
+
+// The connection used last is used first, so that those not needed grow old and close.
+func TestMostRecentlyUsedFirst(t *testing.T) {
+	p := newTestPool(t, testbed.Listen(t).Addr().String(), 100)
+	var held []*Conn
+	for range 3 {
+		c, err := p.Get(context.Background(), p.Backend("b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	for _, i := range []int{0, 2, 1} {
+		p.Put(held[i], true)
+	}
+	for _, want := range []int{1, 2, 0} {
+		if c, err := p.Get(context.Background(), p.Backend("b")); err != nil || c != held[want] {
+			t.Errorf("not connection %d: %v", want, err)
+		}
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/httpcarrier/carrier.go
@@ -1,4 +1,5 @@
-package agent
+// Package httpcarrier carries calls to backends that speak HTTP/1.1.
+package httpcarrier
 
 import (
 	"bufio"
@@ -9,19 +10,22 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"appleledge/internal/engine"
+	"appleledge/internal/fleet"
+	"appleledge/internal/intake"
 	"appleledge/internal/wire"
 	"appleledge/logic"
 )
 
 const (
-	maxBody       = 64 << 10 // the longest body of a message
-	maxFigure     = 1e9      // a load report with more in it is malformed
-	timeoutHeader = "X-Timeout"
+	maxBody       = intake.MaxBody
+	maxFigure     = 1e9       // a load report with more in it is malformed
 	mostInterim   = 8         // 1xx answers before the final one
 	maxHead       = 16 << 10  // of an answer, with interim ones
 	maxAnswer     = 128 << 10 // its body, however the chunks are cut
@@ -31,85 +35,85 @@
 	answerTimeout = 500 * time.Millisecond
 )
 
-// attempt is one Send: a request on its way to one backend.
-type attempt struct {
-	call    *call
-	number  int
-	server  string
-	backend *backend // its life at the time of the Send
-	sent    time.Duration
-	until   time.Duration // when the agent stops waiting
-	writeBy time.Duration // when it is too late to begin: at until, or earlier for a keyed request sent before
+// Request is a request as a client sent it: the payload of the calls that a Carrier carries.
+type Request struct {
+	Method, Host string
+	URL          *url.URL
+	Header       http.Header // what goes on to the backend
+	Body         []byte
 }
 
-// outcome is how an attempt ended. Every Send gets exactly one.
-type outcome struct {
-	attempt     *attempt
-	result      logic.Result
-	report      logic.Report
-	body        []byte // of an OK
-	contentType string
+// Response is what a backend made for a request: the payload of a served answer.
+type Response struct {
+	Body        []byte
+	ContentType string
 }
 
-// sender makes attempts.
-type sender struct {
-	pool   *pool
-	clock  clock
-	fields []string // of load reports
-	noted  func(err error)
+// Carrier makes attempts.
+type Carrier struct {
+	Pool   *fleet.Pool
+	Clock  engine.Clock
+	Fields []string        // of load reports
+	Noted  func(err error) // is told of reports that can't be read
 }
 
-// try makes the attempt and returns its outcome, which is exact: what may have run is never said not to have.
-func (s *sender) try(ctx context.Context, a *attempt) outcome {
-	out := outcome{attempt: a, result: logic.NotSent, report: logic.NoReport}
-	ctx, cancel := context.WithDeadline(ctx, s.clock.at(a.until))
+// Carry makes the attempt and returns its outcome, which is exact: what may have run is never said not to have.
+func (s *Carrier) Carry(ctx context.Context, a *engine.Attempt) engine.Outcome {
+	out := engine.Outcome{Attempt: a, Result: logic.NotSent, Report: logic.NoReport}
+	ctx, cancel := context.WithDeadline(ctx, s.Clock.At(a.Until))
 	defer cancel()
-	c, err := s.pool.get(ctx, a.backend)
+	c, err := s.Pool.Get(ctx, life(a))
 	switch {
-	case errors.Is(err, errNotReady) || errors.Is(err, errNoRoom) || err != nil && ctx.Err() != nil:
+	case errors.Is(err, fleet.ErrNotReady) || errors.Is(err, fleet.ErrNoRoom) || err != nil && ctx.Err() != nil:
 		return out // the agent's own lack says nothing of the backend
 	case err != nil:
-		out.result = logic.ConnectFailed
+		out.Result = logic.ConnectFailed
 		return out
 	case !s.stillWanted(a):
-		s.pool.put(c, true)
+		s.Pool.Put(c, true)
 		return out
 	}
 	keep := s.exchange(c, a, &out)
-	s.pool.put(c, keep)
+	s.Pool.Put(c, keep)
 	return out
 }
 
+// life is the backend as it was at the time of the Send.
+func life(a *engine.Attempt) *fleet.Backend {
+	b, _ := a.Life.(*fleet.Backend)
+	return b
+}
+
 // stillWanted is asked just before the first byte goes out. A dial may have taken long: meanwhile the backend
 // may have begun to drain or started anew, the request may have ended, or the backends may have forgotten its key.
-func (s *sender) stillWanted(a *attempt) bool {
-	return s.clock.now() < a.writeBy && !a.call.closed.Load() && s.pool.takesNew(a.backend)
+func (s *Carrier) stillWanted(a *engine.Attempt) bool {
+	return s.Clock.Now() < a.WriteBy && !a.Call.Closed() && s.Pool.TakesNew(life(a))
 }
 
 // exchange writes the request and reads the whole answer; keep says whether the connection is in order then.
-func (s *sender) exchange(c *conn, a *attempt, out *outcome) (keep bool) {
+func (s *Carrier) exchange(c *fleet.Conn, a *engine.Attempt, out *engine.Outcome) (keep bool) {
 	req, text, err := s.request(a)
-	if err != nil || c.SetDeadline(s.clock.at(a.until)) != nil {
+	if err != nil || c.SetDeadline(s.Clock.At(a.Until)) != nil {
 		return false
 	}
 	if n, err := c.Write(text); err != nil && n < len(text) {
-		out.result = logic.ConnectFailed // the backend begins a request when its last byte has come
+		out.Result = logic.ConnectFailed // the backend begins a request when its last byte has come
 		return false
 	}
 	resp, body, err := s.readAnswer(c, req, a)
 	if err != nil {
-		out.result = broken(err)
+		out.Result = broken(err)
 		return false
 	}
-	out.report = s.readReport(resp.Header.Values("X-Server-Load"))
+	out.Report = s.readReport(resp.Header.Values("X-Server-Load"))
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		out.result, out.body, out.contentType = logic.OK, body, resp.Header.Get("Content-Type")
+		out.Result, out.Payload = logic.OK, &Response{Body: body, ContentType: resp.Header.Get("Content-Type")}
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
-		out.result = logic.Rejected
+		out.Result = logic.Rejected
 	default:
-		out.result = logic.Failed
+		out.Result = logic.Failed
 	}
 	return !resp.Close
 }
@@ -118,13 +122,13 @@
 var errSpoilt = errors.New("spoilt answer")
 
 // readAnswer reads a whole answer, or fails as soon as it can't become one: a spoilt answer may never end.
-func (s *sender) readAnswer(c *conn, req *http.Request, a *attempt) (*http.Response, []byte, error) {
-	c.left.N = maxHead // http.ReadResponse takes a head of any length
-	if err := startsWell(c.reader); err != nil {
+func (s *Carrier) readAnswer(c *fleet.Conn, req *http.Request, a *engine.Attempt) (*http.Response, []byte, error) {
+	c.Allow(maxHead) // http.ReadResponse takes a head of any length
+	if err := startsWell(c.Reader); err != nil {
 		return nil, nil, err
 	}
-	if end := s.clock.now() + answerTimeout; end < a.until {
-		if err := c.SetReadDeadline(s.clock.at(end)); err != nil {
+	if end := s.Clock.Now() + answerTimeout; end < a.Until {
+		if err := c.SetReadDeadline(s.Clock.At(end)); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -155,12 +159,12 @@
 }
 
 // readWhole reads the body, which has to say where it ends: one that ends where the connection does may be cut.
-func readWhole(c *conn, resp *http.Response) ([]byte, error) {
+func readWhole(c *fleet.Conn, resp *http.Response) ([]byte, error) {
 	length := resp.ContentLength
 	if length > maxBody || length < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, fmt.Errorf("a length of %d", length)
 	}
-	c.left.N = maxAnswer
+	c.Allow(maxAnswer)
 	if length >= 0 {
 		body := make([]byte, length)
 		_, err := io.ReadFull(resp.Body, body)
@@ -174,15 +178,15 @@
 }
 
 // request returns the message for the backend, also as text.
-func (s *sender) request(a *attempt) (*http.Request, []byte, error) {
-	in := a.call
-	req := &http.Request{Method: in.method, URL: in.url, Host: in.host, Header: in.header.Clone(),
-		ContentLength: int64(len(in.body)), Body: http.NoBody}
-	if len(in.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(in.body))
-	}
-	left := max(0, a.until-s.clock.now())
-	req.Header.Set(timeoutHeader, strconv.FormatInt(left.Microseconds(), 10)+"u")
+func (s *Carrier) request(a *engine.Attempt) (*http.Request, []byte, error) {
+	in := a.Call.Payload.(*Request)
+	req := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header.Clone(),
+		ContentLength: int64(len(in.Body)), Body: http.NoBody}
+	if len(in.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(in.Body))
+	}
+	left := max(0, a.Until-s.Clock.Now())
+	req.Header.Set(intake.TimeoutHeader, strconv.FormatInt(left.Microseconds(), 10)+"u")
 	var text bytes.Buffer
 	if err := req.Write(&text); err != nil {
 		return nil, nil, fmt.Errorf("writing the request: %w", err)
@@ -191,9 +195,9 @@
 }
 
 // readResponse reads the head of the final answer, past interim ones.
-func readResponse(c *conn, req *http.Request) (*http.Response, error) {
+func readResponse(c *fleet.Conn, req *http.Request) (*http.Response, error) {
 	for range mostInterim {
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := http.ReadResponse(c.Reader, req)
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
@@ -210,18 +214,20 @@
 }
 
 // readReport reads the load report of an answer: the first that can be read. A malformed one is no report.
-func (s *sender) readReport(texts []string) logic.Report {
+func (s *Carrier) readReport(texts []string) logic.Report {
 	for _, text := range texts {
-		r, err := parseReport(text, s.fields)
+		r, err := ParseReport(text, s.Fields)
 		if err == nil {
 			return r
 		}
-		s.noted(err)
+		s.Noted(err)
 	}
 	return logic.NoReport
 }
 
-func parseReport(text string, fields []string) (logic.Report, error) {
+// ParseReport reads a load report, as X-Server-Load holds it; fields names what counts. One with a part that is no
+// figure from 0 to 1e9 is an error, and nothing of it is to be used.
+func ParseReport(text string, fields []string) (logic.Report, error) {
 	r := logic.NoReport
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
--- /dev/null
+++ b/internal/httpcarrier/carrier_test.go
@@ -0,0 +1,345 @@
+package httpcarrier
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/fleet"
+	"appleledge/internal/intake"
+	"appleledge/internal/testbed"
+	"appleledge/logic"
+)
+
+// fixture is a carrier with one backend.
+type fixture struct {
+	*Carrier
+	reports []error
+}
+
+func newFixture(t *testing.T, addr string, most int) *fixture {
+	f := &fixture{}
+	p := fleet.NewPool(2*time.Second, time.Minute, most)
+	t.Cleanup(p.Close)
+	f.Carrier = &Carrier{Pool: p, Clock: engine.NewClock(), Fields: []string{"util", "qps", "eps"},
+		Noted: func(err error) { f.reports = append(f.reports, err) }}
+	f.list(addr, logic.Ready, 0)
+	return f
+}
+
+func (f *fixture) list(addr string, state logic.State, started time.Duration) {
+	f.Pool.Update(true, []engine.Member{{Server: logic.Server{ID: "b", State: state, Started: started}, Addr: addr}})
+}
+
+// attempt makes a keyed attempt that may take so long.
+func (f *fixture) attempt(within time.Duration) *engine.Attempt {
+	c := &engine.Call{ID: "9b1f03aa5c7e2d41", Payload: &Request{Method: http.MethodPost, Host: "origin.svc",
+		URL: &url.URL{Path: "/refund-record"}, Body: []byte("body"),
+		Header: http.Header{"Idempotency-Key": {"k"}, "X-Request-Id": {"9b1f03aa5c7e2d41"}}}}
+	until := f.Clock.Now() + within
+	return &engine.Attempt{Call: c, Server: "b", Life: f.Pool.Life("b"), Until: until, WriteBy: until}
+}
+
+func (f *fixture) open() int { open, _ := f.Pool.Count(); return open }
+
+func (f *fixture) idle() int { _, idle := f.Pool.Count(); return idle }
+
+// body is what a testbed.Served attempt brought.
+func body(out engine.Outcome) string {
+	if resp, ok := out.Payload.(*Response); ok {
+		return string(resp.Body)
+	}
+	return ""
+}
+
+func resets(c net.Conn, _ *http.Request, _ int) bool {
+	c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+func closes(net.Conn, *http.Request, int) bool { return false }
+
+// An outcome testbed.Says exactly what may have run: the module resends by it, and effects must not repeat.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(net.Conn, *http.Request, int) bool
+		want   logic.Result
+		idle   int
+	}{
+		"served":                     {testbed.Says(testbed.Served), logic.OK, 1},
+		"served, then closed":        {testbed.Says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nfine"), logic.OK, 0},
+		"chunked":                    {testbed.Says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"), logic.OK, 1},
+		"after an interim answer":    {testbed.Says("HTTP/1.1 103 Early Hints\r\n\r\n" + testbed.Served), logic.OK, 1},
+		"more than one answer":       {testbed.Says(testbed.Served + testbed.Served), logic.OK, 0},
+		"error":                      {testbed.Says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), logic.Failed, 1},
+		"503 that may have run":      {testbed.Says("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), logic.Failed, 1},
+		"503 not processed":          {testbed.Says("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), logic.Rejected, 1},
+		"504 not processed":          {testbed.Says("HTTP/1.1 504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), logic.Rejected, 1},
+		"500 that claims not to run": {testbed.Says("HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), logic.Failed, 1},
+		"closed":                     {closes, logic.Reset, 0},
+		"reset":                      {resets, logic.Reset, 0},
+		"garbage":                    {testbed.Says("no HTTP at all\r\n\r\n"), logic.Reset, 0},
+		"endless head":               {testbed.Says("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxAnswer)), logic.Reset, 0},
+		"switching protocols":        {testbed.Says("HTTP/1.1 101 Other\r\n\r\nsomething else\r\n\r\n"), logic.Reset, 0},
+		"body over the limit": {testbed.Says("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)),
+			logic.Reset, 0},
+		"chunks over the limit": {testbed.Says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000)),
+			logic.Reset, 0},
+		// What follows leaves the connection open and testbed.Silent: it must not hold the attempt until its deadline.
+		"noise with no line":        {testbed.Says("\x16\x03\x01noise"), logic.Reset, 0},
+		"noise like an answer":      {testbed.Says("HTTPS"), logic.Reset, 0},
+		"half a head":               {testbed.Says("HTTP/1.1 200 OK\r\nContent-Le"), logic.Reset, 0},
+		"half a body":               {testbed.Says("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nfine"), logic.Reset, 0},
+		"a chunk with no size":      {testbed.Says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\nzz\r\nfine\r\n"), logic.Reset, 0},
+		"said to have 3 GB":         {testbed.Says("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine"), logic.Reset, 0},
+		"two lengths":               {testbed.Says("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfine"), logic.Reset, 0},
+		"negative length":           {testbed.Says("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine"), logic.Reset, 0},
+		"no length, left open":      {testbed.Says("HTTP/1.1 200 OK\r\n\r\nfine"), logic.Reset, 0},
+		"interim ones without end":  {testbed.Says(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*mostInterim)), logic.Reset, 0},
+		"good, and noise behind it": {testbed.Says(testbed.Served + "\x00noise"), logic.OK, 0},
+		// It may be cut: nothing tells where it should have ended.
+		"no length, then closed": {func(c net.Conn, r *http.Request, n int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nfine")
+			return false
+		}, logic.Reset, 0},
+		"truncated": {func(c net.Conn, r *http.Request, n int) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nfine")
+			return false
+		}, logic.Reset, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := testbed.NewBackend(t, c.script)
+			f := newFixture(t, b.Addr().String(), 100)
+			a := f.attempt(testbed.Patience)
+			a.Sent = f.Clock.Now()
+			out := f.Carry(context.Background(), a)
+			if out.Result != c.want {
+				t.Errorf("result %v, want %v", out.Result, c.want)
+			}
+			if (out.Result == logic.OK) != (body(out) == "fine") {
+				t.Errorf("body %q", body(out))
+			}
+			if took := f.Clock.Now() - a.Sent; took > testbed.Patience/2 {
+				t.Errorf("it took %v", took)
+			}
+			if b.Requests() != 1 {
+				t.Errorf("the backend saw %d requests", b.Requests())
+			}
+			if f.idle() != c.idle {
+				t.Errorf("%d idle connections, want %d", f.idle(), c.idle)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	f := newFixture(t, testbed.Refusing(t), 100)
+	if out := f.Carry(context.Background(), f.attempt(testbed.Patience)); out.Result != logic.ConnectFailed {
+		t.Errorf("result %v", out.Result)
+	}
+}
+
+func TestSilenceTimesOut(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Silent)
+	f := newFixture(t, b.Addr().String(), 100)
+	if out := f.Carry(context.Background(), f.attempt(time.Second)); out.Result != logic.TimedOut {
+		t.Errorf("result %v", out.Result)
+	}
+	if n := f.open(); n != 0 {
+		t.Errorf("%d connections left open", n)
+	}
+}
+
+// A kept connection that breaks under a request gives one Reset: net/http's Transport would send the request
+// again by itself, which nobody decided on and which may repeat an effect.
+func TestNoHiddenResend(t *testing.T) {
+	b := testbed.NewBackend(t, func(c net.Conn, r *http.Request, n int) bool { return n == 1 && testbed.Says(testbed.Served)(c, r, n) })
+	f := newFixture(t, b.Addr().String(), 100)
+	if out := f.Carry(context.Background(), f.attempt(testbed.Patience)); out.Result != logic.OK {
+		t.Fatalf("first: %v", out.Result)
+	}
+	if out := f.Carry(context.Background(), f.attempt(testbed.Patience)); out.Result != logic.Reset {
+		t.Errorf("second: %v", out.Result)
+	}
+	if b.Requests() != 2 || b.Connections() != 1 {
+		t.Errorf("%d requests on %d connections", b.Requests(), b.Connections())
+	}
+}
+
+// Nothing is written once the backend drains, is gone or has started anew, the request has ended, its time is
+// up or the backends may have forgotten its key: a dial may have taken that long.
+func TestNotSent(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
+	addr := b.Addr().String()
+	for name, change := range map[string]func(f *fixture, a *engine.Attempt){
+		"drains":    func(f *fixture, a *engine.Attempt) { f.list(addr, logic.Draining, 0) },
+		"gone":      func(f *fixture, a *engine.Attempt) { f.Pool.Update(true, nil) },
+		"restarted": func(f *fixture, a *engine.Attempt) { f.list(addr, logic.Ready, 7) },
+		"moved":     func(f *fixture, a *engine.Attempt) { f.list(testbed.Refusing(t), logic.Ready, 0) },
+		"ended":     func(f *fixture, a *engine.Attempt) { a.Call.Close() },
+		"late":      func(f *fixture, a *engine.Attempt) { a.Until, a.WriteBy = 0, 0 },
+		"forgotten": func(f *fixture, a *engine.Attempt) { a.WriteBy = 0 },
+		"unknown":   func(f *fixture, a *engine.Attempt) { a.Life = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := b.Requests()
+			f := newFixture(t, addr, 100)
+			a := f.attempt(testbed.Patience)
+			change(f, a)
+			if out := f.Carry(context.Background(), a); out.Result != logic.NotSent {
+				t.Errorf("result %v", out.Result)
+			}
+			if f.stillWanted(a) || b.Requests() != before {
+				t.Error("it was sent, or would have been")
+			}
+		})
+	}
+}
+
+func TestListChangesCloseConnections(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
+	addr := b.Addr().String()
+	f := newFixture(t, addr, 100)
+	for i, change := range []func(){
+		func() { f.list(addr, logic.Draining, 0) },
+		func() { f.list(addr, logic.Ready, 9) },
+		func() { f.Pool.Update(false, []engine.Member{{Server: logic.Server{ID: "b", State: logic.Gone}}}) },
+	} {
+		f.list(addr, logic.Ready, 0)
+		f.Carry(context.Background(), f.attempt(testbed.Patience))
+		if f.idle() != 1 {
+			t.Fatalf("%d: no connection was kept", i)
+		}
+		change()
+		if f.open() != 0 {
+			t.Errorf("%d: the connection is still open", i)
+		}
+	}
+}
+
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
+	f := newFixture(t, b.Addr().String(), 100)
+	f.Carry(context.Background(), f.attempt(1500*time.Millisecond))
+	if b.Requests() != 1 {
+		t.Fatal("nothing came")
+	}
+	r, sent := b.Request(0)
+	left, err := intake.ParseTimeout(r.Header.Get("X-Timeout"), testbed.Patience)
+	if err != nil || left > 1500*time.Millisecond {
+		t.Errorf("X-Timeout %q: %v", r.Header.Get("X-Timeout"), err)
+	}
+	if r.Method != http.MethodPost || r.RequestURI != "/refund-record" || r.Header.Get("Idempotency-Key") != "k" ||
+		r.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" || sent != "body" || r.Host != "origin.svc" {
+		t.Errorf("%s %s %v %q", r.Method, r.RequestURI, r.Header, sent)
+	}
+}
+
+func TestReports(t *testing.T) {
+	fields := []string{"util", "qps", "eps"}
+	r, err := ParseReport("util=0.5, qps=12,eps=0.25,unheard=3,queue=9", fields)
+	if want := (logic.Report{Util: 0.5, Rate: 12, Errors: 0.25, InFlight: -1, Queue: -1}); err != nil || r != want {
+		t.Errorf("%+v, %v", r, err)
+	}
+	for _, text := range []string{"util", "util=", "util=x", "util=NaN,qps=1", "util=Inf", "util=-1", "qps=1e300", "=,"} {
+		if r, err := ParseReport(text, fields); err == nil {
+			t.Errorf("%q gives %+v", text, r)
+		}
+	}
+}
+
+// A malformed report spoils neither the answer that brought it nor the module's averages.
+func TestMalformedReportIsPassedOver(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says("HTTP/1.1 200 OK\r\nX-Server-Load: util=NaN,qps=3\r\nContent-Length: 4\r\n\r\nfine"))
+	f := newFixture(t, b.Addr().String(), 100)
+	out := f.Carry(context.Background(), f.attempt(testbed.Patience))
+	if out.Result != logic.OK || out.Report != logic.NoReport || len(f.reports) != 1 {
+		t.Errorf("%v %+v %v", out.Result, out.Report, f.reports)
+	}
+}
+
+// A report that can be read counts, also behind one that can't.
+func TestReportBehindAMalformedOne(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says("HTTP/1.1 200 OK\r\nX-Server-Load: %%%\r\nX-Server-Load: util=0.5\r\nContent-Length: 4\r\n\r\nfine"))
+	f := newFixture(t, b.Addr().String(), 100)
+	if out := f.Carry(context.Background(), f.attempt(testbed.Patience)); out.Result != logic.OK || out.Report.Util != 0.5 {
+		t.Errorf("%v %+v", out.Result, out.Report)
+	}
+}
+
+// holdDials makes dials to that address wait for the channel to close, as a machine that testbed.Says nothing does.
+func (f *fixture) holdDials(addr string, until chan struct{}) (began chan struct{}) {
+	began = make(chan struct{}, 1)
+	f.Pool.Dialer.ControlContext = func(ctx context.Context, _, to string, _ syscall.RawConn) error {
+		if to != addr {
+			return nil
+		}
+		began <- struct{}{}
+		select {
+		case <-until:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return began
+}
+
+// A dial that is never up fails in the connect time-out, and meanwhile holds up nothing else.
+func TestDeadDial(t *testing.T) {
+	dead, fine := testbed.NewBackend(t, testbed.Says(testbed.Served)), testbed.NewBackend(t, testbed.Says(testbed.Served))
+	f := newFixture(t, dead.Addr().String(), 100)
+	f.Pool.Dialer.Timeout = time.Second
+	began := f.holdDials(dead.Addr().String(), nil)
+	first := f.attempt(testbed.Patience)
+	f.Pool.Update(false, []engine.Member{{Server: logic.Server{ID: "other"}, Addr: fine.Addr().String()}})
+	done := make(chan engine.Outcome)
+	go func() { done <- f.Carry(context.Background(), first) }()
+	<-began
+	second := f.attempt(testbed.Patience)
+	second.Life = f.Pool.Life("other")
+	if out := f.Carry(context.Background(), second); out.Result != logic.OK {
+		t.Errorf("to another backend meanwhile: %v", out.Result)
+	}
+	if out := <-done; out.Result != logic.ConnectFailed || dead.Requests() != 0 {
+		t.Errorf("the dead dial: %v", out.Result)
+	}
+}
+
+// A backend that begins to drain while the dial goes on gets nothing, though the connection comes up.
+func TestDrainDuringDial(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
+	addr := b.Addr().String()
+	f := newFixture(t, addr, 100)
+	f.Pool.Dialer.Timeout = testbed.Patience
+	up := make(chan struct{})
+	began := f.holdDials(addr, up)
+	a := f.attempt(testbed.Patience)
+	done := make(chan engine.Outcome)
+	go func() { done <- f.Carry(context.Background(), a) }()
+	<-began
+	f.list(addr, logic.Draining, 0)
+	close(up)
+	if out := <-done; out.Result != logic.NotSent || b.Requests() != 0 || f.open() != 0 {
+		t.Errorf("%v with %d requests, %d connections left", out.Result, b.Requests(), f.open())
+	}
+}
+
+// That there is no room for a connection is the agent's own lack: told as a failure of the backend, it would make the
+// module shun one that is well.
+func TestNoRoomIsNotTheBackendsFault(t *testing.T) {
+	f := newFixture(t, testbed.Listen(t).Addr().String(), 4)
+	if _, err := f.Pool.Get(context.Background(), f.Pool.Backend("b")); err != nil {
+		t.Fatal(err)
+	}
+	if out := f.Carry(context.Background(), f.attempt(testbed.Patience)); out.Result != logic.NotSent {
+		t.Errorf("an attempt with no place: %v", out.Result)
+	}
+}
--- a/internal/agent/clients.go
+++ b/internal/httpfront/clients.go
@@ -1,4 +1,4 @@
-package agent
+package httpfront
 
 import (
 	"context"
--- /dev/null
+++ b/internal/httpfront/server.go
@@ -0,0 +1,233 @@
+// Package httpfront takes requests from clients that speak HTTP/1.1.
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/httpcarrier"
+	"appleledge/internal/intake"
+)
+
+const (
+	writeTimeout  = 2 * time.Second         // for an answer that the client does not read
+	HeaderTimeout = 1500 * time.Millisecond // for the head of a request, from when the client connected
+	BodyTimeout   = 1200 * time.Millisecond // for the body, from when the head was read
+	clientIdle    = 2100 * time.Millisecond // an idle client connection is closed
+	maxHeader     = 16 << 10
+	HeldPart      = 0.8         // of the clients' connections may hold a request; the rest can be told so at once
+	heldRetry     = time.Second // the come-back time when too much is open
+)
+
+// Options are what a Server is made of. All but MostHeld and AcceptFor must be set.
+type Options struct {
+	Rules     intake.Rules
+	Engine    *engine.Engine
+	Clock     engine.Clock
+	Carrier   engine.Carrier // of the calls
+	Most      int            // connections from clients
+	MostHeld  int            // requests open at a time; 0: as many as Most allows
+	AcceptFor time.Duration  // new connections are accepted for so long after the signal to end
+	Log       *slog.Logger
+}
+
+// Server is the side that faces the clients.
+type Server struct {
+	Options
+	mostHeld int64 // requests open at a time
+	held     atomic.Int64
+	leaving  atomic.Bool
+	crowded  func() bool // so many connections are open that answers close theirs
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	s := &Server{Options: o, mostHeld: int64(HeldPart * float64(o.Most)), crowded: func() bool { return false }}
+	if o.MostHeld > 0 {
+		s.mostHeld = min(s.mostHeld, int64(o.MostHeld))
+	}
+	return s
+}
+
+// Serve answers clients until the context ends and what was taken by then is answered. That takes for as long as it
+// accepts and longest more, at most.
+func (s *Server) Serve(ctx context.Context, l net.Listener, longest time.Duration) error {
+	clients := newClientConns(l, s.Most)
+	s.crowded = clients.crowded
+	srv := s.httpServer()
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(clients) }()
+	s.Log.Info("listening", "addr", l.Addr().String())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving clients: %w", err)
+	case <-ctx.Done():
+	}
+	s.Log.Info("draining")
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.AcceptFor+longest)
+	defer cancel()
+	err := s.drain(limited, srv)
+	srv.Close()
+	if errors.Is(err, context.DeadlineExceeded) {
+		s.Log.Warn("drained, but some connections were still open")
+		err = nil
+	}
+	<-failed
+	s.Log.Info("drained")
+	return err
+}
+
+// httpServer returns the net/http server that s answers for.
+func (s *Server) httpServer() *http.Server {
+	return &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: HeaderTimeout,
+		IdleTimeout:       clientIdle,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelWarn),
+		ConnState:         connState,
+		ConnContext:       connContext,
+	}
+}
+
+// statuses are the answers' kinds in HTTP.
+var statuses = [...]int{engine.Served: http.StatusOK, engine.Refused: http.StatusServiceUnavailable,
+	engine.Failed: http.StatusBadGateway, engine.Conflict: http.StatusConflict}
+
+// caller takes the one answer, so that the engine never waits for a client.
+type caller chan engine.Answer
+
+func (c caller) Answer(a engine.Answer) { c <- a }
+
+// ServeHTTP gives each request its one answer.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := s.Clock.Now()
+	if s.leaving.Load() || s.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/ready" {
+		s.readiness(w)
+		return
+	}
+	c, err := s.accept(w, r, began)
+	if err != nil {
+		turnAway(w, err)
+		return
+	}
+	hold(r.Context())
+	defer s.held.Add(-1)
+	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
+		write(w, engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry})
+		return
+	}
+	answered := make(caller, 1)
+	c.Caller = answered
+	s.Engine.Arrive(c)
+	select {
+	case a := <-answered:
+		write(w, a)
+	case <-r.Context().Done():
+		s.Engine.ClientLeft(c)
+		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
+	case <-s.Engine.Done(): // never before the server has drained
+		write(w, engine.Answer{Kind: engine.Failed})
+	}
+}
+
+// turnAway answers bad input. It closes the connection, as what comes behind may be a part of it.
+func turnAway(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	if bad, ok := errors.AsType[intake.BadRequest](err); ok {
+		status = bad.Status
+	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+func (s *Server) readiness(w http.ResponseWriter) {
+	if !s.Engine.Ready() || s.leaving.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+// write writes an answer. An error means that the client has gone, which net/http deals with.
+func write(w http.ResponseWriter, a engine.Answer) {
+	h := w.Header()
+	var resp httpcarrier.Response
+	if made, ok := a.Payload.(*httpcarrier.Response); ok {
+		resp = *made
+	}
+	h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	if resp.ContentType != "" {
+		h.Set("Content-Type", resp.ContentType)
+	} else {
+		h["Content-Type"] = nil // do not guess
+	}
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.WriteHeader(statuses[a.Kind])
+	w.Write(resp.Body)
+}
+
+// accept reads a request and checks it. The body must be there in time whatever time-out the client states.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (*engine.Call, error) {
+	c, timeout, err := s.Rules.Check(intake.Head{Method: r.Method, Path: r.URL.Path, Header: r.Header,
+		ContentLength: r.ContentLength, Chunked: len(r.TransferEncoding) > 0}, began)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(w, r, s.Clock.At(began+min(timeout, BodyTimeout)))
+	if err != nil {
+		return nil, err
+	}
+	c.Carrier = s.Carrier
+	c.Payload = &httpcarrier.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: intake.Forwarded(r.Header), Body: body}
+	return c, nil
+}
+
+// readBody reads the whole body, which must be there in time.
+func readBody(w http.ResponseWriter, r *http.Request, until time.Time) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(until); err != nil {
+		return nil, fmt.Errorf("setting the read deadline: %w", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, intake.MaxBody))
+	if _, long := errors.AsType[*http.MaxBytesError](err); long {
+		return nil, intake.BadRequest{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
+	}
+	if err != nil {
+		return nil, intake.BadRequest{Status: http.StatusBadRequest, Text: "the body is not whole"}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("clearing the read deadline: %w", err)
+	}
+	return body, nil
+}
+
+// drain stops taking requests in the order in which the clients stop sending them: idle connections close and
+// answers close theirs at once, while new connections are still accepted; then what is open is answered.
+func (s *Server) drain(ctx context.Context, srv *http.Server) error {
+	s.leaving.Store(true)
+	srv.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(s.AcceptFor):
+	case <-ctx.Done():
+	}
+	return srv.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,156 @@
+// Package intake checks the head of a request, by whatever front it came, and says what the engine needs to know of
+// it. All fronts that take HTTP messages go through it, so that they are equally strict.
+package intake
+
+import (
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"appleledge/internal/engine"
+	"appleledge/logic"
+)
+
+// The headers of a request that the agent reads.
+const (
+	RequestIDHeader = "X-Request-ID"
+	KeyHeader       = "Idempotency-Key"
+	TimeoutHeader   = "X-Timeout"
+	tenantHeader    = "X-Tenant-Id"
+	routeKeyHeader  = "X-Route-Key"
+	retriedHeader   = "X-Retried"
+	longestID       = 128
+)
+
+const (
+	// MaxBody is the longest body of a message, in bytes.
+	MaxBody = 64 << 10
+
+	deadlineMargin = 20 * time.Millisecond // before the client's deadline a request is ended, so that its answer is out in time
+)
+
+// passedOn are the headers that go on to a backend. All others concern the agent or nobody: what a client puts in them
+// must not change how a backend reads the message.
+var passedOn = []string{RequestIDHeader, KeyHeader, tenantHeader, routeKeyHeader, retriedHeader, "X-Cost", "X-Attrs",
+	"Content-Type"}
+
+// BadRequest is a request that is answered with a plain 4xx and never forwarded.
+type BadRequest struct {
+	Status int
+	Text   string
+}
+
+func (e BadRequest) Error() string { return e.Text }
+
+// Rules are what requests are checked against.
+type Rules struct {
+	Classes []logic.Class
+	Tenants []string // names, in the order of the module's numbers; empty where there are none
+}
+
+// Head is a request's head. Header has canonical names.
+type Head struct {
+	Method, Path  string // Path with no query
+	Header        http.Header
+	ContentLength int64 // of the body; -1 where none is stated
+	Chunked       bool  // it has a transfer encoding
+}
+
+// Check checks a request that began at that time on the engine's clock. It returns the call, without payload, carrier
+// and caller, and how long the client waits. An error is a BadRequest.
+func (rules Rules) Check(h Head, began time.Duration) (*engine.Call, time.Duration, error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(h.Path, "/"), "/")
+	index := slices.IndexFunc(rules.Classes, func(c logic.Class) bool { return c.Name == name })
+	if index < 0 {
+		return nil, 0, BadRequest{http.StatusNotFound, "unknown class"}
+	}
+	class := rules.Classes[index]
+	if err := checkForm(h, class); err != nil {
+		return nil, 0, err
+	}
+	timeout, err := ParseTimeout(h.Header.Get(TimeoutHeader), class.Deadline)
+	if err != nil {
+		return nil, 0, err
+	}
+	tenant := slices.Index(rules.Tenants, h.Header.Get(tenantHeader))
+	if tenant < 0 && len(rules.Tenants) > 0 {
+		return nil, 0, BadRequest{http.StatusBadRequest, "unknown tenant"}
+	}
+	c := &engine.Call{ID: h.Header.Get(RequestIDHeader), Class: index, Tenant: tenant, Key: h.Header.Get(routeKeyHeader),
+		Deadline: began + timeout - min(deadlineMargin, timeout/4), Again: h.Header.Get(retriedHeader) == "1"}
+	if class.Effect == logic.Keyed {
+		c.Window = class.Window
+	}
+	return c, timeout, nil
+}
+
+// checkForm checks what does not depend on the body.
+func checkForm(h Head, class logic.Class) error {
+	// Beside a length, chunks may hide a second request in what the length makes the body. net/http drops such a length
+	// unseen, so that chunks can't be had at all; clients always send a length.
+	if h.Chunked {
+		return BadRequest{http.StatusLengthRequired, "only a body with a Content-Length is taken"}
+	}
+	if h.ContentLength > MaxBody {
+		return BadRequest{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+	}
+	want := http.MethodPost
+	if class.Effect == logic.Safe {
+		want = http.MethodGet
+	}
+	if h.Method != want {
+		return BadRequest{http.StatusMethodNotAllowed, "the method does not fit the class"}
+	}
+	if want == http.MethodGet && h.ContentLength != 0 {
+		return BadRequest{http.StatusBadRequest, "a GET has no body"}
+	}
+	for _, name := range []string{RequestIDHeader, KeyHeader, TimeoutHeader} {
+		if len(h.Header.Values(name)) > 1 {
+			return BadRequest{http.StatusBadRequest, name + " is there more than once"}
+		}
+	}
+	if id := h.Header.Get(RequestIDHeader); id == "" || len(id) > longestID {
+		return BadRequest{http.StatusBadRequest, RequestIDHeader + " is missing or too long"}
+	}
+	if class.Effect == logic.Keyed && h.Header.Get(KeyHeader) == "" {
+		// The backends could not tell a repeat, so it must not be sent as one of this class.
+		return BadRequest{http.StatusBadRequest, KeyHeader + " is missing"}
+	}
+	return nil
+}
+
+var timeoutForm = regexp.MustCompile(`^([0-9]{1,12}(?:\.[0-9]{1,12})?)([mu])$`)
+
+// ParseTimeout reads a number and a unit, m for milliseconds or u for microseconds. A client's whole patience is its
+// class's deadline: what it states beyond that is cut, as it would hold memory and timers for as long.
+func ParseTimeout(text string, most time.Duration) (time.Duration, error) {
+	bad := BadRequest{http.StatusBadRequest, TimeoutHeader + " is missing or malformed"}
+	form := timeoutForm.FindStringSubmatch(text)
+	if form == nil {
+		return 0, bad
+	}
+	unit := time.Millisecond
+	if form[2] == "u" {
+		unit = time.Microsecond
+	}
+	x, err := strconv.ParseFloat(form[1], 64)
+	if err != nil || x <= 0 {
+		return 0, bad
+	}
+	return time.Duration(min(x*float64(unit), float64(most))), nil
+}
+
+// Forwarded returns the headers that go on to a backend.
+func Forwarded(h http.Header) http.Header {
+	out := make(http.Header, len(passedOn)+1)
+	for _, name := range passedOn {
+		name = http.CanonicalHeaderKey(name)
+		if values := h[name]; len(values) > 0 {
+			out[name] = values
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,271 @@
+// Package testbed holds the stand-ins that tests share: backends and discovery on loopback sockets.
+package testbed
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Patience is how long a test waits for what must come; machines are noisy.
+const Patience = 20 * time.Second
+
+// SettingsText is the settings object of the platform, with a class of each effect.
+const SettingsText = `{"Balancers":2,"Me":0,"TickNs":5000000,"WeightKind":"Silent","Discovery":"automatic",
+ "Ceilings":{"ConnIdleNs":15000000000,"ConnectTimeoutNs":5000000000,"MaxRetryAfterNs":1000000000,"MostHeld":1000,"MostTries":5,"ParallelTries":true,"RetryAfter":false},
+ "Classes":[{"AimNs":600000000,"DeadlineNs":2000000000,"Effect":"repeatable","Group":"all","Name":"form-check","Worth":2},
+  {"AimNs":600000000,"DeadlineNs":2000000000,"Effect":"by_key","Group":"cell","Name":"refund-record","WindowNs":2000000000,"Worth":10},
+  {"AimNs":600000000,"DeadlineNs":2000000000,"Effect":"once","Name":"pay","Worth":1}],
+ "Report":{"Fields":["util","qps","eps"],"Via":"piggyback"},"Rules":{"ColdFrom":0.32,"ColdNs":8700000000,"OverloadFactor":3},
+ "Tenants":[{"Name":"glasgow-airport","Portion":0.5},{"Name":"lerwick-port","Portion":0.5}],"OverShareWorth":0.1,
+ "Zones":["edinburgh-dc"]}`
+
+// ConfigText is a configuration file of the platform.
+func ConfigText(discovery, known string) []byte {
+	return fmt.Appendf(nil, `{"name":"n0","Listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, discovery, known, SettingsText)
+}
+
+// NoEnv is an environment with nothing set.
+func NoEnv(string) string { return "" }
+
+// Listen opens a port of the loopback that closes with the test.
+func Listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// Refusing is an address at which nothing listens.
+func Refusing(t testing.TB) string {
+	l := Listen(t)
+	l.Close()
+	return l.Addr().String()
+}
+
+// Eventually waits until ok holds.
+func Eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("waited %v in vain: %s", Patience, what)
+}
+
+// Backend reads requests whole and lets a script answer. The script returns false to close the connection.
+type Backend struct {
+	net.Listener
+	mu    sync.Mutex
+	seen  []*http.Request
+	bodys []string
+	conns int
+}
+
+// NewBackend starts a backend that ends with the test. The script is given the number of the request, from 1.
+func NewBackend(t testing.TB, script func(c net.Conn, r *http.Request, n int) bool) *Backend {
+	b := &Backend{Listener: Listen(t)}
+	var all sync.WaitGroup
+	t.Cleanup(func() { b.Close(); all.Wait() })
+	all.Go(func() {
+		for {
+			c, err := b.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns++
+			b.mu.Unlock()
+			t.Cleanup(func() { c.Close() })
+			all.Go(func() { b.serve(c, script) })
+		}
+	})
+	return b
+}
+
+func (b *Backend) serve(c net.Conn, script func(c net.Conn, r *http.Request, n int) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.seen, b.bodys = append(b.seen, r), append(b.bodys, string(body))
+		n := len(b.seen)
+		b.mu.Unlock()
+		if !script(c, r, n) {
+			return
+		}
+	}
+}
+
+// Request is the n-th request that came, from 0, and its body.
+func (b *Backend) Request(n int) (*http.Request, string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen[n], b.bodys[n]
+}
+
+// Requests counts the requests that came whole.
+func (b *Backend) Requests() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+// Connections counts the connections that came.
+func (b *Backend) Connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conns
+}
+
+// Says is a script that always gives the same answer.
+func Says(text string) func(net.Conn, *http.Request, int) bool {
+	return func(c net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+}
+
+// Silent is a script that takes a request and never answers.
+func Silent(c net.Conn, _ *http.Request, _ int) bool {
+	io.Copy(io.Discard, c)
+	return false
+}
+
+// Served is an answer with a load report.
+const Served = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Server-Load: util=0.5,qps=10,eps=0\r\n\r\nfine"
+
+// EntryText is a list entry in discovery's form.
+func EntryText(id, addr, state string, started int64) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"edinburgh-dc","kind":"twin-core","cell":1,"state":%q,"weight":1,"started_ms":%d}`,
+		id, addr, state, started)
+}
+
+// ListText is a list or a change of it in discovery's form.
+func ListText(version int, full bool, entries ...string) string {
+	text := "["
+	for i, e := range entries {
+		if i > 0 {
+			text += ","
+		}
+		text += e
+	}
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":%s]}`, version, full, text)
+}
+
+// Discovery answers calls with what the test has set last, and watches when that is newer.
+type Discovery struct {
+	net.Listener
+	mu      sync.Mutex
+	version int
+	text    string // for watches
+	whole   string
+	mute    bool // be Silent, as in an outage
+	wholes  int  // Calls for the whole list
+	watches int
+}
+
+// NewDiscovery starts a discovery that ends with the test.
+func NewDiscovery(t testing.TB, version int, entries ...string) *Discovery {
+	d := &Discovery{Listener: Listen(t)}
+	d.Set(version, true, entries...)
+	srv := &http.Server{Handler: d}
+	var running sync.WaitGroup
+	running.Go(func() { srv.Serve(d) })
+	t.Cleanup(func() { srv.Close(); running.Wait() })
+	return d
+}
+
+// Set states a list; what is not full is a change, and calls for the whole list go on to get the last full one.
+func (d *Discovery) Set(version int, full bool, entries ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version, d.text = version, ListText(version, full, entries...)
+	if full {
+		d.whole = d.text
+	}
+}
+
+// Silence makes it say nothing, as in an outage, or speak again.
+func (d *Discovery) Silence(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mute = on
+}
+
+// Calls counts the calls for the whole list and the watches.
+func (d *Discovery) Calls() (wholes, watches int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wholes, d.watches
+}
+
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.Atoi(r.URL.Query().Get("since"))
+	d.mu.Lock()
+	if watch := err == nil; watch {
+		d.watches++
+	} else {
+		d.wholes++
+	}
+	d.mu.Unlock()
+	wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for r.Context().Err() == nil {
+		d.mu.Lock()
+		mute, version, text, whole := d.mute, d.version, d.text, d.whole
+		d.mu.Unlock()
+		switch {
+		case mute:
+		case err != nil:
+			io.WriteString(w, whole)
+			return
+		case version > since:
+			io.WriteString(w, text)
+			return
+		case time.Now().After(end):
+			io.WriteString(w, ListText(since, false))
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// LockedBuffer is a log that tests read while it is written.
+type LockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *LockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// Count says how often the text is in it.
+func (b *LockedBuffer) Count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Count(b.buf.Bytes(), []byte(text))
+}
