Let callers carry attempts themselves: choosers in the engine, requests on demand

Need: a proxy that asks where a request goes carries it itself. The engine could only send by its own carriers and the module made further attempts unasked.

logic: a Request may be OnDemand (one attempt at a time, a further one when a Retry asks for it, out of the same budget) and may name the servers to choose Among.

--- /dev/null
+++ b/internal/engine/chooser.go
@@ -0,0 +1,135 @@
+package engine
+
+import (
+	"time"
+
+	"appleledge/internal/recent"
+	"appleledge/logic"
+)
+
+// Chooser is a Caller that carries the attempts itself: a proxy that asks where each request goes. Attempts are made
+// one at a time, and a further one only when the chooser's side asks for it with a new call under the same id. Such a
+// call is the same request: the module decides, with all that it knows of the earlier attempts, whether there is
+// another one at all.
+type Chooser interface {
+	Caller
+	// Choose hands an attempt over, which Engine.Ended has to end. It is called on the engine's goroutine and must not
+	// block. Unless it was ended before, the engine ends the attempt as timed out when its time is over.
+	Choose(*Attempt)
+	// Released is called once, when the engine holds this chooser no more.
+	Released()
+}
+
+// RememberEnded makes the engine remember how choosers' calls ended that may have run and must not run twice: so many
+// of them, each for so long after its end. A proxy that comes again with such an id gets no new attempt. It is called
+// before Run, where there are choosers.
+func (e *Engine) RememberEnded(most int, keep time.Duration) {
+	e.ended, e.keep = recent.New[AnswerKind](most), keep
+}
+
+// Ended tells how an attempt that was handed to a chooser ended. Only the first word counts.
+func (e *Engine) Ended(o Outcome) { e.Tell(o) }
+
+// Unusable says that an attempt was not handed over, because its server takes nothing new any more or its time is over,
+// while the chooser's side still waits: it gets another attempt or the final answer.
+func (e *Engine) Unusable(a *Attempt) { e.Tell(unusable{a}) }
+
+// GaveUp says that a chooser's side is gone and holds no attempt of the call under that id: one that was made for it
+// meanwhile was never handed over. Another try may have taken the call over since, which goes on.
+func (e *Engine) GaveUp(id string, by Chooser) { e.Tell(gaveUp{id, by}) }
+
+// resume takes a call that is a further try of a request which is known. It reports whether the call was one.
+func (e *Engine) resume(c *Call) bool {
+	if e.ended != nil {
+		switch kind, known := e.ended.Get(e.clock.Now(), c.ID); {
+		case known && kind == Failed: // it may have run, and its final answer was given
+			e.reject(c, Failed)
+			return true
+		case known:
+			e.reject(c, Conflict)
+			return true
+		}
+	}
+	old := e.calls[c.ID]
+	if old == nil || old.chooser == nil || old.closed.Load() || !old.sameAs(c) {
+		return false
+	}
+	if old.out > 0 {
+		if c.Try <= old.Try || old.Try == 0 {
+			return false // nothing says that the earlier try is over
+		}
+		e.outcome(Outcome{Attempt: old.last, Result: logic.Cancelled, Report: logic.NoReport})
+		if old.closed.Load() {
+			e.reject(c, Conflict)
+			return true
+		}
+	}
+	old.release()
+	old.Caller, old.chooser, old.Try, old.Among = c.Caller, c.chooser, c.Try, c.Among
+	e.decide(logic.Retry{Request: c.ID, Among: c.Among})
+	return true
+}
+
+// sameAs reports whether the two can be tries of one request.
+func (c *Call) sameAs(other *Call) bool {
+	return c.Class == other.Class && c.Tenant == other.Tenant && c.Key == other.Key && c.RepeatKey == other.RepeatKey
+}
+
+// choose hands an attempt to its chooser. What a proxy never ends is ended when its time is over.
+func (e *Engine) choose(c *Call, a *Attempt) {
+	c.last = a
+	a.expiry = time.AfterFunc(a.Until-a.Sent, func() {
+		e.Tell(Outcome{Attempt: a, Result: logic.TimedOut, Report: logic.NoReport})
+	})
+	c.chooser.Choose(a)
+}
+
+// rechoose ends an attempt that was not handed over and asks for another.
+func (e *Engine) rechoose(a *Attempt) {
+	if a.over {
+		return
+	}
+	e.withdraw(a)
+	if c := a.Call; !c.closed.Load() {
+		e.decide(logic.Retry{Request: c.ID, Among: c.Among})
+	}
+}
+
+// withdraw ends an attempt that no proxy has seen.
+func (e *Engine) withdraw(a *Attempt) {
+	e.outcome(Outcome{Attempt: a, Result: logic.NotSent, Report: logic.NoReport})
+	a.Call.carried--
+}
+
+// abandon ends what a chooser has left. As long as no attempt was handed over nothing is gained by keeping the request;
+// else a further try may come, and is to be told from a new request.
+func (e *Engine) abandon(left gaveUp) {
+	c := e.calls[left.id]
+	if c == nil || c.chooser != left.by {
+		return // another try took over, or it is over
+	}
+	if c.out > 0 {
+		e.withdraw(c.last)
+	}
+	if c.carried == 0 && !c.closed.Load() {
+		c.closed.Store(true)
+		e.decide(logic.ClientGone{Request: c.ID})
+		e.forget(c)
+	}
+}
+
+// remember keeps how a call ended whose effect must not be repeated by a later try.
+func (e *Engine) remember(c *Call, kind AnswerKind) {
+	if e.ended == nil || c.chooser == nil || c.Effect == logic.Safe || kind != Served && kind != Failed {
+		return
+	}
+	now := e.clock.Now()
+	e.ended.Put(now, c.ID, kind, now+e.keep)
+}
+
+// release tells the chooser that the engine holds it no more.
+func (c *Call) release() {
+	if c.chooser != nil {
+		c.chooser.Released()
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/recent"
 	"appleledge/logic"
 )
 
@@ -22,22 +23,31 @@
 	Key           string        // what the request is about; may be empty
 	Deadline      time.Duration // when the request is ended, on the engine's clock
 	Again         bool          // the client's own repeat
+	Effect        logic.Effect  // of its class
 	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
+	RepeatKey     string        // by which servers tell repeats; may be empty
 	Payload       any           // what the front took, for the carrier
-	Carrier       Carrier
+	Carrier       Carrier       // of its attempts; nil where the caller is a Chooser
 	Caller        Caller
 
+	// Of calls whose caller is a Chooser:
+	Among []string // ids of the servers to choose among, sorted; nil: any
+	Try   int      // which of the caller's own tries this is, from 1; 0 where it does not say
+
 	closed atomic.Bool // has its answer, or the client left; set by the engine only
 
 	// The engine's own:
 	sends, out int           // attempts made and in flight
 	ranSince   time.Duration // when the first attempt was sent that may have run; 0 without one
+	chooser    Chooser       // the Caller, where it is one
+	carried    int           // attempts that ended and had been handed over
+	last       *Attempt      // the latest attempt of a chooser's call
 }
 
 // Closed reports whether the call needs no answer any more. It may be asked from any goroutine.
 func (c *Call) Closed() bool { return c.closed.Load() }
 
-// Close marks a call as over before the engine has it, or in tests.
+// Close marks a call as over, so that no attempt of it begins any more.
 func (c *Call) Close() { c.closed.Store(true) }
 
 // Caller waits for the final answer of a call.
@@ -80,6 +90,9 @@
 	Sent    time.Duration
 	Until   time.Duration // when to stop waiting
 	WriteBy time.Duration // when it is too late to begin: at Until, or earlier for a keyed request sent before
+
+	over   bool        // its outcome is known
+	expiry *time.Timer // of a chooser's: tells that Until has come
 }
 
 // Outcome is how an attempt ended. Every attempt gets exactly one.
@@ -88,6 +101,9 @@
 	Result  logic.Result
 	Report  logic.Report
 	Payload any // of an OK: what the client gets
+	// Elsewhere says that the result is that of a server which the module did not choose. What the chosen one did is
+	// not known then, nor where the request may have run.
+	Elsewhere bool
 }
 
 // Member is a server of the list.
@@ -115,8 +131,17 @@
 type (
 	// arrived brings a new request.
 	arrived struct{ call *Call }
+	// unusable says that an attempt was not handed over to a chooser that still waits.
+	unusable struct{ attempt *Attempt }
+	// gaveUp says that a chooser ended with no attempt in its hands.
+	gaveUp struct {
+		id string
+		by Chooser
+	}
 	// clientLeft says that nobody waits for the answer any more.
 	clientLeft struct{ call *Call }
+	// counted asks what is open.
+	counted struct{ reply chan<- Load }
 	// Listed brings the list of servers or a change of it.
 	Listed struct {
 		Full    bool
@@ -142,6 +167,8 @@
 	attempts sync.WaitGroup
 	calls    map[string]*Call // open, or with attempts in flight
 	timers   timers
+	ended    *recent.Table[AnswerKind] // how choosers' calls ended that may have run; nil where there are no choosers
+	keep     time.Duration             // for how long they are remembered
 }
 
 const eventQueue = 1024
@@ -167,6 +194,28 @@
 // ClientLeft says that nobody waits for the call's answer any more.
 func (e *Engine) ClientLeft(c *Call) { e.Tell(clientLeft{c}) }
 
+// Load says what an engine holds.
+type Load struct {
+	Calls    int            // open, or with attempts in flight
+	InFlight map[string]int // attempts, by server
+}
+
+// Load returns what the engine holds; it is empty once the engine has ended.
+func (e *Engine) Load() Load {
+	reply := make(chan Load, 1)
+	e.Tell(counted{reply})
+	select {
+	case l := <-reply:
+		return l
+	case <-e.done:
+		return Load{}
+	}
+}
+
+func (e *Engine) load() Load {
+	return Load{Calls: len(e.calls), InFlight: e.balancer.InFlight()}
+}
+
 // Tell hands an event to the engine, unless it has ended.
 func (e *Engine) Tell(ev any) {
 	select {
@@ -205,6 +254,12 @@
 		e.arrive(ev.call)
 	case Outcome:
 		e.outcome(ev)
+	case unusable:
+		e.rechoose(ev.attempt)
+	case counted:
+		ev.reply <- e.load()
+	case gaveUp:
+		e.abandon(ev)
 	case clientLeft:
 		if !ev.call.closed.Load() {
 			ev.call.closed.Store(true)
@@ -223,20 +278,45 @@
 
 // arrive takes a new call. A second one under the id of one that is not over could not be told from it.
 func (e *Engine) arrive(c *Call) {
+	if c.chooser, _ = c.Caller.(Chooser); c.chooser != nil && e.resume(c) {
+		return
+	}
 	if e.calls[c.ID] != nil {
-		c.closed.Store(true)
-		c.Caller.Answer(Answer{Kind: Conflict})
+		e.reject(c, Conflict)
 		return
 	}
 	e.calls[c.ID] = c
-	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again})
+	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
+		Among: c.Among, OnDemand: c.chooser != nil})
+}
+
+// reject answers a call that the module never sees.
+func (e *Engine) reject(c *Call, kind AnswerKind) {
+	c.closed.Store(true)
+	c.Caller.Answer(Answer{Kind: kind})
+	c.release()
 }
 
 func (e *Engine) outcome(o Outcome) {
 	a, c := o.Attempt, o.Attempt.Call
+	if a.over { // a chooser's own word and the end of its time may cross
+		return
+	}
+	a.over = true
+	if a.expiry != nil {
+		a.expiry.Stop()
+	}
+	served := o.Result == logic.OK
+	if o.Elsewhere {
+		o.Result, o.Report = logic.Cancelled, logic.NoReport
+	}
 	c.ended(o)
-	if o.Result == logic.OK {
+	c.carried++
+	switch {
+	case served:
 		e.finish(c, Answer{Kind: Served, Payload: o.Payload})
+	case o.Elsewhere && c.Effect != logic.Safe: // the group in which it may be repeated is not known
+		e.finish(c, Answer{Kind: Failed})
 	}
 	e.decide(logic.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: o.Result,
 		Took: e.clock.Now() - a.Sent, Closed: c.closed.Load(), Report: o.Report})
@@ -278,6 +358,10 @@
 	c := e.calls[act.Request]
 	a := c.attempt(act, e.clock.Now())
 	a.Life = e.fleet.Life(act.Server)
+	if c.chooser != nil {
+		e.choose(c, a)
+		return
+	}
 	e.attempts.Go(func() { e.Tell(c.Carrier.Carry(e.ctx, a)) })
 }
 
@@ -316,13 +400,15 @@
 	}
 	c.closed.Store(true)
 	c.Caller.Answer(a)
+	e.remember(c, a.Kind)
 	e.forget(c)
 }
 
 // forget drops a call that is over. While attempts are in flight it is kept: their outcomes still teach.
 func (e *Engine) forget(c *Call) {
-	if c.closed.Load() && c.out == 0 {
+	if c.closed.Load() && c.out == 0 && e.calls[c.ID] == c {
 		delete(e.calls, c.ID)
+		c.release()
 	}
 }
 
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,7 @@
 	mu       sync.Mutex
 	closed   bool
 	backends map[string]*Backend
+	byAddr   map[string][]*Backend // those of backends, by their address
 	open     map[*Conn]struct{}
 	opening  int // dials under way
 }
@@ -68,6 +70,7 @@
 		most:       most,
 		perBackend: max(1, most/4),
 		backends:   map[string]*Backend{},
+		byAddr:     map[string][]*Backend{},
 		open:       map[*Conn]struct{}{},
 	}
 }
@@ -90,6 +93,7 @@
 		if b == nil {
 			b = &Backend{id: m.ID, addr: m.Addr, started: m.Started}
 			p.backends[m.ID] = b
+			p.byAddr[b.addr] = append(p.byAddr[b.addr], b)
 		}
 		if b.ready = m.State == logic.Ready; !b.ready {
 			p.closeIdle(b)
@@ -110,6 +114,10 @@
 	b.ready = false
 	p.closeIdle(b)
 	delete(p.backends, b.id)
+	p.byAddr[b.addr] = slices.DeleteFunc(p.byAddr[b.addr], func(x *Backend) bool { return x == b })
+	if len(p.byAddr[b.addr]) == 0 {
+		delete(p.byAddr, b.addr)
+	}
 }
 
 func (p *Pool) closeIdle(b *Backend) {
@@ -146,6 +154,16 @@
 	return len(p.open), idle
 }
 
+// At returns the ids of the list's backends at an address; there may be several while one follows another.
+func (p *Pool) At(addr string) (ids []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.byAddr[addr] {
+		ids = append(ids, b.id)
+	}
+	return ids
+}
+
 // Addr is the address of this life of the backend, host and port.
 func (b *Backend) Addr() string { return b.addr }
 
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -105,19 +105,25 @@
 		out.Result = broken(err)
 		return false
 	}
-	out.Report = s.readReport(resp.Header.Values("X-Server-Load"))
-	switch code := resp.StatusCode; {
-	case code == http.StatusOK:
-		out.Result, out.Payload = logic.OK, &Response{Body: body, ContentType: resp.Header.Get("Content-Type")}
-	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Not-Processed") == "1":
-		out.Result = logic.Rejected
-	default:
-		out.Result = logic.Failed
+	out.Report = ReadReport(resp.Header, s.Fields, s.Noted)
+	if out.Result = Judge(resp.StatusCode, resp.Header); out.Result == logic.OK {
+		out.Payload = &Response{Body: body, ContentType: resp.Header.Get("Content-Type")}
 	}
 	return !resp.Close
 }
 
+// Judge says what a whole answer with that status and head means for the attempt.
+func Judge(status int, header http.Header) logic.Result {
+	switch {
+	case status == http.StatusOK:
+		return logic.OK
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
+		header.Get("X-Not-Processed") == "1":
+		return logic.Rejected
+	}
+	return logic.Failed
+}
+
 // errSpoilt is an answer that can't be what a backend made for the request. The request may have run.
 var errSpoilt = errors.New("spoilt answer")
 
@@ -213,14 +219,15 @@
 	return logic.Reset
 }
 
-// readReport reads the load report of an answer: the first that can be read. A malformed one is no report.
-func (s *Carrier) readReport(texts []string) logic.Report {
-	for _, text := range texts {
-		r, err := ParseReport(text, s.Fields)
+// ReadReport reads the load report of an answer: the first that can be read. A malformed one is no report, and noted is
+// told of it.
+func ReadReport(header http.Header, fields []string, noted func(error)) logic.Report {
+	for _, text := range header.Values("X-Server-Load") {
+		r, err := ParseReport(text, fields)
 		if err == nil {
 			return r
 		}
-		s.Noted(err)
+		noted(err)
 	}
 	return logic.NoReport
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -80,7 +80,8 @@
 		return nil, 0, BadRequest{http.StatusBadRequest, "unknown tenant"}
 	}
 	c := &engine.Call{ID: h.Header.Get(RequestIDHeader), Class: index, Tenant: tenant, Key: h.Header.Get(routeKeyHeader),
-		Deadline: began + timeout - min(deadlineMargin, timeout/4), Again: h.Header.Get(retriedHeader) == "1"}
+		Deadline: began + timeout - min(deadlineMargin, timeout/4), Again: h.Header.Get(retriedHeader) == "1",
+		Effect: class.Effect, RepeatKey: h.Header.Get(KeyHeader)}
 	if class.Effect == logic.Keyed {
 		c.Window = class.Window
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -169,6 +169,14 @@
 		Key           string        // what it is about; may be empty
 		Deadline      time.Duration // when the client gives this try up, on the clock of the events
 		Again         bool          // the client's own repeat, where clients say so
+		Among         []string      // ids of the servers to choose among, sorted; nil: any
+		OnDemand      bool          // one attempt at a time, and a further one only when a Retry asks for it
+	}
+	// Retry asks for a further attempt of an OnDemand request of which none is out. It is answered with a Send, or
+	// with the final answer where another attempt is not allowed.
+	Retry struct {
+		Request string
+		Among   []string // as of a Request; that of before holds no longer
 	}
 	// Outcome ends one attempt. Every Send gets one. The first OK answers the client by itself.
 	Outcome struct {
@@ -206,6 +214,7 @@
 func (ServerList) event()      {}
 func (ListUnavailable) event() {}
 func (Request) event()         {}
+func (Retry) event()           {}
 func (Outcome) event()         {}
 func (Streaming) event()       {}
 func (ClientGone) event()      {}
@@ -251,6 +260,8 @@
 		b.resubscribe()
 	case Request:
 		b.request(e)
+	case Retry:
+		b.retry(e)
 	case Outcome:
 		b.outcome(e)
 	case Streaming:
@@ -267,6 +278,20 @@
 	return b.actions
 }
 
+// InFlight counts the attempts that are out, by server; servers with none are left out. Those that the list does not
+// name any more count under their old ids, where a request still holds them.
+func (b *Balancer) InFlight() map[string]int {
+	out := map[string]int{}
+	for _, r := range b.requests {
+		for _, a := range r.attempts {
+			if a.out {
+				out[a.srv.ID]++
+			}
+		}
+	}
+	return out
+}
+
 func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
 
 func (b *Balancer) timer(token uint64, after time.Duration) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -411,7 +411,8 @@
 // maySend is the one place that says what may be sent where; every send passes it.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if r.closed || b.now >= r.Deadline || s.State != Ready || len(r.attempts) >= b.set.MaxAttempts ||
-		r.out > 1 || r.out == 1 && !b.set.ParallelCopies {
+		r.out > 1 || r.out == 1 && (r.OnDemand || !b.set.ParallelCopies) ||
+		!r.among(s) {
 		return false
 	}
 	first := r.mayHaveRun()
@@ -436,6 +437,15 @@
 	return false
 }
 
+// among reports whether the server is one of those that the request is to be sent to.
+func (r *request) among(s *server) bool {
+	if r.Among == nil {
+		return true
+	}
+	_, found := slices.BinarySearch(r.Among, s.ID)
+	return found
+}
+
 // mayHaveRun is the first attempt that is not known to have had no effect.
 func (r *request) mayHaveRun() *attempt {
 	for _, a := range r.attempts {
@@ -516,11 +526,26 @@
 	case r.closed || o.Closed:
 		b.close(r)
 	case r.out > 0: // the other copy goes on
-	case b.budget >= 1:
-		b.budget--
-		b.try(r)
+	case r.OnDemand: // whoever carries it asks, if it wants another attempt
 	default:
+		b.again(r)
+	}
+}
+
+// again makes a further attempt, as far as the budget for them goes.
+func (b *Balancer) again(r *request) {
+	if b.budget < 1 {
 		b.finish(r)
+		return
+	}
+	b.budget--
+	b.try(r)
+}
+
+func (b *Balancer) retry(e Retry) {
+	if r := b.requests[e.Request]; r != nil && r.OnDemand && r.out == 0 && !r.closed {
+		r.Among = e.Among
+		b.again(r)
 	}
 }
 
--- /dev/null
+++ b/logic/ondemand_test.go
@@ -0,0 +1,130 @@
+package logic
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// demand brings an OnDemand request among these servers and returns its id and where it goes, or the final answer.
+func (h *bench) demand(class int, among ...string) (id, to string, final []ActionKind) {
+	h.ids++
+	id = fmt.Sprint("d", h.ids)
+	to, final = sentTo(h.Handle(h.at, Request{ID: id, Class: class, Deadline: h.at + 2*time.Second, Among: among, OnDemand: true}))
+	return id, to, final
+}
+
+func (h *bench) retry(id string, among ...string) (to string, final []ActionKind) {
+	return sentTo(h.Handle(h.at, Retry{Request: id, Among: among}))
+}
+
+func sentTo(actions []Action) (to string, final []ActionKind) {
+	for _, a := range actions {
+		switch a.Kind {
+		case Send:
+			to = a.Server
+		case Refuse, Fail:
+			final = append(final, a.Kind)
+		}
+	}
+	return to, final
+}
+
+// Among narrows the candidates and leaves the draw among them as it is: by capacity.
+func TestAmongNarrowsTheDraw(t *testing.T) {
+	set := testSettings()
+	set.ListWeights = true
+	h := newBench(t, set, 1, 2, 3, 4)
+	got := map[string]int{}
+	for range 300 {
+		id, to, _ := h.demand(0, "s0", "s3")
+		got[to]++
+		h.end(id, to, 0, OK, NoReport)
+	}
+	if got["s0"]+got["s3"] != 300 || got["s3"] <= got["s0"] {
+		t.Errorf("%v", got)
+	}
+	if _, to, final := h.demand(0); to == "" || final != nil {
+		t.Errorf("nil narrows nothing: %q, %v", to, final)
+	}
+	for range 50 { // not even a server that is due to be tried again comes in from outside
+		h.servers[0].until = 1
+		if _, to, _ := h.demand(0, "s1"); to != "s1" {
+			t.Fatalf("sent to %q", to)
+		}
+	}
+}
+
+// With nobody to choose among, the request is refused at once.
+func TestAmongNobody(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1)
+	h.ids++
+	for _, among := range [][]string{{}, {"unknown"}} {
+		h.ids++
+		to, final := sentTo(h.Handle(h.at, Request{ID: fmt.Sprint("d", h.ids), Class: 1, Deadline: h.at + 2*time.Second,
+			Among: among, OnDemand: true}))
+		if to != "" || !slices.Equal(final, []ActionKind{Refuse}) {
+			t.Errorf("%v: %q, %v", among, to, final)
+		}
+	}
+}
+
+// An OnDemand request gets another attempt only when it is asked for, within its class, and no second copy.
+func TestOnDemand(t *testing.T) {
+	set := testSettings()
+	set.ParallelCopies = true
+	h := newBench(t, set, 1, 1, 1, 1)
+	warm, to, _ := h.demand(0)
+	h.end(warm, to, 0, OK, report(0.3, 10)) // servers that are not busy, for which late requests are copied
+	id, first, _ := h.demand(0)
+	if to, final := h.retry(id); to != "" || final != nil {
+		t.Errorf("with one out: %q, %v", to, final)
+	}
+	h.tick(1200 * time.Millisecond) // late enough for a copy
+	if n := len(h.requests[id].attempts); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+	if a := h.end(id, first, 0, Failed, NoReport); len(a) != 0 {
+		t.Errorf("unasked: %v", a)
+	}
+	to, _ = h.retry(id, "s0", "s1", "s2", "s3")
+	if to == "" || to == first {
+		t.Errorf("again to %q, first to %q", to, first)
+	}
+	h.end(id, to, 1, OK, NoReport)
+	if to, final := h.retry(id); to != "" || final != nil {
+		t.Errorf("after it was served: %q, %v", to, final)
+	}
+
+	unsafe, first, _ := h.demand(1)
+	h.end(unsafe, first, 0, Cancelled, NoReport)
+	if to, final := h.retry(unsafe); to != "" || !slices.Equal(final, []ActionKind{Fail}) {
+		t.Errorf("one that must not run twice: %q, %v", to, final)
+	}
+	keyed, first, _ := h.demand(2)
+	h.end(keyed, first, 0, Reset, NoReport)
+	h.at += time.Second // its window
+	if to, final := h.retry(keyed); to != "" || !slices.Equal(final, []ActionKind{Fail}) {
+		t.Errorf("after the window: %q, %v", to, final)
+	}
+}
+
+// Retries that are asked for come out of the same budget as those that the module makes by itself.
+func TestOnDemandKeepsToTheBudget(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	sent, refused := 0, 0
+	for range 200 {
+		id, to, _ := h.demand(0)
+		h.end(id, to, 0, Failed, NoReport)
+		if to, _ := h.retry(id); to != "" {
+			sent++
+			h.end(id, to, 1, OK, NoReport)
+		} else {
+			refused++
+		}
+	}
+	if sent > 200*retryShare+retrySaved || refused == 0 {
+		t.Errorf("%d further attempts for 200 requests, %d without", sent, refused)
+	}
+}
