--- a/cmd/appleledge/main_test.go
+++ b/cmd/appleledge/main_test.go
@@ -66,3 +66,20 @@
 		t.Error(err)
 	}
 }
+
+// A section that this command can't carry out is refused at the start, with its place and what to do.
+func TestExternalProcessorIsAnotherCommand(t *testing.T) {
+	dir := t.TempDir()
+	file, own := filepath.Join(dir, "config.json"), filepath.Join(dir, "own.toml")
+	for name, text := range map[string]string{file: config, own: "\n[external_processor]\nlisten = \"127.0.0.1:0\"\n"} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	program := exec.Command(os.Args[0], "-settings", own)
+	program.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "PROXY_CONFIG="+file)
+	out, err := program.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "own.toml:2: ") || !strings.Contains(string(out), "appleledge-extproc") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/internal/extproc/harness_test.go
+++ b/internal/extproc/harness_test.go
@@ -49,14 +49,22 @@
 	paused bool // the engine runs only when the test says so
 }
 
-func newRig(t testing.TB, o options) *rig {
+// testSite is the platform's settings of the tests.
+func testSite(t testing.TB) wire.Site {
 	t.Helper()
 	site, err := wire.DecodeSettings([]byte(testbed.SettingsText))
 	if err != nil {
 		t.Fatal(err)
 	}
 	site.Logic.MaxRetryAfter = site.MaxRetryAfter
-	set := settings.DefaultExternalProcessor()
+	return site
+}
+
+func testSet() settings.ExternalProcessor { return settings.DefaultExternalProcessor() }
+
+func newRig(t testing.TB, o options) *rig {
+	t.Helper()
+	site, set := testSite(t), testSet()
 	if o.set != nil {
 		o.set(&set)
 	}
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -35,9 +35,12 @@
 )
 
 const (
+	sendTimeout     = 2 * time.Second       // for a message that the proxy does not take
+	duplexPart      = 8                     // one of so many streams may have bodies that come back: they hold most memory
 	connectTimeout  = 3 * time.Second       // for the HTTP/2 preface of a new connection
 	idleConnection  = time.Minute           // a connection with no stream is closed, so that idle ones don't keep out others
 	maxHeaderList   = 16 << 10              // of a stream's own HTTP/2 headers
+	window          = 64 << 10              // what a proxy may send on a stream ahead of its being read; gRPC takes no less
 	buffer          = 8 << 10               // of a connection, each way
 	lingerTime      = 5 * time.Second       // a stream may stay open for so long after its request's time is over
 	drainMost       = 50 * time.Millisecond // past the longest time that a client waits, as the platform's own front
@@ -65,6 +68,7 @@
 	Counts  Counts
 	streams atomic.Int64 // open
 	held    atomic.Int64 // calls that the engine holds
+	duplex  atomic.Int64 // streams with bodies that come back
 	once    onces
 }
 
@@ -130,6 +134,8 @@
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.MaxConcurrentStreams(uint32(set.MaxStreams)),
 		grpc.MaxRecvMsgSize(set.MaxMessage),
+		grpc.StaticStreamWindowSize(window), // a window that grows with the line would be memory without a bound
+		grpc.StaticConnWindowSize(window),
 		grpc.MaxHeaderListSize(maxHeaderList),
 		grpc.ReadBufferSize(buffer),
 		grpc.WriteBufferSize(buffer),
@@ -181,18 +187,31 @@
 		s.Counts.streamsRefused.Add(1)
 		return nil, status.Error(codes.ResourceExhausted, "too many streams are open")
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	context.AfterFunc(ctx, func() { s.streams.Add(-1) }) // also for a stream that ends before it is handled
-	return ctx, nil
+	return context.WithValue(ctx, cancelKey{}, cancel), nil
 }
 
+// cancelKey finds what breaks a stream: its own context ends only with the stream, and a message that the proxy does not
+// take would hold the stream for ever.
+type cancelKey struct{}
+
 // Process handles one stream.
 func (s *Server) Process(g extprocv3.ExternalProcessor_ProcessServer) error {
 	st := &stream{s: s, ctx: g.Context(), told: make(chan verdict, mostTold), over: make(chan struct{})}
+	st.cut, _ = g.Context().Value(cancelKey{}).(context.CancelFunc)
+	if st.cut == nil {
+		return status.Error(codes.Internal, "the stream was not admitted")
+	}
+	defer st.cut()
 	st.stop = sync.OnceFunc(func() { close(st.over) })
 	st.expiry = time.AfterFunc(time.Duration(s.Settings.FirstMessage), st.stop)
 	defer st.expiry.Stop()
 	err := st.run(g)
 	st.end(err)
+	if st.mayDuplex {
+		s.duplex.Add(-1)
+	}
 	switch {
 	case st.call != nil && !st.handed.Load() && !st.ended.Load(): // the proxy must not go on as if it had been told
 		return status.Error(codes.Unavailable, "the stream ended before the decision")
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -42,7 +42,8 @@
 	told   chan verdict
 	over   chan struct{} // closed when the stream is to end
 	stop   func()        // closes it
-	expiry *time.Timer   // stops the stream when it stays for too long
+	cut    context.CancelFunc
+	expiry *time.Timer // stops the stream when it stays for too long
 
 	handed atomic.Bool // the decision is with the proxy
 	ended  atomic.Bool // how its attempt ended was told
@@ -51,6 +52,7 @@
 	attempt    *engine.Attempt // with the proxy
 	answered   *engine.Outcome // a 200 whose end has not come
 	fullDuplex [2]bool         // request and response bodies come back from the processor, or not at all
+	mayDuplex  bool            // has one of the places for such streams
 }
 
 // Choose is called by the engine.
@@ -118,7 +120,7 @@
 		if resp == nil {
 			continue
 		}
-		if err := g.Send(resp); err != nil {
+		if err := st.send(g, resp); err != nil {
 			return err
 		}
 		if resp.GetImmediateResponse() != nil {
@@ -127,6 +129,13 @@
 	}
 }
 
+// send breaks the stream if the proxy does not take the message in time.
+func (st *stream) send(g extprocv3.ExternalProcessor_ProcessServer, resp *extprocv3.ProcessingResponse) error {
+	limit := time.AfterFunc(sendTimeout, st.cut)
+	defer limit.Stop()
+	return g.Send(resp)
+}
+
 // take handles a message and returns what the proxy is owed for it, or nil.
 func (st *stream) take(req *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
 	if req.GetObservabilityMode() { // the proxy waits for no answer and heeds none: nothing is to be decided
@@ -138,6 +147,9 @@
 	if c := req.GetProtocolConfig(); c != nil {
 		st.fullDuplex = [2]bool{c.GetRequestBodyMode() == filterv3.ProcessingMode_FULL_DUPLEX_STREAMED,
 			c.GetResponseBodyMode() == filterv3.ProcessingMode_FULL_DUPLEX_STREAMED}
+		if !st.duplexPlace() {
+			return nil, status.Error(codes.ResourceExhausted, "too many streams have bodies that come back")
+		}
 	}
 	switch m := req.GetRequest().(type) {
 	case *extprocv3.ProcessingRequest_RequestHeaders:
@@ -166,6 +178,21 @@
 	return nil, nil
 }
 
+// duplexPlace takes a place among the streams whose bodies come back, if this is one. What such a stream holds is as much
+// as its windows, while others hold next to nothing.
+func (st *stream) duplexPlace() bool {
+	if st.mayDuplex || st.fullDuplex == [2]bool{} {
+		return true
+	}
+	if st.s.duplex.Add(1) > int64(max(1, st.s.Settings.MaxOpen/duplexPart)) {
+		st.s.duplex.Add(-1)
+		st.s.Counts.streamsRefused.Add(1)
+		return false
+	}
+	st.mayDuplex = true
+	return true
+}
+
 // decide asks where the request goes.
 func (st *stream) decide(req *extprocv3.ProcessingRequest, h *extprocv3.HttpHeaders) (*extprocv3.ProcessingResponse, error) {
 	s := st.s
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,8 +49,8 @@
 	return ExternalProcessor{
 		MaxConnections: 16,
 		MaxStreams:     256,
-		MaxOpen:        1024,
-		MaxMessage:     64 << 10,
+		MaxOpen:        512,
+		MaxMessage:     32 << 10,
 		MaxSubset:      1024,
 		DecisionValid:  Duration(400 * time.Millisecond),
 		FirstMessage:   Duration(3 * time.Second),
--- a/internal/standinproxy/proxy.go
+++ b/internal/standinproxy/proxy.go
@@ -18,8 +18,6 @@
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/protobuf/types/known/structpb"
-
-	"appleledge/internal/extproc"
 )
 
 const (
@@ -32,6 +30,14 @@
 	mostPatience = time.Minute
 )
 
+// Names that the proxy and the processor have in common. They are written out here once more, and not taken from the
+// processor: one that is wrong there must show.
+const (
+	DestinationHeader = "x-gateway-destination-endpoint"
+	ServedHeader      = "x-gateway-destination-endpoint-served"
+	ValidHeader       = "x-appleledge-decision-valid"
+)
+
 // Proxy forwards what it is sent to the endpoints that the processor chooses.
 type Proxy struct {
 	Processor extprocv3.ExternalProcessorClient
@@ -39,6 +45,11 @@
 	// and has the last word: a proxy that stops on its own before it has answered can only say that the request failed.
 	Tries     int
 	Transport http.RoundTripper // to the endpoints
+	// TryTimeout is after how long a try is given up, with no word to the processor but the end of the stream; 0: with
+	// the request itself.
+	TryTimeout time.Duration
+	// Abandon, if set, is asked for each try that is on its way whether its stream breaks without a word.
+	Abandon func() bool
 }
 
 // New returns a proxy that asks the processor.
@@ -118,7 +129,16 @@
 	if err != nil {
 		return result{}, err
 	}
-	res, told := p.forward(ctx, r, body, choice)
+	tryCtx := ctx
+	if p.TryTimeout > 0 {
+		var end context.CancelFunc
+		tryCtx, end = context.WithTimeout(ctx, p.TryTimeout)
+		defer end()
+	}
+	res, told := p.forward(tryCtx, r, body, choice)
+	if tryCtx.Err() != nil && !res.final || p.Abandon != nil && p.Abandon() {
+		return res, nil // the stream breaks as this returns
+	}
 	if err := tell(stream, told); err != nil && !res.final { // without its word there is no further try
 		return result{}, fmt.Errorf("telling the processor: %w", err)
 	}
@@ -171,8 +191,8 @@
 	for _, h := range resp.GetRequestHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
 		c.set[h.GetHeader().GetKey()] = string(h.GetHeader().GetRawValue())
 	}
-	c.endpoint = c.set[extproc.DestinationHeader]
-	valid, err := strconv.Atoi(strings.TrimSuffix(c.set[extproc.ValidHeader], "m"))
+	c.endpoint = c.set[DestinationHeader]
+	valid, err := strconv.Atoi(strings.TrimSuffix(c.set[ValidHeader], "m"))
 	if c.endpoint == "" || err != nil {
 		return c, fmt.Errorf("the processor's answer names no endpoint: %.200v", resp)
 	}
@@ -207,7 +227,7 @@
 		return result{}, localReply("upstream_reset_after_response_started{connection_termination}")
 	}
 	header := []*corev3.HeaderValue{{Key: ":status", RawValue: []byte(strconv.Itoa(resp.StatusCode))},
-		{Key: extproc.ServedHeader, RawValue: []byte(c.endpoint)}}
+		{Key: ServedHeader, RawValue: []byte(c.endpoint)}}
 	for _, name := range []string{"X-Server-Load", "X-Not-Processed"} {
 		for _, v := range resp.Header.Values(name) {
 			header = append(header, &corev3.HeaderValue{Key: strings.ToLower(name), RawValue: []byte(v)})
