External processor: fewer goroutines, timers and maps a stream; measured

The profile showed the second goroutine of each stream (20% of the CPU, most of it growing its stack), a timer a message, maps of headers that nobody reads, names made canonical at each look, and closed requests that the module held until their deadline (45,000 at 10,000 a second).

Change: one goroutine and one timer a stream, which also breaks it while a message is not taken; heads are read for the names that count; the metadata of an endpoint is made once; the module lets go of a request's timer when it closes; the engine takes what waits before it sets its timer again. Discovery logs a list once a version: one that answers every watch at once filled the log.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -233,17 +233,35 @@
 	e.do(e.balancer.Start(e.clock.Now()))
 	wake := time.NewTimer(0)
 	defer wake.Stop()
+	var armed time.Duration // when the timer is set to wake
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case ev := <-e.events:
 			e.handle(ev)
+			e.fire()
+			e.handleWaiting()
 		case <-wake.C:
+			armed = 0
+			e.fire()
 		}
-		e.fire()
-		if len(e.timers) > 0 {
-			wake.Reset(e.timers[0].due - e.clock.Now())
+		if len(e.timers) > 0 && e.timers[0].due != armed {
+			armed = e.timers[0].due
+			wake.Reset(armed - e.clock.Now())
+		}
+	}
+}
+
+// handleWaiting handles events that wait already, as many as the queue holds at most: then a look at the context is due.
+func (e *Engine) handleWaiting() {
+	for range cap(e.events) {
+		select {
+		case ev := <-e.events:
+			e.handle(ev)
+			e.fire()
+		default:
+			return
 		}
 	}
 }
--- a/internal/extproc/message.go
+++ b/internal/extproc/message.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
@@ -38,9 +39,14 @@
 )
 
 const (
-	envoyTimeout  = "X-Envoy-Expected-Rq-Timeout-Ms"
-	envoyAttempt  = "X-Envoy-Attempt-Count"
-	detailsAttr   = "response.code_details"
+	envoyTimeout       = "X-Envoy-Expected-Rq-Timeout-Ms"
+	envoyAttempt       = "X-Envoy-Attempt-Count"
+	detailsAttr        = "response.code_details"
+	loadHeader         = "X-Server-Load"
+	notProcessedHeader = "X-Not-Processed"
+	mostRead           = 12 // values that a usual head has of those that are read
+	usualHeaders       = 8  // and headers
+
 	mostTries     = 1000 // as a proxy may count its tries
 	longestLogged = 100  // bytes of a peer's text in a log line
 )
@@ -93,26 +99,64 @@
 	return slices.Compact(ids)
 }
 
-// header turns a header map into net/http's. Pseudo-headers keep their names.
-func header(m *corev3.HeaderMap) http.Header {
-	out := make(http.Header, len(m.GetHeaders()))
+// readNames are the headers that are read of requests and responses, by the names that HTTP/2 gives them, with net/http's.
+// All others are passed over: most of a head concerns others.
+var readNames = func() map[string]string {
+	names := map[string]string{}
+	for _, name := range append([]string{"Content-Length", "Transfer-Encoding", envoyTimeout, envoyAttempt, loadHeader,
+		notProcessedHeader, ServedHeader}, intake.Read...) {
+		names[strings.ToLower(name)] = http.CanonicalHeaderKey(name)
+	}
+	return names
+}()
+
+// head is a head as far as it is read.
+type head struct {
+	method, path, status []string
+	http.Header
+}
+
+// readHead reads a header map.
+func readHead(m *corev3.HeaderMap) (out head) {
+	values := make([]string, 0, mostRead)
+	add := func(to []string, value string) []string {
+		if to != nil {
+			return append(to, value)
+		}
+		values = append(values, value)
+		return values[len(values)-1 : len(values) : len(values)]
+	}
 	for _, v := range m.GetHeaders() {
 		value := v.GetValue()
 		if raw := v.GetRawValue(); len(raw) > 0 {
 			value = string(raw)
 		}
-		name := v.GetKey()
-		if !strings.HasPrefix(name, ":") {
-			name = http.CanonicalHeaderKey(name)
+		switch key := v.GetKey(); key {
+		case ":method":
+			out.method = add(out.method, value)
+		case ":path":
+			out.path = add(out.path, value)
+		case ":status":
+			out.status = add(out.status, value)
+		default:
+			name, wanted := readNames[key]
+			if !wanted { // HTTP/2 allows no capitals in names, but a proxy need not mind
+				if name, wanted = readNames[strings.ToLower(key)]; !wanted {
+					continue
+				}
+			}
+			if out.Header == nil {
+				out.Header = make(http.Header, usualHeaders)
+			}
+			out.Header[name] = add(out.Header[name], value)
 		}
-		out[name] = append(out[name], value)
 	}
 	return out
 }
 
 // one returns the value of a header that may be there once at most.
-func one(h http.Header, name string) (value string, there bool, err error) {
-	switch values := h[name]; len(values) {
+func one(values []string, name string) (value string, there bool, err error) {
+	switch len(values) {
 	case 0:
 		return "", false, nil
 	case 1:
@@ -123,30 +167,30 @@
 
 // requestHead reads the head of a request.
 func requestHead(m *extprocv3.HttpHeaders) (intake.Head, error) {
-	h := header(m.GetHeaders())
-	method, _, err := one(h, ":method")
+	h := readHead(m.GetHeaders())
+	method, _, err := one(h.method, ":method")
 	if err != nil {
 		return intake.Head{}, err
 	}
-	path, _, err := one(h, ":path")
+	path, _, err := one(h.path, ":path")
 	if err != nil {
 		return intake.Head{}, err
 	}
 	path, _, _ = strings.Cut(path, "?")
-	length, chunked, err := bodyLength(h, m.GetEndOfStream())
+	length, chunked, err := bodyLength(h.Header, m.GetEndOfStream())
 	if err != nil {
 		return intake.Head{}, err
 	}
-	if _, stated := h[intake.TimeoutHeader]; !stated {
-		ms, there, err := one(h, envoyTimeout)
+	if _, stated := h.Header[intake.TimeoutHeader]; !stated {
+		ms, there, err := one(h.Header[envoyTimeout], envoyTimeout)
 		if err != nil {
 			return intake.Head{}, err
 		}
 		if there {
-			h.Set(intake.TimeoutHeader, ms+"m")
+			h.Header.Set(intake.TimeoutHeader, ms+"m")
 		}
 	}
-	return intake.Head{Method: method, Path: path, Header: h, ContentLength: length, Chunked: chunked}, nil
+	return intake.Head{Method: method, Path: path, Header: h.Header, ContentLength: length, Chunked: chunked}, nil
 }
 
 // bodyLength reads the stated length of a body. One that has none is as good as chunked: its end is not known ahead.
@@ -154,7 +198,7 @@
 	if len(h["Transfer-Encoding"]) > 0 {
 		return -1, true, nil
 	}
-	text, there, err := one(h, "Content-Length")
+	text, there, err := one(h["Content-Length"], "Content-Length")
 	switch {
 	case err != nil:
 		return 0, false, err
@@ -170,7 +214,7 @@
 
 // tryCount reads which of the proxy's own tries this is; 0 where it does not say.
 func tryCount(h http.Header) (int, error) {
-	text, there, err := one(h, envoyAttempt)
+	text, there, err := one(h[envoyAttempt], envoyAttempt)
 	if err != nil || !there {
 		return 0, err
 	}
@@ -225,16 +269,16 @@
 
 // responseHead reads the head of a response; a status that can't be read is 0.
 func responseHead(m *extprocv3.HttpHeaders) (http.Header, int) {
-	h := header(m.GetHeaders())
-	text, _, err := one(h, ":status")
+	h := readHead(m.GetHeaders())
+	text, _, err := one(h.status, ":status")
 	if err != nil || len(text) != 3 {
-		return h, 0
+		return h.Header, 0
 	}
 	code, err := strconv.ParseUint(text, 10, 16)
 	if err != nil || code < 100 {
-		return h, 0
+		return h.Header, 0
 	}
-	return h, int(code)
+	return h.Header, int(code)
 }
 
 // servedBy returns the endpoint that served, where the proxy tells.
@@ -287,37 +331,82 @@
 // choice is a decision as a proxy is told it.
 type choice struct {
 	addr     string
+	metadata *structpb.Struct
 	valid    time.Duration // how long it may be used
 	useBy    time.Time
 	left     time.Duration // what is left of the client's patience
 	override bool          // ask for the ends of responses
 }
 
-func decision(c choice) *extprocv3.ProcessingResponse {
-	resp := &extprocv3.ProcessingResponse{
-		Response: &extprocv3.ProcessingResponse_RequestHeaders{RequestHeaders: &extprocv3.HeadersResponse{
-			Response: &extprocv3.CommonResponse{ClearRouteCache: true, HeaderMutation: &extprocv3.HeaderMutation{
-				SetHeaders: []*corev3.HeaderValueOption{
-					set(DestinationHeader, c.addr),
-					set(ValidHeader, milliseconds(c.valid)),
-					set(UseByHeader, strconv.FormatInt(c.useBy.UnixMilli(), 10)),
-					set(strings.ToLower(intake.TimeoutHeader), milliseconds(c.left)),
-				},
-			}},
-		}},
-		DynamicMetadata: &structpb.Struct{Fields: map[string]*structpb.Value{
-			MetadataSpace: structpb.NewStructValue(&structpb.Struct{Fields: map[string]*structpb.Value{
-				DestinationHeader: structpb.NewStringValue(c.addr),
-			}}),
-		}},
+// endpoints holds the dynamic metadata of the endpoints that were chosen lately: a few objects a decision less. They are
+// shared, and never changed.
+type endpoints struct {
+	mu  sync.Mutex
+	all map[string]*structpb.Struct
+}
+
+const mostEndpoints = 4096 // held; then all are dropped
+
+func (e *endpoints) of(addr string) *structpb.Struct {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m := e.all[addr]; m != nil {
+		return m
+	}
+	if e.all == nil || len(e.all) >= mostEndpoints {
+		e.all = map[string]*structpb.Struct{}
 	}
+	m := &structpb.Struct{Fields: map[string]*structpb.Value{
+		MetadataSpace: structpb.NewStructValue(&structpb.Struct{Fields: map[string]*structpb.Value{
+			DestinationHeader: structpb.NewStringValue(addr),
+		}}),
+	}}
+	e.all[addr] = m
+	return m
+}
+
+// sendEnds asks a proxy for the ends of responses.
+var sendEnds = &filterv3.ProcessingMode{ResponseHeaderMode: filterv3.ProcessingMode_SEND,
+	ResponseTrailerMode: filterv3.ProcessingMode_SEND}
+
+// decisionParts are the messages of a decision in one piece of memory.
+type decisionParts struct {
+	response extprocv3.ProcessingResponse
+	kind     extprocv3.ProcessingResponse_RequestHeaders
+	headers  extprocv3.HeadersResponse
+	common   extprocv3.CommonResponse
+	mutation extprocv3.HeaderMutation
+	options  [4]corev3.HeaderValueOption
+	values   [4]corev3.HeaderValue
+	set      [4]*corev3.HeaderValueOption
+}
+
+func decision(c choice) *extprocv3.ProcessingResponse {
+	p := &decisionParts{}
+	for i, h := range [...]struct{ name, value string }{
+		{DestinationHeader, c.addr},
+		{ValidHeader, milliseconds(c.valid)},
+		{UseByHeader, strconv.FormatInt(c.useBy.UnixMilli(), 10)},
+		{timeoutName, milliseconds(c.left)},
+	} {
+		p.values[i].Key, p.values[i].RawValue = h.name, []byte(h.value)
+		p.options[i].Header, p.options[i].AppendAction = &p.values[i], corev3.HeaderValueOption_OVERWRITE_IF_EXISTS_OR_ADD
+		p.set[i] = &p.options[i]
+	}
+	p.mutation.SetHeaders = p.set[:]
+	p.common.ClearRouteCache, p.common.HeaderMutation = true, &p.mutation
+	p.headers.Response = &p.common
+	p.kind.RequestHeaders = &p.headers
+	p.response.Response, p.response.DynamicMetadata = &p.kind, c.metadata
 	if c.override { // a proxy that does not allow it goes on as it was
-		resp.ModeOverride = &filterv3.ProcessingMode{ResponseHeaderMode: filterv3.ProcessingMode_SEND,
-			ResponseTrailerMode: filterv3.ProcessingMode_SEND}
+		p.response.ModeOverride = sendEnds
 	}
-	return resp
+	return &p.response
 }
 
+// timeoutName is the header that tells a server how long the client waits.
+var timeoutName = strings.ToLower(intake.TimeoutHeader)
+
 func set(name, value string) *corev3.HeaderValueOption {
 	return &corev3.HeaderValueOption{Header: &corev3.HeaderValue{Key: name, RawValue: []byte(value)},
 		AppendAction: corev3.HeaderValueOption_OVERWRITE_IF_EXISTS_OR_ADD}
@@ -362,10 +451,9 @@
 		}}}
 }
 
-func continueHeaders() *extprocv3.ProcessingResponse {
-	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
-		ResponseHeaders: &extprocv3.HeadersResponse{}}}
-}
+// goOn lets a response's headers go on unchanged.
+var goOn = &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
+	ResponseHeaders: &extprocv3.HeadersResponse{}}}
 
 // continueBody lets a part of a body go on unchanged. In full duplex the processor owes the proxy what it was sent.
 func continueBody(b *extprocv3.HttpBody, ofResponse, fullDuplex bool) *extprocv3.ProcessingResponse {
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -41,12 +41,11 @@
 	idleConnection  = time.Minute           // a connection with no stream is closed, so that idle ones don't keep out others
 	maxHeaderList   = 16 << 10              // of a stream's own HTTP/2 headers
 	window          = 64 << 10              // what a proxy may send on a stream ahead of its being read; gRPC takes no less
-	buffer          = 8 << 10               // of a connection, each way
+	connWindow      = 1 << 20               // and on all of a connection; what is not read waits on the streams
 	lingerTime      = 5 * time.Second       // a stream may stay open for so long after its request's time is over
 	drainMost       = 50 * time.Millisecond // past the longest time that a client waits, as the platform's own front
-	healthEvery     = 250 * time.Millisecond
-	countsEvery     = time.Minute
 	processorMethod = extprocv3.ExternalProcessor_Process_FullMethodName
+	countsEvery     = time.Minute
 )
 
 // Options are what a Server is made of. All must be set.
@@ -70,6 +69,8 @@
 	held    atomic.Int64 // calls that the engine holds
 	duplex  atomic.Int64 // streams with bodies that come back
 	once    onces
+
+	metadata endpoints
 }
 
 // onces are log lines that come once, however often their cause does: a rude peer must not flood the log.
@@ -135,10 +136,8 @@
 		grpc.MaxConcurrentStreams(uint32(set.MaxStreams)),
 		grpc.MaxRecvMsgSize(set.MaxMessage),
 		grpc.StaticStreamWindowSize(window), // a window that grows with the line would be memory without a bound
-		grpc.StaticConnWindowSize(window),
+		grpc.StaticConnWindowSize(connWindow),
 		grpc.MaxHeaderListSize(maxHeaderList),
-		grpc.ReadBufferSize(buffer),
-		grpc.WriteBufferSize(buffer),
 		grpc.SharedWriteBuffer(true),
 		grpc.WaitForHandlers(true),
 		grpc.InTapHandle(s.admit),
@@ -177,35 +176,63 @@
 	return &healthv1.HealthCheckResponse{Status: state}, nil
 }
 
-// admit is asked about each stream before anything is spent on it, and turns away what is too many.
-func (s *Server) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
-	if info.FullMethodName != processorMethod {
-		return ctx, nil
+// breakable is the context of a stream that the server can break: gRPC ends a stream's own context only with the stream,
+// so that a proxy which sends nothing, or takes nothing, could hold it for ever.
+type breakable struct {
+	context.Context
+	cut context.CancelFunc
+}
+
+type breakableKey struct{}
+
+// Value finds the breakable context below those that gRPC puts round it.
+func (b *breakable) Value(key any) any {
+	if key == (breakableKey{}) {
+		return b
 	}
-	if s.streams.Add(1) > int64(s.Settings.MaxOpen) {
-		s.streams.Add(-1)
-		s.Counts.streamsRefused.Add(1)
-		return nil, status.Error(codes.ResourceExhausted, "too many streams are open")
+	return b.Context.Value(key)
+}
+
+// admit is asked about each stream before a goroutine is spent on it: it turns away what is too many, and makes the others
+// breakable.
+func (s *Server) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
+	if s.streams.Load() >= int64(s.Settings.MaxOpen) && info.FullMethodName == processorMethod {
+		return nil, s.tooMany()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	context.AfterFunc(ctx, func() { s.streams.Add(-1) }) // also for a stream that ends before it is handled
-	return context.WithValue(ctx, cancelKey{}, cancel), nil
+	return &breakable{ctx, cancel}, nil
 }
 
-// cancelKey finds what breaks a stream: its own context ends only with the stream, and a message that the proxy does not
-// take would hold the stream for ever.
-type cancelKey struct{}
+func (s *Server) tooMany() error {
+	s.Counts.streamsRefused.Add(1)
+	return status.Error(codes.ResourceExhausted, "too many streams are open")
+}
+
+// place takes one of the places for streams, if there is one.
+func (s *Server) place() bool {
+	for {
+		n := s.streams.Load()
+		if n >= int64(s.Settings.MaxOpen) {
+			return false
+		}
+		if s.streams.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
 
 // Process handles one stream.
 func (s *Server) Process(g extprocv3.ExternalProcessor_ProcessServer) error {
-	st := &stream{s: s, ctx: g.Context(), told: make(chan verdict, mostTold), over: make(chan struct{})}
-	st.cut, _ = g.Context().Value(cancelKey{}).(context.CancelFunc)
-	if st.cut == nil {
-		return status.Error(codes.Internal, "the stream was not admitted")
+	if !s.place() { // several may have been admitted to the last place
+		return s.tooMany()
+	}
+	defer s.streams.Add(-1)
+	b, ok := g.Context().Value(breakableKey{}).(*breakable)
+	if !ok {
+		return status.Error(codes.Internal, "the stream can't be broken")
 	}
-	defer st.cut()
-	st.stop = sync.OnceFunc(func() { close(st.over) })
-	st.expiry = time.AfterFunc(time.Duration(s.Settings.FirstMessage), st.stop)
+	st := &stream{s: s, ctx: g.Context(), told: make(chan verdict, mostTold)}
+	st.expiry = time.AfterFunc(time.Duration(s.Settings.FirstMessage), b.cut)
 	defer st.expiry.Stop()
 	err := st.run(g)
 	st.end(err)
@@ -213,10 +240,10 @@
 		s.duplex.Add(-1)
 	}
 	switch {
-	case st.call != nil && !st.handed.Load() && !st.ended.Load(): // the proxy must not go on as if it had been told
+	case st.call != nil && !st.handed.Load() && !st.ended: // the proxy must not go on as if it had been told
 		return status.Error(codes.Unavailable, "the stream ended before the decision")
-	case err == nil || errors.Is(err, errClean) || g.Context().Err() != nil:
-		return nil // closing a stream in order lets the proxy go on without the processor
+	case err == nil || errors.Is(err, errClean):
+		return nil
 	}
 	return err
 }
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -40,17 +40,14 @@
 	s      *Server
 	ctx    context.Context
 	told   chan verdict
-	over   chan struct{} // closed when the stream is to end
-	stop   func()        // closes it
-	cut    context.CancelFunc
-	expiry *time.Timer // stops the stream when it stays for too long
+	expiry *time.Timer // breaks the stream when it stays for too long, also while a message is not taken
 
 	handed atomic.Bool // the decision is with the proxy
-	ended  atomic.Bool // how its attempt ended was told
 
 	call       *engine.Call    // once the request was in order
 	attempt    *engine.Attempt // with the proxy
 	answered   *engine.Outcome // a 200 whose end has not come
+	ended      bool            // the final answer was given here, or how the attempt ended was told
 	fullDuplex [2]bool         // request and response bodies come back from the processor, or not at all
 	mayDuplex  bool            // has one of the places for such streams
 }
@@ -58,14 +55,9 @@
 // Choose is called by the engine.
 func (st *stream) Choose(a *engine.Attempt) { st.told <- verdict{attempt: a} }
 
-// Answer is called by the engine. After the decision it can only be that the request's time is over: the proxy is owed
-// nothing more, and its stream ends.
+// Answer is called by the engine. After the decision it is not for the proxy: the client's time is over, or it is served.
 func (st *stream) Answer(a engine.Answer) {
-	switch {
-	case st.ended.Load():
-	case st.handed.Load():
-		st.stop()
-	default:
+	if !st.handed.Load() {
 		st.told <- verdict{answer: a}
 	}
 }
@@ -73,54 +65,24 @@
 // Released is called by the engine.
 func (st *stream) Released() { st.s.held.Add(-1) }
 
-// received is a message of the proxy, or the reason why there are no more.
-type received struct {
-	req *extprocv3.ProcessingRequest
-	err error
-}
-
-// pump reads messages until the stream ends or nobody takes them any more. It is a goroutine of its own so that a stream
-// can be ended in order, which gRPC allows only by returning, while no message comes.
-func pump(g extprocv3.ExternalProcessor_ProcessServer, to chan<- received, gone <-chan struct{}) {
-	for {
-		req, err := g.Recv()
-		select {
-		case to <- received{req, err}:
-		case <-gone:
-			return
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
 // run takes messages and answers them until the stream ends.
 func (st *stream) run(g extprocv3.ExternalProcessor_ProcessServer) error {
-	messages, gone := make(chan received), make(chan struct{})
-	defer close(gone)
-	go pump(g, messages, gone)
 	for {
-		var m received
-		select {
-		case m = <-messages:
-		case <-st.over:
-			return nil
-		}
-		if errors.Is(m.err, io.EOF) {
+		req, err := g.Recv()
+		if errors.Is(err, io.EOF) {
 			return errClean
 		}
-		if m.err != nil {
-			return m.err
+		if err != nil {
+			return err
 		}
-		resp, err := st.take(m.req)
+		resp, err := st.take(req)
 		if err != nil {
 			return err
 		}
 		if resp == nil {
 			continue
 		}
-		if err := st.send(g, resp); err != nil {
+		if err := g.Send(resp); err != nil {
 			return err
 		}
 		if resp.GetImmediateResponse() != nil {
@@ -129,13 +91,6 @@
 	}
 }
 
-// send breaks the stream if the proxy does not take the message in time.
-func (st *stream) send(g extprocv3.ExternalProcessor_ProcessServer, resp *extprocv3.ProcessingResponse) error {
-	limit := time.AfterFunc(sendTimeout, st.cut)
-	defer limit.Stop()
-	return g.Send(resp)
-}
-
 // take handles a message and returns what the proxy is owed for it, or nil.
 func (st *stream) take(req *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
 	if req.GetObservabilityMode() { // the proxy waits for no answer and heeds none: nothing is to be decided
@@ -156,7 +111,7 @@
 		return st.decide(req, m.RequestHeaders)
 	case *extprocv3.ProcessingRequest_ResponseHeaders:
 		st.response(req, m.ResponseHeaders)
-		return continueHeaders(), nil
+		return goOn, nil
 	case *extprocv3.ProcessingRequest_RequestBody:
 		return continueBody(m.RequestBody, false, st.fullDuplex[0]), nil
 	case *extprocv3.ProcessingRequest_ResponseBody:
@@ -217,7 +172,7 @@
 		case v := <-st.told:
 			if v.attempt == nil {
 				s.count(v.answer.Kind)
-				st.ended.Store(true)
+				st.ended = true
 				return immediate(v.answer), nil
 			}
 			if resp := st.hand(v.attempt); resp != nil {
@@ -249,7 +204,7 @@
 	st.handed.Store(true)
 	st.s.Counts.decisions.Add(1)
 	return decision(choice{addr: backend.Addr(), valid: valid, useBy: st.s.Clock.At(now + valid), left: a.Until - now,
-		override: st.s.Settings.ModeOverride && st.fullDuplex == [2]bool{}})
+		metadata: st.s.metadata.of(backend.Addr()), override: st.s.Settings.ModeOverride && st.fullDuplex == [2]bool{}})
 }
 
 // response judges the head of a response, as direct mode judges a whole answer. A 200 is one only when it has ended.
@@ -304,7 +259,7 @@
 
 // tell ends the attempt that the proxy has.
 func (st *stream) tell(out engine.Outcome) {
-	st.ended.Store(true)
+	st.ended = true
 	st.attempt, st.answered = nil, nil
 	st.s.countResult(out.Result)
 	st.s.Engine.Ended(out)
@@ -315,7 +270,7 @@
 	switch {
 	case st.call == nil:
 	case st.attempt == nil:
-		if !st.handed.Load() && !st.ended.Load() {
+		if !st.handed.Load() && !st.ended {
 			st.s.Counts.gaveUpBefore.Add(1)
 		}
 		st.s.Engine.GaveUp(st.call.ID, st)
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -257,8 +257,10 @@
 		return nil // what is held is newer
 	}
 	members := d.members(l)
+	if l.Version != d.version { // a discovery that says the same over and over must not fill the log
+		d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
+	}
 	d.version = l.Version
-	d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
 	d.deliver(engine.Listed{Full: l.Full, Members: members})
 	return nil
 }
--- a/internal/fleet/discovery_test.go
+++ b/internal/fleet/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -214,3 +215,22 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// A discovery that answers every watch at once with the same list is told on, and fills no log.
+func TestSameListIsLoggedOnce(t *testing.T) {
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, testbed.ListText(1, true, testbed.EntryText("s-1", "127.0.0.1:1", "Ready", 0)))
+	})}
+	l := testbed.Listen(t)
+	go srv.Serve(l)
+	t.Cleanup(func() { srv.Close() })
+	var log testbed.LockedBuffer
+	d, events := follower(t, l.Addr().String(), &log)
+	follow(t, d)
+	for range 4 {
+		next(t, events)
+	}
+	if n := log.Count("list of backends"); n != 1 {
+		t.Errorf("logged %d times", n)
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,9 +14,9 @@
 	"appleledge/logic"
 )
 
-// The headers of a request that the agent reads.
+// The headers of a request that the agent reads, in net/http's form: another one costs an allocation at each look.
 const (
-	RequestIDHeader = "X-Request-ID"
+	RequestIDHeader = "X-Request-Id"
 	KeyHeader       = "Idempotency-Key"
 	TimeoutHeader   = "X-Timeout"
 	tenantHeader    = "X-Tenant-Id"
@@ -32,6 +32,9 @@
 	deadlineMargin = 20 * time.Millisecond // before the client's deadline a request is ended, so that its answer is out in time
 )
 
+// Read are the headers that Check reads.
+var Read = []string{RequestIDHeader, KeyHeader, TimeoutHeader, tenantHeader, routeKeyHeader, retriedHeader}
+
 // passedOn are the headers that go on to a backend. All others concern the agent or nobody: what a client puts in them
 // must not change how a backend reads the message.
 var passedOn = []string{RequestIDHeader, KeyHeader, tenantHeader, routeKeyHeader, retriedHeader, "X-Cost", "X-Attrs",
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -559,7 +559,7 @@
 	b.requests[e.ID] = r
 	b.budget = min(b.budget+retryShare, retrySaved)
 	b.token++
-	b.timers[b.token] = r
+	r.token, b.timers[b.token] = b.token, r
 	b.timer(b.token, r.Deadline-b.now)
 	// In a jam all cheap work may be refused, but an idle server must not wait for its trial till the end.
 	if b.refused(b.worthOf(r)) && b.trial(r) == nil {
@@ -657,6 +657,7 @@
 // close marks the request as ended; it is kept while attempts are in flight.
 func (b *Balancer) close(r *request) {
 	r.closed = true
+	delete(b.timers, r.token) // it would hold the request until its deadline
 	if r.out == 0 {
 		delete(b.requests, r.ID)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -65,6 +65,7 @@
 	attempts []*attempt
 	out      int // attempts in flight
 	closed   bool
+	token    uint64 // of the timer for its deadline
 }
 
 type attempt struct {
