An emulated form server, server list and quickstart

Need: operators want to practise, and a newcomer could not run the agent at all without the platform.

internal/emulator is a form server as a deterministic model with no clock: cores shared evenly, slots and waiting room, crowding, cold start, warm keys, toppling, load reports, the pod's dropping of repeats, and a ledger of what ran; on sockets it speaks the platform's protocol, with hangs, kills, errors, resets and noise.

--- /dev/null
+++ b/internal/emulator/discovery.go
@@ -0,0 +1,205 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is a server as the list has it, in the form of the platform's protocol.
+type Entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"` // Ready, Terminating, or Gone
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"` // Unix time; 0 for long ago
+}
+
+// mostWait is the longest that a watch may wait.
+const mostWait = time.Minute
+
+// Discovery is the server list on a loopback socket: the whole list, and watches for what is newer than a version. It can
+// be late, and out of reach.
+type Discovery struct {
+	Addr string // host and port
+
+	srv    *http.Server
+	served sync.WaitGroup
+
+	mu        sync.Mutex
+	version   int64
+	entries   map[string]listed
+	order     []string      // ids in the order in which they were first named
+	gone      []string      // ids that are gone, for watches; the oldest are dropped
+	forgotten int64         // the latest version of a server that was dropped from them
+	news      chan struct{} // closed at the next change
+	lag       time.Duration
+	out       bool
+	late      map[*time.Timer]struct{} // changes that are on their way
+	closed    bool
+}
+
+type listed struct {
+	Entry
+	version int64 // of its latest change
+}
+
+// mostGone is how many servers that are gone watches are still told of. Who watches from an older version gets the whole
+// list.
+const mostGone = 1024
+
+// list is the protocol's form of a list or of changes.
+type list struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// NewDiscovery starts a discovery on a loopback address of its own.
+func NewDiscovery() (*Discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	d := &Discovery{Addr: l.Addr().String(), entries: map[string]listed{}, news: make(chan struct{}), late: map[*time.Timer]struct{}{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", d.endpoints)
+	d.srv = &http.Server{Handler: mux, ReadHeaderTimeout: mostWait}
+	d.served.Go(func() { d.srv.Serve(l) })
+	return d, nil
+}
+
+// Close ends the discovery.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	d.closed = true
+	for t := range d.late {
+		t.Stop()
+	}
+	d.tell()
+	d.mu.Unlock()
+	d.srv.Close()
+	d.served.Wait()
+}
+
+// Set changes entries, all in one version, once the lag has passed.
+func (d *Discovery) Set(entries ...Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lag <= 0 {
+		d.apply(entries)
+		return
+	}
+	var t *time.Timer
+	t = time.AfterFunc(d.lag, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.late, t)
+		d.apply(entries)
+	})
+	d.late[t] = struct{}{}
+}
+
+func (d *Discovery) apply(entries []Entry) {
+	if d.closed {
+		return
+	}
+	d.version++
+	for _, e := range entries {
+		if _, known := d.entries[e.ID]; !known {
+			d.order = append(d.order, e.ID)
+		}
+		d.entries[e.ID] = listed{e, d.version}
+		if e.State == "Gone" {
+			d.gone = append(d.gone, e.ID)
+		}
+	}
+	for len(d.gone) > mostGone {
+		d.forgotten = max(d.forgotten, d.entries[d.gone[0]].version)
+		delete(d.entries, d.gone[0])
+		d.gone = d.gone[1:]
+	}
+	d.tell()
+}
+
+// tell wakes the watches.
+func (d *Discovery) tell() {
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// SetLag makes changes late from now on.
+func (d *Discovery) SetLag(lag time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lag = lag
+}
+
+// SetOut puts the discovery out of reach, or back: calls fail, and watches end.
+func (d *Discovery) SetOut(out bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.out = out
+	d.tell()
+}
+
+// endpoints answers calls for the list and watches.
+func (d *Discovery) endpoints(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	whole := err != nil
+	wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+	limit := time.NewTimer(min(time.Duration(wait)*time.Millisecond, mostWait))
+	defer limit.Stop()
+	for {
+		d.mu.Lock()
+		out, version, news := d.out || d.closed, d.version, d.news
+		l := d.list(since, whole || since < d.forgotten)
+		d.mu.Unlock()
+		if out {
+			http.Error(w, "out of reach", http.StatusServiceUnavailable)
+			return
+		}
+		if whole || version > since {
+			write(w, l)
+			return
+		}
+		select {
+		case <-news:
+		case <-limit.C:
+			write(w, list{Version: since, Servers: []Entry{}})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// list is the whole list, or what has changed since a version.
+func (d *Discovery) list(since int64, whole bool) list {
+	l := list{Version: d.version, Full: whole, Servers: []Entry{}}
+	kept := d.order[:0]
+	for _, id := range d.order {
+		e, known := d.entries[id]
+		if !known {
+			continue
+		}
+		kept = append(kept, id)
+		if whole && e.State != "Gone" || !whole && e.version > since {
+			l.Servers = append(l.Servers, e.Entry)
+		}
+	}
+	d.order = kept
+	return l
+}
+
+func write(w http.ResponseWriter, l list) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(l) // an error means that the caller has gone
+}
--- /dev/null
+++ b/internal/emulator/formserver.go
@@ -0,0 +1,334 @@
+package emulator
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Class says what requests of a class are to a form server.
+type Class struct {
+	Name string
+	Work [2]time.Duration // on a core of speed 1: from, to
+	Wait [2]time.Duration // on others
+}
+
+// draw is what a request costs. It follows from its id alone, so that it is the same at every server and in every run.
+func (c Class) draw(seed uint64, id string) (work, wait time.Duration) {
+	h := fnv.New64a()
+	io.WriteString(h, id)
+	random := rand.New(rand.NewPCG(h.Sum64(), seed))
+	between := func(r [2]time.Duration) time.Duration {
+		return r[0] + time.Duration(random.Float64()*float64(r[1]-r[0]))
+	}
+	return between(c.Work), between(c.Wait)
+}
+
+// Wire are the faults that show on the connections, beside those of the model.
+type Wire struct {
+	Reset float64 // share of requests after which the connection breaks, having run
+	Spoil float64 // share of answers that are noise
+}
+
+// FormServer is a Server on a loopback socket. It speaks HTTP/1.1 as the platform's protocol has it: 200 with a load
+// report, 500, or 503 with X-Not-Processed for what it turns away unseen. A client that leaves stops nothing.
+type FormServer struct {
+	Name string
+	Addr string // host and port
+
+	seed    uint64
+	classes map[string]Class
+	epoch   time.Time
+	srv     *http.Server
+	served  sync.WaitGroup
+
+	mu     sync.Mutex
+	model  *Server
+	wire   Wire
+	random *rand.Rand
+	open   map[uint64]chan Done // of requests that wait for their end
+	last   uint64
+	timer  *time.Timer // wakes the model
+	left   []net.Conn  // spoilt connections that stay open
+	closed bool
+	ends   chan struct{} // closed with the server
+}
+
+// Listening are the limits of a form server's connections.
+type Listening struct {
+	IdleClose time.Duration // a connection idle for so long is closed
+	MaxConns  int           // open at a time; further ones are closed at once. 0: no limit
+}
+
+// hour is when timers that nothing is due for are set to.
+const hour = time.Hour
+
+// Listen starts a form server on a loopback address of its own. Times of the model count from the epoch.
+func Listen(name string, model *Server, classes []Class, seed uint64, epoch time.Time, limits Listening) (*FormServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("form server %s: %w", name, err)
+	}
+	f := &FormServer{Name: name, Addr: l.Addr().String(), seed: seed, classes: map[string]Class{}, epoch: epoch, model: model,
+		random: rand.New(rand.NewPCG(seed, 1)), open: map[uint64]chan Done{}, ends: make(chan struct{})}
+	for _, c := range classes {
+		f.classes[c.Name] = c
+	}
+	f.timer = time.AfterFunc(hour, f.wake)
+	f.srv = &http.Server{Handler: f, IdleTimeout: limits.IdleClose, ReadHeaderTimeout: limits.IdleClose, ConnState: f.connState}
+	f.served.Go(func() { f.srv.Serve(&limited{Listener: l, most: limits.MaxConns}) })
+	return f, nil
+}
+
+// now is the model's time.
+func (f *FormServer) now() time.Duration { return time.Since(f.epoch) }
+
+// wake lets the model do what is due.
+func (f *FormServer) wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+}
+
+// advance brings the model to now, delivers what has ended, and sets the timer for what comes next.
+func (f *FormServer) advance() {
+	now := f.now()
+	f.deliver(f.model.Advance(now))
+	if f.closed {
+		return
+	}
+	if at, ok := f.model.Next(); ok {
+		f.timer.Reset(at - now)
+	}
+}
+
+func (f *FormServer) deliver(ended []Done) {
+	for _, d := range ended {
+		if wait := f.open[d.ID]; wait != nil {
+			delete(f.open, d.ID)
+			wait <- d
+		}
+	}
+}
+
+// Fault changes what is wrong with the server. What a kill loses is never answered: its connections break.
+func (f *FormServer) Fault(change func(*Faults)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deliver(f.model.Fault(f.now(), change))
+	f.advance()
+}
+
+// SetWire changes the faults of the connections.
+func (f *FormServer) SetWire(w Wire) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wire = w
+}
+
+// Held counts the requests in the server.
+func (f *FormServer) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.model.Held()
+}
+
+// Close ends the server as a killed process ends: its connections break.
+func (f *FormServer) Close() {
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return
+	}
+	f.closed = true
+	close(f.ends)
+	f.timer.Stop()
+	for _, c := range f.left {
+		c.Close()
+	}
+	f.left = nil
+	f.mu.Unlock()
+	f.srv.Close()
+	f.served.Wait()
+}
+
+// arrive brings a request to the model. The channel gets its end, if it is to have one.
+func (f *FormServer) arrive(r Request) (Verdict, <-chan Done) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	f.last++
+	r.ID = f.last
+	hung := f.model.Faults().Hung
+	verdict := f.model.Arrive(f.now(), r, f.last)
+	if verdict != Accepted {
+		return verdict, nil
+	}
+	end := make(chan Done, 1)
+	if !hung { // what comes in a hang is never answered: nothing is kept of it
+		f.open[r.ID] = end
+	}
+	f.advance()
+	return verdict, end
+}
+
+// maxBody is the longest body that a server takes, in bytes.
+const maxBody = 64 << 10
+
+// ServeHTTP serves a request.
+func (f *FormServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, known := f.classes[name]
+	id := r.Header.Get("X-Request-ID")
+	if !known || id == "" {
+		http.Error(w, "unknown class, or no X-Request-ID", http.StatusNotFound)
+		return
+	}
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
+		http.Error(w, "the body is not whole", http.StatusBadRequest)
+		return
+	}
+	work, wait := class.draw(f.seed, id)
+	verdict, end := f.arrive(Request{Class: name, Key: r.Header.Get("Idempotency-Key"), RouteKey: r.Header.Get("X-Route-Key"),
+		Work: work, Wait: wait})
+	switch verdict {
+	case Down:
+		panic(http.ErrAbortHandler) // the connection breaks
+	case Full:
+		f.report(w)
+		w.Header().Set("X-Not-Processed", "1")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case done := <-end:
+		f.answer(w, id, done)
+	case <-r.Context().Done(): // the work goes on
+	case <-f.ends:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// answer answers what has run, with the faults of the wire.
+func (f *FormServer) answer(w http.ResponseWriter, id string, done Done) {
+	f.mu.Lock()
+	reset, spoil := f.random.Float64() < f.wire.Reset, f.random.Float64() < f.wire.Spoil
+	f.mu.Unlock()
+	switch {
+	case reset:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
+				tcp.SetLinger(0)
+			}
+			c.Close()
+		}
+	case spoil:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil { // left open: it is of no further use
+			io.WriteString(c, "\x16\x03\x01 this is no answer")
+			f.leaveOpen(c)
+		}
+	case done.Failed:
+		f.report(w)
+		http.Error(w, "it failed", http.StatusInternalServerError)
+	default:
+		f.report(w)
+		text := "form " + id + " by " + f.Name + "\n"
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		io.WriteString(w, text)
+	}
+}
+
+// mostLeft is how many spoilt connections stay open; then the oldest is closed.
+const mostLeft = 64
+
+// leaveOpen keeps a connection open that is of no further use.
+func (f *FormServer) leaveOpen(c net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left = append(f.left, c); len(f.left) > mostLeft || f.closed {
+		f.left[0].Close()
+		f.left = f.left[1:]
+	}
+}
+
+// report puts the load report into an answer's head.
+func (f *FormServer) report(w http.ResponseWriter) {
+	f.mu.Lock()
+	l := f.model.Report(f.now())
+	f.mu.Unlock()
+	w.Header().Set("X-Server-Load", fmt.Sprintf("util=%.3f,qps=%.2f,eps=%.2f", l.Util, l.Rate, l.Errors))
+}
+
+// connState adds the work of handshakes.
+func (f *FormServer) connState(_ net.Conn, state http.ConnState) {
+	if state != http.StateNew {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	f.model.Connect(f.now())
+	f.advance()
+}
+
+// limited is a listener that closes connections over a limit at once, as a full table does.
+type limited struct {
+	net.Listener
+	most int
+
+	mu   sync.Mutex
+	open int
+}
+
+// Accept returns the next connection that there is room for.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		full := l.most > 0 && l.open >= l.most
+		if !full {
+			l.open++
+		}
+		l.mu.Unlock()
+		if full {
+			c.Close()
+			continue
+		}
+		return &counted{Conn: c, l: l}, nil
+	}
+}
+
+// counted is a connection that gives its place back once.
+type counted struct {
+	net.Conn
+	l    *limited
+	once sync.Once
+}
+
+// Close closes the connection.
+func (c *counted) Close() error {
+	c.once.Do(func() {
+		c.l.mu.Lock()
+		c.l.open--
+		c.l.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// SetLinger is that of the connection: 0 makes a close a reset.
+func (c *counted) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/fleet.go
@@ -0,0 +1,157 @@
+// Package rehearsal puts a whole installation together on loopback, to practise on: an emulated fleet and its server
+// list, a real agent, and clients.
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"appleledge/internal/emulator"
+)
+
+// kind is a kind of machine, with the range of the speed of its cores.
+type kind struct {
+	name  string
+	cores int
+	speed [2]float64
+	share float64 // of the fleet
+}
+
+// kinds are those of the deployment.
+var kinds = []kind{
+	{"twin-core", 2, [2]float64{1.5, 2.1}, 0.56},
+	{"quad-core", 4, [2]float64{0.77, 1}, 0.44},
+}
+
+// classes are the deployment's, as form servers see them.
+var classes = []emulator.Class{
+	{Name: "form-check", Work: [2]time.Duration{54 * time.Millisecond, 98 * time.Millisecond},
+		Wait: [2]time.Duration{96 * time.Millisecond, 180 * time.Millisecond}},
+	{Name: "refund-record", Work: [2]time.Duration{61 * time.Millisecond, 110 * time.Millisecond},
+		Wait: [2]time.Duration{110 * time.Millisecond, 200 * time.Millisecond}},
+}
+
+// points are the refund points with their shares.
+var points = []struct {
+	name  string
+	share float64
+}{{"edinburgh-airport", 0.27}, {"glasgow-airport", 0.18}, {"aberdeen-airport", 0.12}, {"rosyth-port", 0.11},
+	{"inverness-airport", 0.09}, {"prestwick-airport", 0.08}, {"lerwick-port", 0.08}, {"stranraer-port", 0.07}}
+
+const (
+	dropWindow = 2 * time.Second
+	aim        = 600 * time.Millisecond
+	deadline   = 2 * time.Second
+	podSize    = 3 // form servers of a pod
+	idleClose  = 15 * time.Second
+)
+
+// spec draws a machine of a kind.
+func (k kind) spec(random *rand.Rand) emulator.Spec {
+	between := func(from, to float64) float64 { return from + random.Float64()*(to-from) }
+	span := func(from, to time.Duration) time.Duration { return time.Duration(between(float64(from), float64(to))) }
+	return emulator.Spec{
+		Cores: k.cores, Speed: between(k.speed[0], k.speed[1]), Slots: 6 * k.cores, Queue: 16 * k.cores,
+		Crowd: 0.05, CrowdAt: 4,
+		ColdFrom: 0.32, ColdFor: 8700 * time.Millisecond, Topple: 3, ToppleFor: 3 * time.Second,
+		KeyGain: between(0.33, 0.58), KeyFor: span(3900*time.Millisecond, 11*time.Second), KeyMost: 100 * k.cores,
+		Handshake:   time.Millisecond,
+		ReportEvery: span(44*time.Millisecond, 230*time.Millisecond), ReportLate: 50 * time.Millisecond, ReportNoise: 0.05,
+	}
+}
+
+// Fleet is an emulated fleet on loopback sockets, with its server list.
+type Fleet struct {
+	Servers   []*emulator.FormServer
+	Discovery *emulator.Discovery
+	Ledger    *emulator.Ledger
+	kinds     []string
+}
+
+// NewFleet starts a warm fleet of so many form servers, drawn from the seed.
+func NewFleet(servers int, seed uint64) (*Fleet, error) {
+	d, err := emulator.NewDiscovery()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Discovery: d, Ledger: emulator.NewLedger()}
+	random := rand.New(rand.NewPCG(seed, 0))
+	epoch := time.Now()
+	var entries []emulator.Entry
+	var pod *emulator.Pod
+	for i := range servers {
+		if i%podSize == 0 {
+			pod = emulator.NewPod(i/podSize, dropWindow, f.Ledger)
+		}
+		k := kinds[0]
+		if float64(i)+0.5 >= kinds[0].share*float64(servers) {
+			k = kinds[1]
+		}
+		name := fmt.Sprintf("s-%02d", i+1)
+		model := emulator.NewServer(name, k.spec(random), pod, random.Uint64(), 0, true)
+		s, err := emulator.Listen(name, model, classes, seed, epoch, emulator.Listening{IdleClose: idleClose, MaxConns: 400 * k.cores})
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.Servers, f.kinds = append(f.Servers, s), append(f.kinds, k.name)
+		entries = append(entries, emulator.Entry{ID: name, Addr: s.Addr, Zone: zone, Kind: k.name, Cell: i / podSize,
+			State: "Ready", Weight: 1})
+	}
+	d.Set(entries...)
+	return f, nil
+}
+
+// Kinds counts the machines of each kind, in words.
+func (f *Fleet) Kinds() string {
+	n := map[string]int{}
+	for _, k := range f.kinds {
+		n[k]++
+	}
+	text := ""
+	for i, k := range kinds {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%d %s", n[k.name], k.name)
+	}
+	return text
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	for _, s := range f.Servers {
+		s.Close()
+	}
+	f.Discovery.Close()
+}
+
+const zone = "edinburgh-dc"
+
+// configuration is the file of the platform that an agent in front of the fleet would get.
+func (f *Fleet) configuration(listen string, seed uint64) ([]byte, error) {
+	type object = map[string]any
+	var tenants []object
+	for _, p := range points {
+		tenants = append(tenants, object{"Name": p.name, "Portion": p.share})
+	}
+	class := func(name, effect, group string, worth float64, window time.Duration) object {
+		return object{"Name": name, "Effect": effect, "Group": group, "Worth": worth, "WindowNs": window.Nanoseconds(),
+			"AimNs": aim.Nanoseconds(), "DeadlineNs": deadline.Nanoseconds()}
+	}
+	return json.Marshal(object{
+		"name": "n0", "listen": listen, "discovery": f.Discovery.Addr, "seed": fmt.Sprintf("%x", seed),
+		"limits": object{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
+		"settings": object{
+			"Balancers": 1, "Me": 0, "TickNs": 5 * time.Millisecond, "WeightKind": "silent", "Discovery": "automatic",
+			"Zones": []string{zone}, "Domain": object{"WarmKeys": true}, "OverShareWorth": 0.1, "Tenants": tenants,
+			"Report": object{"Fields": []string{"util", "qps", "eps"}, "Via": "piggyback"},
+			"Rules":  object{"ColdFrom": 0.32, "ColdNs": 8700 * time.Millisecond, "OverloadFactor": 3},
+			"Ceilings": object{"ConnIdleNs": idleClose, "ConnectTimeoutNs": 250 * time.Millisecond, "MaxRetryAfterNs": time.Second,
+				"MostHeld": 1000, "MostTries": 5, "ParallelTries": true, "RetryAfter": true},
+			"Classes": []object{class("form-check", "repeatable", "all", 2, 0), class("refund-record", "by_key", "cell", 10, dropWindow)},
+		},
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/quickstart.go
@@ -0,0 +1,152 @@
+package rehearsal
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"appleledge/internal/agent"
+)
+
+// Quickstart is a small installation to look at.
+type Quickstart struct {
+	Servers int
+	Rate    float64 // requests a second
+	For     time.Duration
+	Seed    uint64
+	Out     io.Writer
+	Live    bool // Out is a terminal: progress is shown on one line that changes
+}
+
+// startWait is how long the agent may take until it is ready.
+const startWait = 10 * time.Second
+
+// Run starts the fleet, the agent and the clients, shows how they do, and ends with a report. A context that ends early
+// ends it in order, with the report of what ran.
+func (q Quickstart) Run(ctx context.Context) (Tally, error) {
+	fleet, err := NewFleet(q.Servers, q.Seed)
+	if err != nil {
+		return Tally{}, err
+	}
+	defer fleet.Close()
+	dir, err := os.MkdirTemp("", "appleledge")
+	if err != nil {
+		return Tally{}, fmt.Errorf("a folder for the agent's configuration: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	addr, ended, stop, err := q.agent(fleet, dir)
+	if err != nil {
+		return Tally{}, err
+	}
+	defer func() { stop(); <-ended }()
+	fmt.Fprintf(q.Out, "%d form servers (%s), their list, and an agent are up on loopback.\n", q.Servers, fleet.Kinds())
+	fmt.Fprintf(q.Out, "The agent is at http://%s. Meanwhile, from another terminal:\n\n", addr)
+	fmt.Fprintf(q.Out, "    curl -i -H 'X-Request-ID: mine-1' -H 'X-Tenant-Id: lerwick-port' -H 'X-Timeout: 2000m' http://%s/form-check\n\n", addr)
+	fmt.Fprintf(q.Out, "Clients now send %.0f requests a second for %v. Ctrl-C ends it with the report.\n", q.Rate, q.For)
+	clients := NewClients("http://"+addr, q.Rate, q.Seed)
+	limited, cancel := context.WithTimeout(ctx, q.For)
+	defer cancel()
+	done := make(chan struct{})
+	go func() { defer close(done); clients.Run(limited) }()
+	q.watch(clients, done)
+	t := clients.Tally()
+	q.report(fleet, t)
+	return t, nil
+}
+
+// agent starts a real agent in front of the fleet and waits until it is ready.
+func (q Quickstart) agent(fleet *Fleet, dir string) (addr string, ended <-chan error, stop context.CancelFunc, err error) {
+	addr, err = freeAddr()
+	if err != nil {
+		return "", nil, nil, err
+	}
+	text, err := fleet.configuration(addr, q.Seed)
+	if err != nil {
+		return "", nil, nil, err
+	}
+	file := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return "", nil, nil, err
+	}
+	cfg, err := agent.LoadConfig(func(name string) string {
+		if name == "PROXY_CONFIG" {
+			return file
+		}
+		return ""
+	})
+	if err != nil {
+		return "", nil, nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() { result <- agent.Run(ctx, cfg, agent.Reloads{}, slog.New(slog.DiscardHandler)) }()
+	client := http.Client{Timeout: time.Second}
+	for until := time.Now().Add(startWait); ; time.Sleep(10 * time.Millisecond) {
+		if resp, err := client.Get("http://" + addr + "/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return addr, result, stop, nil
+			}
+		}
+		select {
+		case err := <-result:
+			stop()
+			return "", nil, nil, fmt.Errorf("the agent ended: %w", err)
+		default:
+		}
+		if time.Now().After(until) {
+			stop()
+			<-result
+			return "", nil, nil, fmt.Errorf("the agent was not ready within %v", startWait)
+		}
+	}
+}
+
+// freeAddr finds a loopback address that nobody listens at.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("a place for the agent to listen: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// watch shows how the clients do, once a second, until they are done.
+func (q Quickstart) watch(c *Clients, done <-chan struct{}) {
+	began := time.Now()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	begin, end := "", "\n"
+	if q.Live {
+		begin, end = "\r\x1b[K", ""
+	}
+	for {
+		select {
+		case <-tick.C:
+			t := c.Tally()
+			fmt.Fprintf(q.Out, "%s%4.0f s  %6d sent  %6d served  %4d refused  %4d failed  %3d open  half within %3d ms, 99%% within %4d ms%s",
+				begin, time.Since(began).Seconds(), t.Offered, t.Served, t.Refused, t.Failed+t.Broken, t.Waiting,
+				t.Percentile(0.5).Milliseconds(), t.Percentile(0.99).Milliseconds(), end)
+		case <-done:
+			if q.Live {
+				fmt.Fprintln(q.Out)
+			}
+			return
+		}
+	}
+}
+
+// report sums up what ran.
+func (q Quickstart) report(f *Fleet, t Tally) {
+	share := func(n int) float64 { return 100 * float64(n) / float64(max(1, t.Offered)) }
+	fmt.Fprintf(q.Out, "\n%d requests: %.2f%% served, %.2f%% within %v; %d refused, %d failed, %d with no answer\n", t.Offered,
+		share(t.Served), share(t.InAim), aim, t.Refused, t.Failed, t.Broken)
+	fmt.Fprintf(q.Out, "refunds that ran: %d; that ran more than once: %d\n", len(f.Ledger.Effects()), len(f.Ledger.Repeated()))
+}
