A quiet balancer takes a burst: silence speaks only while answers are waited for

Cause (setShed): what is in flight over what was sent of late looks like a jam at each burst, and is to count only as far as servers are busy. With no report yet they were taken for fully busy, and a report's word faded with time whether or not anybody was asked. Now it fades only while the server owes answers; with no answer yet, busy rises with the wait for the first. Where answers bring no reports all is as before.

Both tests fail on the old module.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -170,6 +170,7 @@
 	if b.reports || took <= 0 {
 		return
 	}
+	b.mute = true
 	if s.took == 0 {
 		s.took = took.Seconds()
 	}
@@ -474,7 +475,7 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	if len(s.inFlight) == 0 {
-		s.heard = b.now
+		s.heard, s.asked = b.now, b.now
 	}
 	a := &attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, sent: b.now, out: true}
 	r.attempts = append(r.attempts, a)
@@ -578,12 +579,15 @@
 func (b *Balancer) setShed() {
 	b.weigh() // who is ejected has just changed
 	var wait, busy, known, out float64
+	silence := 1.0
 	for _, s := range b.servers {
 		if b.ejected(s) {
 			continue
 		}
-		if s.reported > 0 { // an old report says nothing: in a jam none come
-			busy, known = busy+(1-s.trust*(1-s.busy))*s.capacity, known+s.capacity
+		faith := b.faith(s)
+		silence = min(silence, faith)
+		if s.reported > 0 {
+			busy, known = busy+(1-faith*(1-s.busy))*s.capacity, known+s.capacity
 		}
 		for _, a := range s.inFlight {
 			if b.now-a.sent <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
@@ -599,8 +603,10 @@
 		b.asked[i] *= keep
 	}
 	little := wait * b.span / (b.sent + 1) * (1 - 1/math.Sqrt(max(out, 1)))
-	if known == 0 {
+	if known == 0 && b.mute {
 		busy, known = 1, 1
+	} else if known == 0 { // no answer has come yet that could have said something
+		busy, known = 1-silence, 1
 	}
 	busy /= known
 	b.busy = busy
@@ -609,6 +615,16 @@
 	b.shed = shedSlope * max(0, part*(b.late-shedFrom), jam*(little-shedFrom))
 }
 
+// faith is what the server's latest report still says, from 1 to 0. In a jam none come: it fades while
+// answers are waited for. A balancer that asked nothing is told nothing, which says nothing of the servers.
+func (b *Balancer) faith(s *server) float64 {
+	if len(s.inFlight) == 0 {
+		return 1
+	}
+	silent := float64(b.now - max(s.reported, s.asked))
+	return math.Exp(-silent / (reportTime * float64(b.horizon)))
+}
+
 // lateness takes a sample of time taken over aim.
 func (b *Balancer) lateness(x float64) { b.late += lateWeight * (min(x, 1) - b.late) }
 
--- /dev/null
+++ b/logic/quiet_test.go
@@ -0,0 +1,64 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+// burst brings requests at even times, of which none is answered yet, and counts those that are refused.
+func (h *bench) burst(n int, every time.Duration) (refused int) {
+	for range n {
+		if _, to := h.ask(0); to == "" {
+			refused++
+		}
+		h.tick(every)
+	}
+	return refused
+}
+
+// A balancer that had nothing to do must take a burst: what it has in flight at once, over what it sent of late, looks
+// like a jam, and no server has said lately that it is not busy, as none was asked. Seen in rehearsals: 18% of the first
+// second's requests were refused by a fleet that did nothing.
+func TestBurstAfterQuiet(t *testing.T) {
+	for name, before := range map[string]func(h *bench){
+		"from the start": func(*bench) {},
+		"after reports of little use": func(h *bench) {
+			for range 20 {
+				id, to := h.ask(0)
+				h.end(id, to, 0, OK, report(0.3, 10))
+			}
+		},
+	} {
+		h := newBench(t, testSettings(), 1, 1, 1, 1, 1, 1, 1, 1)
+		before(h)
+		h.tick(30 * time.Second)
+		if refused := h.burst(3, 75*time.Millisecond); refused > 0 {
+			t.Errorf("%s: %d refused", name, refused)
+		}
+		for range 27 {
+			h.ask(0)
+		}
+		if h.tick(75 * time.Millisecond); h.shed > 0 {
+			t.Errorf("%s: shed level %v with 30 in flight for a tick", name, h.shed)
+		}
+	}
+}
+
+// Silence while answers are waited for is still a sign that servers are busy: in a jam no reports come.
+func TestSilenceUnderLoadIsAJam(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 20 {
+		id, to := h.ask(0)
+		h.end(id, to, 0, OK, report(0.6, 10))
+	}
+	for range 40 { // a steady stream of which nothing comes back
+		h.ask(0)
+		h.tick(75 * time.Millisecond)
+	}
+	if h.busy < busyFrom {
+		t.Errorf("taken to be %v in use", h.busy)
+	}
+	if h.shed == 0 {
+		t.Error("nothing is shed")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -31,6 +31,7 @@
 	asked    []float64     // requests lately, a tenant each
 	askedAll float64
 	reports  bool    // some server has reported its load
+	mute     bool    // some answer brought no report before that
 	busy     float64 // use of the servers, as they report it
 	shed     float64 // share of requests of mean worth that is refused
 	whole    float64 // capacity of all when warm
@@ -52,6 +53,7 @@
 	busy     float64       // and as last reported
 	reported time.Duration // the latest report
 	heard    time.Duration // the latest sign of life or, if later, the first send that waits for one
+	asked    time.Duration // since when it owes answers all the time
 	failing  float64       // share of failures among the latest outcomes
 	until    time.Duration // ejected to then; 0 when not
 	trial    bool          // one trial is under way
