--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -20,8 +20,8 @@
 	Wait [2]time.Duration // on others
 }
 
-// draw is what a request costs. It follows from its id alone, so that it is the same at every server and in every run.
-func (c Class) draw(seed uint64, id string) (work, wait time.Duration) {
+// Draw is what a request costs. It follows from its id alone, so that it is the same at every server and in every run.
+func (c Class) Draw(seed uint64, id string) (work, wait time.Duration) {
 	h := fnv.New64a()
 	io.WriteString(h, id)
 	random := rand.New(rand.NewPCG(h.Sum64(), seed))
@@ -195,7 +195,7 @@
 		http.Error(w, "the body is not whole", http.StatusBadRequest)
 		return
 	}
-	work, wait := class.draw(f.seed, id)
+	work, wait := class.Draw(f.seed, id)
 	verdict, end := f.arrive(Request{Class: name, Key: r.Header.Get("Idempotency-Key"), RouteKey: r.Header.Get("X-Route-Key"),
 		Work: work, Wait: wait})
 	switch verdict {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -150,6 +150,9 @@
 // Held counts the requests in the server.
 func (s *Server) Held() int { return len(s.waiting) + len(s.onOthers) + len(s.running) }
 
+// Room is how many requests the server takes at a time, in work and waiting.
+func (s *Server) Room() int { return s.spec.Slots + s.spec.Queue }
+
 // Capacity is the work that the server can do in a second at that time, in seconds of work, when it is not crowded.
 func (s *Server) Capacity(at time.Duration) float64 {
 	if s.toppled || s.state.Killed || s.state.Paused {
@@ -291,16 +294,20 @@
 	switch {
 	case s.state.Killed || s.toppled:
 		return Down
-	case s.state.Hung: // it takes what comes, and nothing ever becomes of it
+	case s.state.Hung: // it takes what comes, and nobody ever hears what became of it: it may have run
+		if r.Key != "" {
+			s.pod.take(now, r.Key, s.name)
+		}
 		return Accepted
-	case s.state.Draining, len(s.onOthers)+len(s.running) >= s.spec.Slots && len(s.waiting) >= s.spec.Queue:
-		return Full
-	}
-	if s.overdriven(now, r) {
+	case s.overdriven(now, r): // what is turned away pushes as well
 		s.topple()
 		return Down
+	case s.state.Draining, len(s.onOthers)+len(s.running) >= s.spec.Slots && len(s.waiting) >= s.spec.Queue:
+		return Full
 	}
 	j := &job{Request: r, arrived: now, order: order, fails: s.random.Float64() < s.state.Errors}
+	// The pod tells repeats when they come: one that waits long in a queue must not run because its key is forgotten by then.
+	j.dropped = r.Key != "" && !s.pod.take(now, r.Key, s.name)
 	if len(s.onOthers)+len(s.running) >= s.spec.Slots {
 		s.waiting = append(s.waiting, j)
 		return Accepted
@@ -309,11 +316,8 @@
 	return Accepted
 }
 
-// begin puts a request to work: from here on it has its effect, unless it is a repeat that the pod drops.
+// begin puts a request to work.
 func (s *Server) begin(j *job) {
-	if j.Key != "" {
-		j.dropped = !s.pod.take(s.now, j.Key, s.name)
-	}
 	if j.dropped {
 		j.Work, j.Wait = 0, 0
 	} else if s.keys.met(s.now, j.RouteKey) {
--- a/internal/engine/clock.go
+++ b/internal/engine/clock.go
@@ -3,13 +3,25 @@
 import "time"
 
 // Clock turns times into the module's: durations since one epoch, by the monotonic clock.
-type Clock struct{ epoch time.Time }
+type Clock struct {
+	epoch  time.Time
+	driven *time.Duration // the time, where it is not the system's
+}
 
 // NewClock starts a second in, because 0 stands for "never" in the module.
-func NewClock() Clock { return Clock{time.Now().Add(-time.Second)} }
+func NewClock() Clock { return Clock{epoch: time.Now().Add(-time.Second)} }
+
+// DrivenClock is a clock whose time is what the caller says, for simulations. It starts at 0, which the caller must leave
+// before events come, as 0 stands for "never".
+func DrivenClock(now *time.Duration) Clock { return Clock{epoch: time.Unix(0, 0), driven: now} }
 
 // Now is the time since the epoch.
-func (c Clock) Now() time.Duration { return time.Since(c.epoch) }
+func (c Clock) Now() time.Duration {
+	if c.driven != nil {
+		return *c.driven
+	}
+	return time.Since(c.epoch)
+}
 
 // At is the wall time of a time on the clock.
 func (c Clock) At(t time.Duration) time.Time { return c.epoch.Add(t) }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -81,6 +81,14 @@
 	Carry(ctx context.Context, a *Attempt) Outcome
 }
 
+// Starter is a Carrier that does not wait: it begins an attempt, and Engine.Step with an Outcome ends it. Simulations
+// carry so.
+type Starter interface {
+	Carrier
+	// Start is called on the engine's goroutine and must not block.
+	Start(*Attempt)
+}
+
 // Attempt is one Send of the module: a call on its way to one server.
 type Attempt struct {
 	Call    *Call
@@ -224,6 +232,29 @@
 	}
 }
 
+// Begin starts an engine that has no goroutine of its own: the caller brings each event by Step, and calls Step with nil
+// when the time of Due has come. It is for simulations, in place of Run.
+func (e *Engine) Begin() { e.do(e.balancer.Start(e.clock.Now())) }
+
+// Step handles an event, if there is one, and what is due.
+func (e *Engine) Step(ev any) {
+	if ev != nil {
+		e.handle(ev)
+	}
+	e.fire()
+}
+
+// Arrival is a call as an event, for Step.
+func Arrival(c *Call) any { return arrived{c} }
+
+// Due is the time of the next timer, if there is one.
+func (e *Engine) Due() (at time.Duration, ok bool) {
+	if len(e.timers) == 0 {
+		return 0, false
+	}
+	return e.timers[0].due, true
+}
+
 // Run handles events until the context ends, and returns when all attempts have.
 func (e *Engine) Run(ctx context.Context) {
 	defer e.attempts.Wait()
@@ -380,6 +411,10 @@
 		e.choose(c, a)
 		return
 	}
+	if s, ok := c.Carrier.(Starter); ok {
+		s.Start(a)
+		return
+	}
 	e.attempts.Go(func() { e.Tell(c.Carrier.Carry(e.ctx, a)) })
 }
 
--- a/internal/extproc/harness_test.go
+++ b/internal/extproc/harness_test.go
@@ -47,6 +47,7 @@
 	set    func(*settings.ExternalProcessor)
 	site   func(*wire.Site)
 	paused bool // the engine runs only when the test says so
+	linger time.Duration
 }
 
 // testSite is the platform's settings of the tests.
@@ -86,6 +87,9 @@
 	}
 	r.server = New(Options{Settings: set, Engine: r.engine, Clock: clock, Pool: r.pool, ReportFields: site.ReportFields,
 		Rules: intake.Rules{Classes: site.Logic.Classes, Tenants: site.Tenants}, Longest: longest, Log: log})
+	if o.linger > 0 {
+		r.server.linger = o.linger
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -35,14 +35,14 @@
 )
 
 const (
-	sendTimeout     = 2 * time.Second       // for a message that the proxy does not take
-	duplexPart      = 8                     // one of so many streams may have bodies that come back: they hold most memory
-	connectTimeout  = 3 * time.Second       // for the HTTP/2 preface of a new connection
-	idleConnection  = time.Minute           // a connection with no stream is closed, so that idle ones don't keep out others
-	maxHeaderList   = 16 << 10              // of a stream's own HTTP/2 headers
-	window          = 64 << 10              // what a proxy may send on a stream ahead of its being read; gRPC takes no less
-	connWindow      = 1 << 20               // and on all of a connection; what is not read waits on the streams
-	lingerTime      = 5 * time.Second       // a stream may stay open for so long after its request's time is over
+	sendTimeout     = 2 * time.Second // for a message that the proxy does not take
+	duplexPart      = 8               // one of so many streams may have bodies that come back: they hold most memory
+	connectTimeout  = 3 * time.Second // for the HTTP/2 preface of a new connection
+	idleConnection  = time.Minute     // a connection with no stream is closed, so that idle ones don't keep out others
+	maxHeaderList   = 16 << 10        // of a stream's own HTTP/2 headers
+	window          = 64 << 10        // what a proxy may send on a stream ahead of its being read; gRPC takes no less
+	connWindow      = 1 << 20         // and on all of a connection; what is not read waits on the streams
+	lingerTime      = 5 * time.Second
 	drainMost       = 50 * time.Millisecond // past the longest time that a client waits, as the platform's own front
 	processorMethod = extprocv3.ExternalProcessor_Process_FullMethodName
 	countsEvery     = time.Minute
@@ -71,6 +71,7 @@
 	once    onces
 
 	metadata endpoints
+	linger   time.Duration // a stream may stay open for so long after its request's time is over
 }
 
 // onces are log lines that come once, however often their cause does: a rude peer must not flood the log.
@@ -79,7 +80,7 @@
 // New returns a server. The engine remembers ended requests from then on, so that it must not run yet.
 func New(o Options) *Server {
 	o.Engine.RememberEnded(o.Settings.RememberMost, time.Duration(o.Settings.Remember))
-	return &Server{Options: o}
+	return &Server{Options: o, linger: lingerTime}
 }
 
 // Serve answers streams until the context ends, and then goes on with the open ones until they end or the longest time
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -165,7 +165,7 @@
 		return immediate(engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry}), nil
 	}
 	call.Caller, st.call = st, call
-	st.expiry.Reset(call.Deadline - s.Clock.Now() + lingerTime)
+	st.expiry.Reset(call.Deadline - s.Clock.Now() + s.linger)
 	s.Engine.Arrive(call)
 	for {
 		select {
--- /dev/null
+++ b/internal/rehearsal/script.go
@@ -0,0 +1,231 @@
+package rehearsal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"appleledge/internal/settings"
+)
+
+// Script is a day to rehearse: a fleet, its clients, what goes wrong, and what must hold.
+type Script struct {
+	Length  Span     `toml:"length"`
+	Fleet   FleetOf  `toml:"fleet"`
+	Clients Load     `toml:"clients"`
+	Events  []Event  `toml:"event"`
+	Asserts []Assert `toml:"assert"`
+}
+
+// FleetOf is the size of an installation.
+type FleetOf struct {
+	Servers int `toml:"servers"`
+	Agents  int `toml:"agents"`
+}
+
+// Load is what clients send.
+type Load struct {
+	Rate  float64 `toml:"rate"`  // requests a second, of all
+	Retry bool    `toml:"retry"` // a refused request is tried once more
+	Heed  bool    `toml:"heed"`  // after the time that the refusal names; else after a wait of their own
+}
+
+// Event is something that happens. Which of its figures count depends on what it does (see verbs).
+type Event struct {
+	Do      string   `toml:"do"`
+	At      Span     `toml:"at"`
+	For     Span     `toml:"for"`
+	Over    Span     `toml:"over"`
+	Servers []string `toml:"servers"` // by name; else
+	Kind    string   `toml:"kind"`    // of that kind; else
+	Share   float64  `toml:"share"`   // so much of the fleet, drawn
+	Batch   float64  `toml:"batch"`   // share of the fleet at a time
+	To      float64  `toml:"to"`      // what is left, or what it becomes
+	Repeat  int      `toml:"repeat"`  // so often in all
+	Every   Span     `toml:"every"`   // after that time again
+	Agent   int      `toml:"agent"`   // its number, from 1
+}
+
+// Assert is what must hold. The four rules always must.
+type Assert struct {
+	Service float64 `toml:"service"` // the least service figure
+	From    Span    `toml:"from"`    // of what arrived from then
+	Until   Span    `toml:"until"`   // to then; the whole day where both are left out
+}
+
+// Span is a time, or a range of times from which one is drawn: "4s" or "4s..6s".
+type Span struct{ From, To time.Duration }
+
+// UnmarshalText reads a span.
+func (s *Span) UnmarshalText(text []byte) error {
+	from, to, isRange := strings.Cut(string(text), "..")
+	var err error
+	if s.From, err = time.ParseDuration(from); err == nil {
+		if s.To = s.From; isRange {
+			s.To, err = time.ParseDuration(to)
+		}
+	}
+	if err != nil || s.From < 0 || s.To < s.From {
+		return fmt.Errorf("%q is no time; write \"4s\", or \"4s..6s\" for one that is drawn", text)
+	}
+	return nil
+}
+
+func (s Span) draw(random *rand.Rand) time.Duration {
+	return s.From + time.Duration(random.Float64()*float64(s.To-s.From))
+}
+
+// verb says which figures an event needs.
+type verb struct {
+	servers, lasting, to, over, batch, agent bool
+	means                                    string
+}
+
+// verbs are all that a script can make happen.
+var verbs = map[string]verb{
+	"hang":           {servers: true, lasting: true, means: "accepts requests and answers none"},
+	"pause":          {servers: true, lasting: true, means: "stops, and goes on where it was"},
+	"throttle":       {servers: true, lasting: true, to: true, means: "has the share `to` of its capacity"},
+	"fast_errors":    {servers: true, lasting: true, to: true, means: "answers the share `to` with an error, having run"},
+	"reset":          {servers: true, lasting: true, to: true, means: "breaks the connection for the share `to`, having run"},
+	"partition":      {servers: true, lasting: true, means: "can't be reached, and says nothing"},
+	"kill":           {servers: true, means: "ends, and is taken from the list"},
+	"restart":        {servers: true, means: "ends and starts anew, cold, under its name"},
+	"rolling_deploy": {servers: true, over: true, batch: true, means: "is replaced by a cold successor, batch by batch"},
+	"list_outage":    {lasting: true, means: "the server list is out of reach"},
+	"list_lag":       {lasting: true, over: true, means: "changes of the list come `over` late"},
+	"load":           {lasting: true, to: true, means: "clients send `to` times as much"},
+	"agent_kill":     {agent: true, means: "an agent ends and starts anew, with what it knew lost"},
+}
+
+const (
+	mostServers = 2000
+	mostAgents  = 500
+	mostEvents  = 1000
+	mostLength  = time.Hour
+	mostRate    = 100000
+)
+
+// LoadScript reads and checks a script. Errors name the file and the line.
+func LoadScript(path string) (Script, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Script{}, fmt.Errorf("reading the script: %w", err)
+	}
+	return ParseScript(path, text)
+}
+
+// ParseScript reads and checks a script's text; name stands for the file in errors.
+func ParseScript(name string, text []byte) (Script, error) {
+	s := Script{Length: Span{time.Minute, time.Minute}, Fleet: FleetOf{Servers: 12, Agents: 4}, Clients: Load{Rate: 380, Retry: true}}
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&s); err != nil {
+		return Script{}, settings.Located(name, err)
+	}
+	lines := settings.Tables(text)
+	if table, number, err := s.check(); err != nil {
+		at := 1
+		if all := lines[table]; number < len(all) {
+			at = all[number]
+		}
+		return Script{}, fmt.Errorf("%s:%d: %w", name, at, err)
+	}
+	return s, nil
+}
+
+// check returns the table in which something is wrong, which of those of its name it is, and what is wrong.
+func (s Script) check() (table string, number int, err error) {
+	switch {
+	case s.Length.From < time.Second || s.Length.To > mostLength:
+		return "", 0, fmt.Errorf("length: a day lasts from 1s to %v", mostLength)
+	case s.Fleet.Servers < 1 || s.Fleet.Servers > mostServers:
+		return "fleet", 0, fmt.Errorf("servers: %d must be from 1 to %d", s.Fleet.Servers, mostServers)
+	case s.Fleet.Agents < 1 || s.Fleet.Agents > mostAgents:
+		return "fleet", 0, fmt.Errorf("agents: %d must be from 1 to %d", s.Fleet.Agents, mostAgents)
+	case s.Clients.Rate <= 0 || s.Clients.Rate > mostRate:
+		return "clients", 0, fmt.Errorf("rate: %v must be above 0 and at most %d", s.Clients.Rate, mostRate)
+	case len(s.Events) > mostEvents:
+		return "event", mostEvents, fmt.Errorf("at most %d events", mostEvents)
+	}
+	for i, e := range s.Events {
+		if err := e.check(s); err != nil {
+			return "event", i, err
+		}
+	}
+	for i, a := range s.Asserts {
+		if a.Service <= 0 || a.Service > 1 {
+			return "assert", i, errors.New("service: the least figure is above 0 and at most 1")
+		}
+		if a.Until.From != 0 && a.Until.From <= a.From.From {
+			return "assert", i, errors.New("until: must be later than from")
+		}
+	}
+	return "", 0, nil
+}
+
+func (e Event) check(s Script) error {
+	v, known := verbs[e.Do]
+	if !known {
+		return fmt.Errorf("do: %q is no event; there are %s", e.Do, strings.Join(verbNames(), ", "))
+	}
+	chosen := 0
+	for _, is := range []bool{len(e.Servers) > 0, e.Kind != "", e.Share > 0} {
+		if is {
+			chosen++
+		}
+	}
+	switch {
+	case e.At.From >= s.Length.To:
+		return fmt.Errorf("at: %v is after the day's end", e.At.From)
+	case v.servers && chosen != 1:
+		return fmt.Errorf("%s: say which by one of servers, kind and share", e.Do)
+	case !v.servers && chosen != 0:
+		return fmt.Errorf("%s: concerns no servers", e.Do)
+	case e.Share < 0 || e.Share > 1:
+		return errors.New("share: from 0 to 1")
+	case e.Kind != "" && !isKind(e.Kind):
+		return fmt.Errorf("kind: %q is none of twin-core and quad-core", e.Kind)
+	case v.lasting != (e.For.To > 0):
+		return fmt.Errorf("for: %s", need(v.lasting, e.Do))
+	case v.over != (e.Over.To > 0):
+		return fmt.Errorf("over: %s", need(v.over, e.Do))
+	case v.batch != (e.Batch > 0) || e.Batch > 1:
+		return fmt.Errorf("batch: %s, from 0 to 1", need(v.batch, e.Do))
+	case v.to != (e.To > 0):
+		return fmt.Errorf("to: %s", need(v.to, e.Do))
+	case v.to && e.Do != "load" && e.To > 1:
+		return errors.New("to: a share, at most 1")
+	case v.agent != (e.Agent > 0) || e.Agent > s.Fleet.Agents:
+		return fmt.Errorf("agent: %s; there are %d", need(v.agent, e.Do), s.Fleet.Agents)
+	case e.Repeat > 1 && e.Every.From <= 0:
+		return errors.New("every: what is repeated needs the time after which")
+	case e.Repeat < 0 || e.Repeat > mostEvents:
+		return fmt.Errorf("repeat: from 0 to %d", mostEvents)
+	}
+	return nil
+}
+
+func need(it bool, do string) string {
+	if it {
+		return do + " needs it"
+	}
+	return do + " has none"
+}
+
+func isKind(name string) bool {
+	for _, k := range kinds {
+		if k.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func verbNames() []string { return slices.Sorted(maps.Keys(verbs)) }
--- a/internal/settings/locate.go
+++ b/internal/settings/locate.go
@@ -39,3 +39,19 @@
 	}
 	return name
 }
+
+// Tables returns the lines at which the tables of a TOML text begin, by their names, in order: several of a name where it
+// is one of an array.
+func Tables(text []byte) map[string][]int {
+	lines := map[string][]int{}
+	var p unstable.Parser
+	p.Reset(text)
+	for p.NextExpression() {
+		if e := p.Expression(); e.Kind == unstable.Table || e.Kind == unstable.ArrayTable {
+			own := map[string]int{}
+			name := note(own, &p, e, "")
+			lines[name] = append(lines[name], own[name])
+		}
+	}
+	return lines
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,7 +96,7 @@
 	}
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
-		return File{}, located(name, err)
+		return File{}, Located(name, err)
 	}
 	if f.ExternalProcessor != nil {
 		if key, err := f.ExternalProcessor.check(); err != nil {
@@ -111,8 +111,8 @@
 	return f, nil
 }
 
-// located puts the file and the line before an error of the decoder.
-func located(name string, err error) error {
+// Located puts the file and the line before an error of the decoder.
+func Located(name string, err error) error {
 	if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok && len(strict.Errors) > 0 {
 		first := strict.Errors[0]
 		line, _ := first.Position()
