Rehearsals on sockets against the agent's own program; reports as JSON and as a page

What a script does goes through one interface, so that events, draws, witnesses and scoring are the same code in both.

--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -53,6 +53,7 @@
 	model  *Server
 	wire   Wire
 	random *rand.Rand
+	came   time.Time            // the latest request
 	open   map[uint64]chan Done // of requests that wait for their end
 	last   uint64
 	timer  *time.Timer // wakes the model
@@ -140,6 +141,23 @@
 	return f.model.Held()
 }
 
+// LastArrival is when the latest request came; zero if none has.
+func (f *FormServer) LastArrival() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.came
+}
+
+// Toppled reports whether the server fell over.
+func (f *FormServer) Toppled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.model.Toppled()
+}
+
+// Room is how many requests the server takes at a time.
+func (f *FormServer) Room() int { return f.model.Room() }
+
 // Close ends the server as a killed process ends: its connections break.
 func (f *FormServer) Close() {
 	f.mu.Lock()
@@ -164,6 +182,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
+	f.came = time.Now()
 	f.last++
 	r.ID = f.last
 	hung := f.model.Faults().Hung
--- /dev/null
+++ b/internal/rehearsal/live_test.go
@@ -0,0 +1,91 @@
+package rehearsal
+
+import (
+	"context"
+	"io"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// program builds the agent.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "appleledge")
+	if out, err := exec.Command("go", "build", "-o", path, "../../cmd/appleledge").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// A day on sockets, with real agents: a hang, a deploy, resets, a list that is away, and a killed agent. The rules are
+// kept, and most is served.
+func TestLiveDay(t *testing.T) {
+	s := script(t, `length = "6s"
+[fleet]
+servers = 6
+agents = 2
+[clients]
+rate = 60
+retry = true
+[[event]]
+do = "hang"
+at = "1s"
+for = "1s"
+servers = ["s-02"]
+[[event]]
+do = "reset"
+at = "1s"
+for = "2s"
+share = 0.3
+to = 0.2
+[[event]]
+do = "rolling_deploy"
+at = "1500ms"
+over = "1s"
+share = 0.4
+batch = 0.2
+[[event]]
+do = "list_outage"
+at = "3s"
+for = "500ms"
+[[event]]
+do = "agent_kill"
+at = "4s"
+agent = 2
+`)
+	d, err := Live{Script: s, Seed: 3, Agent: program(t), Out: io.Discard}.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.Breaks != 0 {
+		t.Errorf("%v", d.Broken)
+	}
+	asked, inTime := 0, 0
+	for _, c := range d.Classes {
+		asked, inTime = asked+c.Offered, inTime+c.InAim
+	}
+	if asked < 200 || inTime < asked/2 { // a noisy machine may be late, but not for most
+		t.Errorf("%d of %d in time: %+v", inTime, asked, d.Classes)
+	}
+	if len(d.Happens) != 5 || len(d.Servers) < 8 {
+		t.Errorf("%d events, %d servers", len(d.Happens), len(d.Servers))
+	}
+}
+
+// Ctrl-C ends a day in order, with the report of what ran; an agent that can't start is said plainly.
+func TestLiveDayEndsEarly(t *testing.T) {
+	s := script(t, "length = \"1h\"\n[fleet]\nservers = 3\nagents = 1\n[clients]\nrate = 20.0\n")
+	ctx, stop := context.WithCancel(context.Background())
+	time.AfterFunc(2*time.Second, stop)
+	d, err := Live{Script: s, Seed: 1, Agent: program(t), Out: io.Discard}.Run(ctx)
+	if err != nil || len(d.Classes) != 2 || d.Classes[0].Offered == 0 || d.Breaks != 0 {
+		t.Errorf("%v: %+v %v", err, d.Classes, d.Broken)
+	}
+	if _, err := (Live{Script: s, Agent: "/no/such/program", Out: io.Discard}).Run(context.Background()); err == nil ||
+		!strings.Contains(err.Error(), "/no/such/program") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/rehearsal/quickstart.go
+++ b/internal/rehearsal/quickstart.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return "", nil, nil, err
 	}
-	text, err := fleet.configuration(addr, q.Seed)
+	text, err := configuration(fleet.Discovery.Addr, addr, 0, 1, q.Seed)
 	if err != nil {
 		return "", nil, nil, err
 	}
--- /dev/null
+++ b/internal/rehearsal/ready.go
@@ -0,0 +1,22 @@
+package rehearsal
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// waitReady waits until an agent answers that it is ready.
+func waitReady(addr string) error {
+	client := http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for until := time.Now().Add(startWait); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if resp, err := client.Get("http://" + addr + "/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("the agent at %s was not ready within %v", addr, startWait)
+}
