Settings and scripts: a bare number where a time belongs is refused with its line

Cause: a test of the command found it: "length = 5" was refused without its line, as the TOML decoder tells the place of its own errors, and not of a value's. Such a value now says what it was, and the line is looked up.

No behaviour of the agent changes: none of this is in the platform's run line.

--- a/internal/rehearsal/script.go
+++ b/internal/rehearsal/script.go
@@ -74,7 +74,7 @@
 		}
 	}
 	if err != nil || s.From < 0 || s.To < s.From {
-		return fmt.Errorf("%q is no time; write \"4s\", or \"4s..6s\" for one that is drawn", text)
+		return settings.BadValue{Text: string(text), Problem: "is no time; write \"4s\", or \"4s..6s\" for one that is drawn"}
 	}
 	return nil
 }
@@ -127,7 +127,7 @@
 func ParseScript(name string, text []byte) (Script, error) {
 	s := Script{Length: Span{time.Minute, time.Minute}, Fleet: FleetOf{Servers: 12, Agents: 4}, Clients: Load{Rate: 380, Retry: true}}
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&s); err != nil {
-		return Script{}, settings.Located(name, err)
+		return Script{}, settings.Located(name, text, err)
 	}
 	lines := settings.Tables(text)
 	if table, number, err := s.check(); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,7 +69,7 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil {
-		return fmt.Errorf("%q is no duration; write a number and a unit, such as \"400ms\" or \"3s\"", text)
+		return BadValue{string(text), "is no duration; write a number and a unit, such as \"400ms\" or \"3s\""}
 	}
 	*d = Duration(v)
 	return nil
@@ -78,6 +78,11 @@
 // String is the duration in the form that UnmarshalText reads.
 func (d Duration) String() string { return time.Duration(d).String() }
 
+// BadValue is a value that can't be read. The decoder tells the place of some of them only.
+type BadValue struct{ Text, Problem string }
+
+func (e BadValue) Error() string { return fmt.Sprintf("%q %s", e.Text, e.Problem) }
+
 // Load reads and checks a file. Errors name the file and the line and say what was meant.
 func Load(path string) (File, error) {
 	text, err := os.ReadFile(path)
@@ -96,7 +101,7 @@
 	}
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
-		return File{}, Located(name, err)
+		return File{}, Located(name, text, err)
 	}
 	if f.ExternalProcessor != nil {
 		if key, err := f.ExternalProcessor.check(); err != nil {
@@ -111,8 +116,8 @@
 	return f, nil
 }
 
-// Located puts the file and the line before an error of the decoder.
-func Located(name string, err error) error {
+// Located puts the file and the line before an error of the decoder, which read that text.
+func Located(name string, text []byte, err error) error {
 	if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok && len(strict.Errors) > 0 {
 		first := strict.Errors[0]
 		line, _ := first.Position()
@@ -123,9 +128,28 @@
 		line, _ := decode.Position()
 		return fmt.Errorf("%s:%d: %s", name, line, strings.TrimPrefix(decode.Error(), "toml: "))
 	}
+	if bad, ok := errors.AsType[BadValue](err); ok {
+		if line := lineOf(text, bad.Text); line > 0 {
+			return fmt.Errorf("%s:%d: %w", name, line, err)
+		}
+	}
 	return fmt.Errorf("%s: %w", name, err)
 }
 
+// lineOf is the first line on which a key has that value, as it stands or in quotes; 0 if there is none.
+func lineOf(text []byte, value string) int {
+	number := 0
+	for line := range strings.Lines(string(text)) {
+		number++
+		_, after, _ := strings.Cut(line, "=")
+		after, _, _ = strings.Cut(after, "#")
+		if strings.Trim(strings.TrimSpace(after), `"'`) == value {
+			return number
+		}
+	}
+	return 0
+}
+
 // mostValid keeps decisions usable for less than the 500 ms after which nothing new may go to a server that drains,
 // with some room for the way to the proxy.
 const mostValid = 450 * time.Millisecond
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,7 @@
 		"no TOML":           {good + "max_streams = = 3\n", "f.toml:4: "},
 		"wrong type":        {good + "max_streams = \"many\"\n", "f.toml:4: "},
 		"no duration":       {good + "\nfirst_message = \"soon\"\n", "f.toml:5: "},
+		"a bare number":     {good + "\nfirst_message = 5 # seconds?\n", "f.toml:5: "},
 		"too long":          {good + "decision_valid = \"2s\"\n", "f.toml:4: external_processor.decision_valid: 2s must be from 1ms to 450ms"},
 		"below the least":   {good + "max_streams = 0\n", "f.toml:4: external_processor.max_streams: 0 must be from 1 to 65536"},
 		"no address":        {"[external_processor]\n", "f.toml:1: external_processor.listen: \"\" is no address"},
