External processor: watching streams last, and ended requests forgotten early are counted

Found on reading the whole change: a stream in observability mode was broken after first_message (3 s) though it had spoken, as only a decision moved its time; and the table of ended requests counted what it forgot early, which nothing showed. Each has a test; without the mend the first one fails.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -206,6 +206,8 @@
 type Load struct {
 	Calls    int            // open, or with attempts in flight
 	InFlight map[string]int // attempts, by server
+	// ForgottenEarly counts ended requests of choosers that a full table no longer remembers, before their time.
+	ForgottenEarly uint64
 }
 
 // Load returns what the engine holds; it is empty once the engine has ended.
@@ -221,7 +223,11 @@
 }
 
 func (e *Engine) load() Load {
-	return Load{Calls: len(e.calls), InFlight: e.balancer.InFlight()}
+	l := Load{Calls: len(e.calls), InFlight: e.balancer.InFlight()}
+	if e.ended != nil {
+		l.ForgottenEarly = e.ended.Evicted()
+	}
+	return l
 }
 
 // Tell hands an event to the engine, unless it has ended.
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -99,7 +99,7 @@
 			return fmt.Errorf("serving proxies: %w", err)
 		case <-counts.C:
 			if now := s.Counts.Snapshot(); now != last {
-				s.Log.Info("external processor", now.attrs()...)
+				s.Log.Info("external processor", s.attrs(now)...)
 				last = now
 			}
 			continue
@@ -111,10 +111,15 @@
 	if err := <-failed; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 		s.Log.Warn("external processor ended", "error", err)
 	}
-	s.Log.Info("external processor drained", s.Counts.Snapshot().attrs()...)
+	s.Log.Info("external processor drained", s.attrs(s.Counts.Snapshot())...)
 	return nil
 }
 
+// attrs are the counts for a log line, with the ended requests that were forgotten early: those could run once more.
+func (s *Server) attrs(now Snapshot) []any {
+	return append(now.attrs(), "forgotten_early", s.Engine.Load().ForgottenEarly)
+}
+
 // drain sends GOAWAY and waits for the open streams. What is still open then is cut off.
 func (s *Server) drain(srv *grpc.Server) {
 	ended := make(chan struct{})
--- a/internal/extproc/server_test.go
+++ b/internal/extproc/server_test.go
@@ -741,6 +741,34 @@
 	r.quiet()
 }
 
+// A stream that only watches is not broken for having asked for nothing, once it has spoken.
+func TestWatchingOutlastsTheFirstMessage(t *testing.T) {
+	r := newRig(t, options{set: func(s *settings.ExternalProcessor) { s.FirstMessage = settings.Duration(200 * time.Millisecond) }})
+	o := openStream(t, r.client())
+	m := request{id: newID(), class: "pay"}.message()
+	m.ObservabilityMode = true
+	o.send(m)
+	testbed.Eventually(t, "it is seen", func() bool { return r.server.Counts.Snapshot().Observed == 1 })
+	time.Sleep(400 * time.Millisecond)
+	if err := o.finish(); err != nil {
+		t.Errorf("it was broken: %v", err)
+	}
+}
+
+// A table of ended requests that is too small loses safety, and not silently: what it forgets early is counted.
+func TestForgottenRequestsAreCounted(t *testing.T) {
+	r := newRig(t, options{set: func(s *settings.ExternalProcessor) { s.RememberMost = 1 }})
+	r.list(2)
+	client := r.client()
+	for range 2 {
+		ask(t, client, request{id: newID(), class: "pay"}).answer(whole("200"))
+		r.noneOut()
+	}
+	if n := r.engine.Load().ForgottenEarly; n != 1 {
+		t.Errorf("%d forgotten", n)
+	}
+}
+
 func TestHealthIsOffUnlessSet(t *testing.T) {
 	for _, on := range []bool{false, true} {
 		r := newRig(t, options{set: func(s *settings.ExternalProcessor) { s.Health, s.Reflection = on, on }})
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -67,7 +67,7 @@
 
 // run takes messages and answers them until the stream ends.
 func (st *stream) run(g extprocv3.ExternalProcessor_ProcessServer) error {
-	for {
+	for first := true; ; first = false {
 		req, err := g.Recv()
 		if errors.Is(err, io.EOF) {
 			return errClean
@@ -75,6 +75,9 @@
 		if err != nil {
 			return err
 		}
+		if first { // it has said something: one that only watches may last as long as a request
+			st.expiry.Reset(st.s.Longest + st.s.linger)
+		}
 		resp, err := st.take(req)
 		if err != nil {
 			return err
