--- a/cmd/appleledge/main.go
+++ b/cmd/appleledge/main.go
@@ -2,41 +2,20 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
-	"math"
-	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
 
 	"appleledge/internal/agent"
+	"appleledge/internal/program"
+	"appleledge/internal/settings"
 )
 
-// heapPart is how much of the memory limit the runtime may fill; sockets and files count too.
-const heapPart = 0.6
+func main() { program.Main("appleledge", fronts) }
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "appleledge:", err)
-		os.Exit(1)
+// fronts refuses what this command does not hold: merely to link gRPC takes 8 MB, and an agent may have 32.
+func fronts(f settings.File) ([]agent.Front, error) {
+	if f.ExternalProcessor != nil {
+		return nil, fmt.Errorf("%s: the external processor is not a part of this command; run appleledge-extproc in its place",
+			f.Where("external_processor"))
 	}
-}
-
-func run() error {
-	hangups := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
-	signal.Notify(hangups, syscall.SIGHUP)
-	cfg, err := agent.LoadConfig(os.Getenv)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", cfg.Name)
-	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) { return agent.ReloadConfig(os.Getenv) }}
-	return agent.Run(ctx, cfg, reloads, log)
+	return nil, nil
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"appleledge/internal/httpcarrier"
 	"appleledge/internal/httpfront"
 	"appleledge/internal/intake"
+	"appleledge/internal/wire"
 	"appleledge/logic"
 )
 
@@ -31,17 +32,36 @@
 	mostSockets  = 4096 // more are never needed, whatever the limit allows
 )
 
+// Core is what further fronts are built on.
+type Core struct {
+	Engine  *engine.Engine
+	Clock   engine.Clock
+	Rules   intake.Rules
+	Pool    *fleet.Pool
+	Site    wire.Site
+	Longest time.Duration // that any client waits
+	Log     *slog.Logger
+}
+
+// Front is a way in beside the platform's own.
+type Front struct {
+	Name    string
+	Sockets int // descriptors that it needs
+	// Open builds the front before the engine runs. What it returns serves until the context ends, and drains then.
+	Open func(Core) (serve func(context.Context) error, err error)
+}
+
 // Run serves until the context ends, then drains as the platform's restarts want it.
-func Run(ctx context.Context, cfg Config, reloads Reloads, log *slog.Logger) error {
+func Run(ctx context.Context, cfg Config, reloads Reloads, log *slog.Logger, fronts ...Front) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	return serve(ctx, cfg, reloads, listener, log)
+	return serve(ctx, cfg, reloads, listener, log, fronts...)
 }
 
 // serve is Run on a listener that is open.
-func serve(ctx context.Context, cfg Config, reloads Reloads, listener net.Listener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg Config, reloads Reloads, listener net.Listener, log *slog.Logger, fronts ...Front) error {
 	defer listener.Close()
 	balancer, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
@@ -53,13 +73,23 @@
 	defer parts.Wait()
 	defer stop()
 
-	toBackends, fromClients := shareSockets(cfg.Sockets)
+	sockets := cfg.Sockets
+	for _, f := range fronts {
+		sockets -= f.Sockets
+	}
+	toBackends, fromClients := shareSockets(sockets)
 	clk := engine.NewClock()
 	conns := fleet.NewPool(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, toBackends)
 	core := engine.New(balancer, clk, conns, log)
 	disco := fleet.NewDiscovery(fleet.Source{Addr: cfg.Discovery, Zones: cfg.Site.Zones, Known: cfg.known,
 		Asked: cfg.Site.Logic.Subscribe}, clk, core.Tell, log)
 	core.OnSubscribe(disco.Ask)
+	rules := intake.Rules{Classes: cfg.Site.Logic.Classes, Tenants: cfg.Site.Tenants}
+	beside, err := open(fronts, Core{Engine: core, Clock: clk, Rules: rules, Pool: conns, Site: cfg.Site,
+		Longest: longestDeadline(cfg), Log: log})
+	if err != nil {
+		return err
+	}
 	parts.Go(func() { core.Run(inner) })
 	parts.Go(func() { every(inner, sweepEvery, conns.Sweep) })
 	parts.Go(func() { disco.Run(inner) })
@@ -67,7 +97,7 @@
 
 	var badReport sync.Once
 	front := httpfront.New(httpfront.Options{
-		Rules:  intake.Rules{Classes: cfg.Site.Logic.Classes, Tenants: cfg.Site.Tenants},
+		Rules:  rules,
 		Engine: core,
 		Clock:  clk,
 		Carrier: &httpcarrier.Carrier{Pool: conns, Clock: clk, Fields: cfg.Site.ReportFields, Noted: func(err error) {
@@ -78,9 +108,30 @@
 		AcceptFor: cfg.acceptFor,
 		Log:       log,
 	})
+	var others sync.WaitGroup
+	defer others.Wait() // before the engine stops: what they hold is still answered
+	for i, serveFront := range beside {
+		others.Go(func() {
+			if err := serveFront(ctx); err != nil { // the platform's own front goes on
+				log.Error("a front has ended", "front", fronts[i].Name, "error", err)
+			}
+		})
+	}
 	return front.Serve(ctx, listener, longestDeadline(cfg)+drainMost)
 }
 
+// open opens the fronts beside the platform's own. Their listeners close when they have served, or with the process.
+func open(fronts []Front, core Core) (serves []func(context.Context) error, err error) {
+	for _, f := range fronts {
+		serveFront, err := f.Open(core)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", f.Name, err)
+		}
+		serves = append(serves, serveFront)
+	}
+	return serves, nil
+}
+
 // longestDeadline is the longest that any client waits.
 func longestDeadline(cfg Config) (longest time.Duration) {
 	for _, c := range cfg.Site.Logic.Classes {
--- /dev/null
+++ b/internal/extproc/message.go
@@ -0,0 +1,400 @@
+package extproc
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/types/known/structpb"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/intake"
+	"appleledge/logic"
+)
+
+// Names of the endpoint picker protocol.
+const (
+	DestinationHeader = "x-gateway-destination-endpoint"        // in the request, and in metadata: the choice
+	ServedHeader      = "x-gateway-destination-endpoint-served" // in metadata or the response: who served
+	SubsetKey         = "x-gateway-destination-endpoint-subset" // in the hint: the endpoints to choose among
+	MetadataSpace     = "envoy.lb"
+	SubsetSpace       = "envoy.lb.subset_hint"
+)
+
+// Names of our own, in the request that goes on.
+const (
+	// ValidHeader says for how long a decision may be used, counted from when it was made, in the form of X-Timeout.
+	ValidHeader = "x-appleledge-decision-valid"
+	// UseByHeader says the same as a point of time, Unix time in milliseconds, for proxies on the agent's machine.
+	UseByHeader = "x-appleledge-decision-use-by"
+)
+
+const (
+	envoyTimeout  = "X-Envoy-Expected-Rq-Timeout-Ms"
+	envoyAttempt  = "X-Envoy-Attempt-Count"
+	detailsAttr   = "response.code_details"
+	mostTries     = 1000 // as a proxy may count its tries
+	longestLogged = 100  // bytes of a peer's text in a log line
+)
+
+func bad(status int, format string, args ...any) error {
+	return intake.BadRequest{Status: status, Text: fmt.Sprintf(format, args...)}
+}
+
+// accept reads and checks the head of a request, as strictly as direct mode does.
+func (s *Server) accept(req *extprocv3.ProcessingRequest, h *extprocv3.HttpHeaders) (*engine.Call, error) {
+	began := s.Clock.Now()
+	head, err := requestHead(h)
+	if err != nil {
+		return nil, err
+	}
+	try, err := tryCount(head.Header)
+	if err != nil {
+		return nil, err
+	}
+	call, _, err := s.Rules.Check(head, began)
+	if err != nil {
+		return nil, err
+	}
+	call.Try = try
+	hint, there, err := subsetHint(req, s.Settings.MaxSubset)
+	if err != nil {
+		return nil, err
+	}
+	if there {
+		call.Among = s.known(hint)
+	}
+	return call, nil
+}
+
+// known returns the ids of the hinted endpoints that the list names, sorted; it is never nil.
+func (s *Server) known(hint []string) []string {
+	ids := []string{}
+	for _, addr := range hint {
+		at := s.Pool.At(addr)
+		if len(at) == 0 {
+			s.Counts.unknownHints.Add(1)
+			s.once.hint.Do(func() {
+				s.Log.Warn("a subset hint holds an endpoint that the list does not name; further ones are not logged",
+					"endpoint", clip(addr))
+			})
+		}
+		ids = append(ids, at...)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// header turns a header map into net/http's. Pseudo-headers keep their names.
+func header(m *corev3.HeaderMap) http.Header {
+	out := make(http.Header, len(m.GetHeaders()))
+	for _, v := range m.GetHeaders() {
+		value := v.GetValue()
+		if raw := v.GetRawValue(); len(raw) > 0 {
+			value = string(raw)
+		}
+		name := v.GetKey()
+		if !strings.HasPrefix(name, ":") {
+			name = http.CanonicalHeaderKey(name)
+		}
+		out[name] = append(out[name], value)
+	}
+	return out
+}
+
+// one returns the value of a header that may be there once at most.
+func one(h http.Header, name string) (value string, there bool, err error) {
+	switch values := h[name]; len(values) {
+	case 0:
+		return "", false, nil
+	case 1:
+		return values[0], true, nil
+	}
+	return "", true, bad(http.StatusBadRequest, "%s is there more than once", name)
+}
+
+// requestHead reads the head of a request.
+func requestHead(m *extprocv3.HttpHeaders) (intake.Head, error) {
+	h := header(m.GetHeaders())
+	method, _, err := one(h, ":method")
+	if err != nil {
+		return intake.Head{}, err
+	}
+	path, _, err := one(h, ":path")
+	if err != nil {
+		return intake.Head{}, err
+	}
+	path, _, _ = strings.Cut(path, "?")
+	length, chunked, err := bodyLength(h, m.GetEndOfStream())
+	if err != nil {
+		return intake.Head{}, err
+	}
+	if _, stated := h[intake.TimeoutHeader]; !stated {
+		ms, there, err := one(h, envoyTimeout)
+		if err != nil {
+			return intake.Head{}, err
+		}
+		if there {
+			h.Set(intake.TimeoutHeader, ms+"m")
+		}
+	}
+	return intake.Head{Method: method, Path: path, Header: h, ContentLength: length, Chunked: chunked}, nil
+}
+
+// bodyLength reads the stated length of a body. One that has none is as good as chunked: its end is not known ahead.
+func bodyLength(h http.Header, noBody bool) (length int64, chunked bool, err error) {
+	if len(h["Transfer-Encoding"]) > 0 {
+		return -1, true, nil
+	}
+	text, there, err := one(h, "Content-Length")
+	switch {
+	case err != nil:
+		return 0, false, err
+	case !there:
+		return 0, !noBody, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 63)
+	if err != nil || noBody && n > 0 {
+		return 0, false, bad(http.StatusBadRequest, "Content-Length is malformed or does not fit")
+	}
+	return int64(n), false, nil
+}
+
+// tryCount reads which of the proxy's own tries this is; 0 where it does not say.
+func tryCount(h http.Header) (int, error) {
+	text, there, err := one(h, envoyAttempt)
+	if err != nil || !there {
+		return 0, err
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > mostTries {
+		return 0, bad(http.StatusBadRequest, "%s is no count of tries", envoyAttempt)
+	}
+	return n, nil
+}
+
+// subsetHint reads the endpoints to choose among: a list of texts, or one text with commas.
+func subsetHint(req *extprocv3.ProcessingRequest, most int) (addrs []string, there bool, err error) {
+	value, there := req.GetMetadataContext().GetFilterMetadata()[SubsetSpace].GetFields()[SubsetKey]
+	if !there {
+		return nil, false, nil
+	}
+	switch kind := value.GetKind().(type) {
+	case *structpb.Value_StringValue:
+		addrs = split(kind.StringValue, most)
+	case *structpb.Value_ListValue:
+		for _, v := range kind.ListValue.GetValues() {
+			text, ok := v.GetKind().(*structpb.Value_StringValue)
+			if !ok {
+				return nil, true, bad(http.StatusBadRequest, "the subset hint holds what is no endpoint")
+			}
+			addrs = append(addrs, split(text.StringValue, most)...)
+			if len(addrs) > most {
+				break
+			}
+		}
+	default:
+		return nil, true, bad(http.StatusBadRequest, "the subset hint is no list of endpoints")
+	}
+	if len(addrs) > most {
+		return nil, true, bad(http.StatusBadRequest, "the subset hint holds over %d endpoints", most)
+	}
+	return addrs, true, nil
+}
+
+// split cuts a text at its commas, into a few more than most parts at the most.
+func split(text string, most int) (out []string) {
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+		if len(out) > most {
+			break
+		}
+	}
+	return out
+}
+
+// responseHead reads the head of a response; a status that can't be read is 0.
+func responseHead(m *extprocv3.HttpHeaders) (http.Header, int) {
+	h := header(m.GetHeaders())
+	text, _, err := one(h, ":status")
+	if err != nil || len(text) != 3 {
+		return h, 0
+	}
+	code, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || code < 100 {
+		return h, 0
+	}
+	return h, int(code)
+}
+
+// servedBy returns the endpoint that served, where the proxy tells.
+func servedBy(req *extprocv3.ProcessingRequest, h http.Header) string {
+	fields := req.GetMetadataContext().GetFilterMetadata()[MetadataSpace].GetFields()
+	if served := fields[ServedHeader].GetStringValue(); served != "" {
+		return served
+	}
+	return h.Get(ServedHeader)
+}
+
+// neverSent are the reasons in Envoy's response code details with which no byte of a request has left the proxy.
+// (envoy/docs/root/configuration/http/http_conn_man/response_code_details.rst)
+var neverSent = []string{"remote_connection_failure", "local_connection_failure", "connection_timeout"}
+
+// localReply reads how the proxy itself ended the try, where its attributes tell. A reason that is not known may mean
+// anything, so that the request may have run.
+func localReply(req *extprocv3.ProcessingRequest, h *extprocv3.HttpHeaders) (result logic.Result, own bool) {
+	details := codeDetails(req, h)
+	switch {
+	case strings.HasPrefix(details, "upstream_reset_before_response_started{"),
+		strings.HasPrefix(details, "upstream_reset_after_response_started{"):
+		_, reason, _ := strings.Cut(details, "{")
+		for _, never := range neverSent {
+			if strings.HasPrefix(reason, never) && strings.Contains(details, "_before_") {
+				return logic.ConnectFailed, true
+			}
+		}
+		return logic.Reset, true
+	case details == "upstream_response_timeout", details == "upstream_per_try_timeout", details == "response_timeout":
+		return logic.TimedOut, true
+	case details == "no_healthy_upstream", details == "cluster_not_found", details == "route_not_found":
+		return logic.NotSent, true // the proxy did not know the server, which says nothing of it
+	}
+	return 0, false
+}
+
+// codeDetails finds the attribute, which a proxy sends where it is set to.
+func codeDetails(req *extprocv3.ProcessingRequest, h *extprocv3.HttpHeaders) string {
+	for _, attrs := range []map[string]*structpb.Struct{req.GetAttributes(), h.GetAttributes()} {
+		for _, group := range attrs {
+			if v, ok := group.GetFields()[detailsAttr]; ok {
+				return v.GetStringValue()
+			}
+		}
+	}
+	return ""
+}
+
+// choice is a decision as a proxy is told it.
+type choice struct {
+	addr     string
+	valid    time.Duration // how long it may be used
+	useBy    time.Time
+	left     time.Duration // what is left of the client's patience
+	override bool          // ask for the ends of responses
+}
+
+func decision(c choice) *extprocv3.ProcessingResponse {
+	resp := &extprocv3.ProcessingResponse{
+		Response: &extprocv3.ProcessingResponse_RequestHeaders{RequestHeaders: &extprocv3.HeadersResponse{
+			Response: &extprocv3.CommonResponse{ClearRouteCache: true, HeaderMutation: &extprocv3.HeaderMutation{
+				SetHeaders: []*corev3.HeaderValueOption{
+					set(DestinationHeader, c.addr),
+					set(ValidHeader, milliseconds(c.valid)),
+					set(UseByHeader, strconv.FormatInt(c.useBy.UnixMilli(), 10)),
+					set(strings.ToLower(intake.TimeoutHeader), milliseconds(c.left)),
+				},
+			}},
+		}},
+		DynamicMetadata: &structpb.Struct{Fields: map[string]*structpb.Value{
+			MetadataSpace: structpb.NewStructValue(&structpb.Struct{Fields: map[string]*structpb.Value{
+				DestinationHeader: structpb.NewStringValue(c.addr),
+			}}),
+		}},
+	}
+	if c.override { // a proxy that does not allow it goes on as it was
+		resp.ModeOverride = &filterv3.ProcessingMode{ResponseHeaderMode: filterv3.ProcessingMode_SEND,
+			ResponseTrailerMode: filterv3.ProcessingMode_SEND}
+	}
+	return resp
+}
+
+func set(name, value string) *corev3.HeaderValueOption {
+	return &corev3.HeaderValueOption{Header: &corev3.HeaderValue{Key: name, RawValue: []byte(value)},
+		AppendAction: corev3.HeaderValueOption_OVERWRITE_IF_EXISTS_OR_ADD}
+}
+
+// milliseconds is a time in the form of X-Timeout, in whole milliseconds, rounded down: never more than there is.
+func milliseconds(d time.Duration) string {
+	return strconv.FormatInt(max(0, d.Milliseconds()), 10) + "m"
+}
+
+var answerStatuses = [...]int{engine.Served: http.StatusConflict, engine.Refused: http.StatusServiceUnavailable,
+	engine.Failed: http.StatusBadGateway, engine.Conflict: http.StatusConflict}
+
+var answerTexts = [...]string{engine.Served: "served elsewhere", engine.Refused: "refused: trying again is harmless",
+	engine.Failed: "failed: it may have run", engine.Conflict: "another request is open under this id"}
+
+// immediate is a final answer that the agent gives in place of a backend.
+func immediate(a engine.Answer) *extprocv3.ProcessingResponse {
+	var headers []*corev3.HeaderValueOption
+	if a.RetryAfter > 0 {
+		headers = append(headers, set("retry-after", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64)))
+	}
+	return immediateResponse(answerStatuses[a.Kind], answerTexts[a.Kind], headers)
+}
+
+// immediateError answers bad input.
+func immediateError(err error) *extprocv3.ProcessingResponse {
+	code := http.StatusBadRequest
+	if b, ok := errors.AsType[intake.BadRequest](err); ok {
+		code = b.Status
+	}
+	return immediateResponse(code, err.Error(), nil)
+}
+
+func immediateResponse(code int, text string, headers []*corev3.HeaderValueOption) *extprocv3.ProcessingResponse {
+	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ImmediateResponse{
+		ImmediateResponse: &extprocv3.ImmediateResponse{
+			Status:  &typev3.HttpStatus{Code: typev3.StatusCode(code)},
+			Headers: &extprocv3.HeaderMutation{SetHeaders: headers},
+			Body:    []byte(text + "\n"),
+			Details: "appleledge",
+		}}}
+}
+
+func continueHeaders() *extprocv3.ProcessingResponse {
+	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HeadersResponse{}}}
+}
+
+// continueBody lets a part of a body go on unchanged. In full duplex the processor owes the proxy what it was sent.
+func continueBody(b *extprocv3.HttpBody, ofResponse, fullDuplex bool) *extprocv3.ProcessingResponse {
+	body := &extprocv3.BodyResponse{}
+	if fullDuplex {
+		body.Response = &extprocv3.CommonResponse{BodyMutation: &extprocv3.BodyMutation{
+			Mutation: &extprocv3.BodyMutation_StreamedResponse{StreamedResponse: &extprocv3.StreamedBodyResponse{
+				Body: b.GetBody(), EndOfStream: b.GetEndOfStream(),
+				EndOfStreamWithoutMessage: b.GetEndOfStreamWithoutMessage(), GrpcMessageCompressed: b.GetGrpcMessageCompressed(),
+			}}}}
+	}
+	if ofResponse {
+		return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseBody{ResponseBody: body}}
+	}
+	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestBody{RequestBody: body}}
+}
+
+func continueTrailers(ofResponse bool) *extprocv3.ProcessingResponse {
+	trailers := &extprocv3.TrailersResponse{}
+	if ofResponse {
+		return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseTrailers{ResponseTrailers: trailers}}
+	}
+	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestTrailers{RequestTrailers: trailers}}
+}
+
+// clip is a peer's text, short enough for a log line.
+func clip(text string) string {
+	if len(text) > longestLogged {
+		return text[:longestLogged] + "..."
+	}
+	return text
+}
--- /dev/null
+++ b/internal/extproc/server.go
@@ -0,0 +1,203 @@
+// Package extproc is the front that other proxies call: Envoy's external processor, envoy.service.ext_proc.v3. A proxy
+// opens a stream for each request and is told where the request goes; it carries the traffic itself and tells how it
+// ended. The choice is stated as the endpoint picker protocol of the Gateway API's inference extension has it
+// (docs/proposals/004-endpoint-picker-protocol there).
+//
+// A stream is one try of a request. A proxy's retry comes as another stream under the same X-Request-ID and is the same
+// request to the engine, which lets the module decide whether there is another attempt.
+package extproc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/reflection"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/fleet"
+	"appleledge/internal/intake"
+	"appleledge/internal/settings"
+)
+
+const (
+	connectTimeout  = 3 * time.Second       // for the HTTP/2 preface of a new connection
+	idleConnection  = time.Minute           // a connection with no stream is closed, so that idle ones don't keep out others
+	maxHeaderList   = 16 << 10              // of a stream's own HTTP/2 headers
+	buffer          = 8 << 10               // of a connection, each way
+	lingerTime      = 5 * time.Second       // a stream may stay open for so long after its request's time is over
+	drainMost       = 50 * time.Millisecond // past the longest time that a client waits, as the platform's own front
+	healthEvery     = 250 * time.Millisecond
+	countsEvery     = time.Minute
+	processorMethod = extprocv3.ExternalProcessor_Process_FullMethodName
+)
+
+// Options are what a Server is made of. All must be set.
+type Options struct {
+	Settings     settings.ExternalProcessor
+	Engine       *engine.Engine
+	Clock        engine.Clock
+	Rules        intake.Rules
+	Pool         *fleet.Pool
+	ReportFields []string      // of load reports
+	Longest      time.Duration // that any client waits: for so long a drain may take
+	Log          *slog.Logger
+}
+
+// Server answers the streams of proxies.
+type Server struct {
+	extprocv3.UnimplementedExternalProcessorServer
+	Options
+	Counts  Counts
+	streams atomic.Int64 // open
+	held    atomic.Int64 // calls that the engine holds
+	once    onces
+}
+
+// onces are log lines that come once, however often their cause does: a rude peer must not flood the log.
+type onces struct{ report, hint, served, unknown sync.Once }
+
+// New returns a server. The engine remembers ended requests from then on, so that it must not run yet.
+func New(o Options) *Server {
+	o.Engine.RememberEnded(o.Settings.RememberMost, time.Duration(o.Settings.Remember))
+	return &Server{Options: o}
+}
+
+// Serve answers streams until the context ends, and then goes on with the open ones until they end or the longest time
+// that a client waits has passed; proxies are told by GOAWAY to open no more.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	srv := s.grpcServer()
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(netutil.LimitListener(l, s.Settings.MaxConnections)) }()
+	s.Log.Info("external processor listening", "addr", l.Addr().String())
+	counts := time.NewTicker(countsEvery)
+	defer counts.Stop()
+	var last Snapshot
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serving proxies: %w", err)
+		case <-counts.C:
+			if now := s.Counts.Snapshot(); now != last {
+				s.Log.Info("external processor", now.attrs()...)
+				last = now
+			}
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	s.drain(srv)
+	if err := <-failed; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		s.Log.Warn("external processor ended", "error", err)
+	}
+	s.Log.Info("external processor drained", s.Counts.Snapshot().attrs()...)
+	return nil
+}
+
+// drain sends GOAWAY and waits for the open streams. What is still open then is cut off.
+func (s *Server) drain(srv *grpc.Server) {
+	ended := make(chan struct{})
+	go func() { srv.GracefulStop(); close(ended) }()
+	limit := time.NewTimer(s.Longest + drainMost)
+	defer limit.Stop()
+	select {
+	case <-ended:
+	case <-limit.C:
+		s.Log.Warn("external processor drained, but some streams were still open", "streams", s.streams.Load())
+		srv.Stop()
+		<-ended
+	}
+}
+
+func (s *Server) grpcServer() *grpc.Server {
+	set := s.Settings
+	srv := grpc.NewServer(
+		grpc.ConnectionTimeout(connectTimeout),
+		grpc.MaxConcurrentStreams(uint32(set.MaxStreams)),
+		grpc.MaxRecvMsgSize(set.MaxMessage),
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.ReadBufferSize(buffer),
+		grpc.WriteBufferSize(buffer),
+		grpc.SharedWriteBuffer(true),
+		grpc.WaitForHandlers(true),
+		grpc.InTapHandle(s.admit),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			MaxConnectionIdle: idleConnection,
+			Time:              time.Duration(set.KeepaliveTime),
+			Timeout:           time.Duration(set.KeepaliveWait),
+		}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
+	)
+	extprocv3.RegisterExternalProcessorServer(srv, s)
+	if set.Health {
+		healthv1.RegisterHealthServer(srv, &readiness{Server: health.NewServer(), engine: s.Engine})
+	}
+	if set.Reflection {
+		reflection.Register(srv)
+	}
+	return srv
+}
+
+// readiness is the health service: SERVING while there is a server to send to.
+type readiness struct {
+	*health.Server
+	engine *engine.Engine
+}
+
+// Check answers for the whole server and for the processor's service alike.
+func (r *readiness) Check(_ context.Context, req *healthv1.HealthCheckRequest) (*healthv1.HealthCheckResponse, error) {
+	if name := req.GetService(); name != "" && name != extprocv3.ExternalProcessor_ServiceDesc.ServiceName {
+		return nil, status.Error(codes.NotFound, "unknown service")
+	}
+	state := healthv1.HealthCheckResponse_NOT_SERVING
+	if r.engine.Ready() {
+		state = healthv1.HealthCheckResponse_SERVING
+	}
+	return &healthv1.HealthCheckResponse{Status: state}, nil
+}
+
+// admit is asked about each stream before anything is spent on it, and turns away what is too many.
+func (s *Server) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
+	if info.FullMethodName != processorMethod {
+		return ctx, nil
+	}
+	if s.streams.Add(1) > int64(s.Settings.MaxOpen) {
+		s.streams.Add(-1)
+		s.Counts.streamsRefused.Add(1)
+		return nil, status.Error(codes.ResourceExhausted, "too many streams are open")
+	}
+	context.AfterFunc(ctx, func() { s.streams.Add(-1) }) // also for a stream that ends before it is handled
+	return ctx, nil
+}
+
+// Process handles one stream.
+func (s *Server) Process(g extprocv3.ExternalProcessor_ProcessServer) error {
+	st := &stream{s: s, ctx: g.Context(), told: make(chan verdict, mostTold), over: make(chan struct{})}
+	st.stop = sync.OnceFunc(func() { close(st.over) })
+	st.expiry = time.AfterFunc(time.Duration(s.Settings.FirstMessage), st.stop)
+	defer st.expiry.Stop()
+	err := st.run(g)
+	st.end(err)
+	switch {
+	case st.call != nil && !st.handed.Load() && !st.ended.Load(): // the proxy must not go on as if it had been told
+		return status.Error(codes.Unavailable, "the stream ended before the decision")
+	case err == nil || errors.Is(err, errClean) || g.Context().Err() != nil:
+		return nil // closing a stream in order lets the proxy go on without the processor
+	}
+	return err
+}
--- /dev/null
+++ b/internal/extproc/stream.go
@@ -0,0 +1,332 @@
+package extproc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/fleet"
+	"appleledge/internal/httpcarrier"
+	"appleledge/logic"
+)
+
+// mostTold is how much the engine may have told a stream that has not looked yet: an attempt, and the final answer when
+// the request's time is over.
+const mostTold = 2
+
+// heldRetry is the come-back time when too much is open.
+const heldRetry = time.Second
+
+// errClean ends a stream that the proxy has ended in order.
+var errClean = errors.New("the proxy ended the stream")
+
+// verdict is what the engine says: an attempt, or else the final answer.
+type verdict struct {
+	attempt *engine.Attempt
+	answer  engine.Answer
+}
+
+// stream is one try of a request. Its own goroutine runs it; the engine calls Choose, Answer and Released.
+type stream struct {
+	s      *Server
+	ctx    context.Context
+	told   chan verdict
+	over   chan struct{} // closed when the stream is to end
+	stop   func()        // closes it
+	expiry *time.Timer   // stops the stream when it stays for too long
+
+	handed atomic.Bool // the decision is with the proxy
+	ended  atomic.Bool // how its attempt ended was told
+
+	call       *engine.Call    // once the request was in order
+	attempt    *engine.Attempt // with the proxy
+	answered   *engine.Outcome // a 200 whose end has not come
+	fullDuplex [2]bool         // request and response bodies come back from the processor, or not at all
+}
+
+// Choose is called by the engine.
+func (st *stream) Choose(a *engine.Attempt) { st.told <- verdict{attempt: a} }
+
+// Answer is called by the engine. After the decision it can only be that the request's time is over: the proxy is owed
+// nothing more, and its stream ends.
+func (st *stream) Answer(a engine.Answer) {
+	switch {
+	case st.ended.Load():
+	case st.handed.Load():
+		st.stop()
+	default:
+		st.told <- verdict{answer: a}
+	}
+}
+
+// Released is called by the engine.
+func (st *stream) Released() { st.s.held.Add(-1) }
+
+// received is a message of the proxy, or the reason why there are no more.
+type received struct {
+	req *extprocv3.ProcessingRequest
+	err error
+}
+
+// pump reads messages until the stream ends or nobody takes them any more. It is a goroutine of its own so that a stream
+// can be ended in order, which gRPC allows only by returning, while no message comes.
+func pump(g extprocv3.ExternalProcessor_ProcessServer, to chan<- received, gone <-chan struct{}) {
+	for {
+		req, err := g.Recv()
+		select {
+		case to <- received{req, err}:
+		case <-gone:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// run takes messages and answers them until the stream ends.
+func (st *stream) run(g extprocv3.ExternalProcessor_ProcessServer) error {
+	messages, gone := make(chan received), make(chan struct{})
+	defer close(gone)
+	go pump(g, messages, gone)
+	for {
+		var m received
+		select {
+		case m = <-messages:
+		case <-st.over:
+			return nil
+		}
+		if errors.Is(m.err, io.EOF) {
+			return errClean
+		}
+		if m.err != nil {
+			return m.err
+		}
+		resp, err := st.take(m.req)
+		if err != nil {
+			return err
+		}
+		if resp == nil {
+			continue
+		}
+		if err := g.Send(resp); err != nil {
+			return err
+		}
+		if resp.GetImmediateResponse() != nil {
+			return nil
+		}
+	}
+}
+
+// take handles a message and returns what the proxy is owed for it, or nil.
+func (st *stream) take(req *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
+	if req.GetObservabilityMode() { // the proxy waits for no answer and heeds none: nothing is to be decided
+		if req.GetRequestHeaders() != nil {
+			st.s.Counts.observed.Add(1)
+		}
+		return nil, nil
+	}
+	if c := req.GetProtocolConfig(); c != nil {
+		st.fullDuplex = [2]bool{c.GetRequestBodyMode() == filterv3.ProcessingMode_FULL_DUPLEX_STREAMED,
+			c.GetResponseBodyMode() == filterv3.ProcessingMode_FULL_DUPLEX_STREAMED}
+	}
+	switch m := req.GetRequest().(type) {
+	case *extprocv3.ProcessingRequest_RequestHeaders:
+		return st.decide(req, m.RequestHeaders)
+	case *extprocv3.ProcessingRequest_ResponseHeaders:
+		st.response(req, m.ResponseHeaders)
+		return continueHeaders(), nil
+	case *extprocv3.ProcessingRequest_RequestBody:
+		return continueBody(m.RequestBody, false, st.fullDuplex[0]), nil
+	case *extprocv3.ProcessingRequest_ResponseBody:
+		if m.ResponseBody.GetEndOfStream() || m.ResponseBody.GetEndOfStreamWithoutMessage() {
+			st.responseEnd()
+		}
+		return continueBody(m.ResponseBody, true, st.fullDuplex[1]), nil
+	case *extprocv3.ProcessingRequest_RequestTrailers:
+		return continueTrailers(false), nil
+	case *extprocv3.ProcessingRequest_ResponseTrailers:
+		st.responseEnd()
+		return continueTrailers(true), nil
+	}
+	// A kind that this version does not know. What it would be owed is not known either.
+	st.s.Counts.unknownMessages.Add(1)
+	st.s.once.unknown.Do(func() {
+		st.s.Log.Warn("a proxy sent a message of a kind that is not known; further ones are not logged")
+	})
+	return nil, nil
+}
+
+// decide asks where the request goes.
+func (st *stream) decide(req *extprocv3.ProcessingRequest, h *extprocv3.HttpHeaders) (*extprocv3.ProcessingResponse, error) {
+	s := st.s
+	if st.call != nil {
+		return nil, status.Error(codes.InvalidArgument, "a stream is one request: its headers came twice")
+	}
+	call, err := s.accept(req, h)
+	if err != nil {
+		s.Counts.badInput.Add(1)
+		return immediateError(err), nil
+	}
+	if s.held.Add(1) > int64(s.Settings.MaxOpen) { // nothing was sent yet, so a refusal's promise holds
+		s.held.Add(-1)
+		s.Counts.refused.Add(1)
+		return immediate(engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry}), nil
+	}
+	call.Caller, st.call = st, call
+	st.expiry.Reset(call.Deadline - s.Clock.Now() + lingerTime)
+	s.Engine.Arrive(call)
+	for {
+		select {
+		case v := <-st.told:
+			if v.attempt == nil {
+				s.count(v.answer.Kind)
+				st.ended.Store(true)
+				return immediate(v.answer), nil
+			}
+			if resp := st.hand(v.attempt); resp != nil {
+				return resp, nil
+			}
+		case <-st.ctx.Done():
+			return nil, st.ctx.Err()
+		case <-s.Engine.Done():
+			return immediate(engine.Answer{Kind: engine.Failed}), nil
+		}
+	}
+}
+
+// hand makes the decision the proxy's, unless it is of no use any more: meanwhile the server may have begun to drain or
+// started anew, or the time may be over. From here on the attempt counts as one that may run.
+func (st *stream) hand(a *engine.Attempt) *extprocv3.ProcessingResponse {
+	now := st.s.Clock.Now()
+	backend, _ := a.Life.(*fleet.Backend)
+	valid := min(a.WriteBy-now, time.Duration(st.s.Settings.DecisionValid))
+	if valid < time.Millisecond || !st.s.Pool.TakesNew(backend) {
+		st.s.Counts.unusable.Add(1)
+		st.s.Engine.Unusable(a)
+		return nil
+	}
+	if st.ctx.Err() != nil {
+		return nil // the next look at the context ends the stream; nothing was handed over
+	}
+	st.attempt = a
+	st.handed.Store(true)
+	st.s.Counts.decisions.Add(1)
+	return decision(choice{addr: backend.Addr(), valid: valid, useBy: st.s.Clock.At(now + valid), left: a.Until - now,
+		override: st.s.Settings.ModeOverride && st.fullDuplex == [2]bool{}})
+}
+
+// response judges the head of a response, as direct mode judges a whole answer. A 200 is one only when it has ended.
+func (st *stream) response(req *extprocv3.ProcessingRequest, h *extprocv3.HttpHeaders) {
+	if st.attempt == nil || st.answered != nil {
+		return
+	}
+	header, code := responseHead(h)
+	if code >= 100 && code < http.StatusOK {
+		return // an interim one
+	}
+	out := engine.Outcome{Attempt: st.attempt, Result: logic.Reset, Report: logic.NoReport}
+	if code != 0 { // else it is no answer that a backend can have made
+		out.Result = httpcarrier.Judge(code, header)
+		out.Report = httpcarrier.ReadReport(header, st.s.ReportFields, st.s.badReport)
+	}
+	if result, own := localReply(req, h); own && out.Result == logic.Failed {
+		out.Result, out.Report = result, logic.NoReport
+	}
+	out.Elsewhere = st.elsewhere(req, header)
+	if out.Result == logic.OK && !h.GetEndOfStream() {
+		st.answered = &out
+		return
+	}
+	st.tell(out)
+}
+
+// elsewhere compares the endpoint that served with the chosen one, where the proxy tells.
+func (st *stream) elsewhere(req *extprocv3.ProcessingRequest, header http.Header) bool {
+	served := servedBy(req, header)
+	backend, _ := st.attempt.Life.(*fleet.Backend)
+	if served == "" || served == backend.Addr() {
+		return false
+	}
+	st.s.Counts.elsewhere.Add(1)
+	if len(st.s.Pool.At(served)) == 0 {
+		st.s.Counts.unknownServed.Add(1)
+		st.s.once.served.Do(func() {
+			st.s.Log.Warn("a proxy used an endpoint that the list does not name; further ones are not logged",
+				"endpoint", clip(served), "chosen", backend.Addr())
+		})
+	}
+	return true
+}
+
+// responseEnd makes a 200 one that was served.
+func (st *stream) responseEnd() {
+	if st.answered != nil {
+		st.tell(*st.answered)
+	}
+}
+
+// tell ends the attempt that the proxy has.
+func (st *stream) tell(out engine.Outcome) {
+	st.ended.Store(true)
+	st.attempt, st.answered = nil, nil
+	st.s.countResult(out.Result)
+	st.s.Engine.Ended(out)
+}
+
+// end settles what is open when the stream has ended.
+func (st *stream) end(err error) {
+	switch {
+	case st.call == nil:
+	case st.attempt == nil:
+		if !st.handed.Load() && !st.ended.Load() {
+			st.s.Counts.gaveUpBefore.Add(1)
+		}
+		st.s.Engine.GaveUp(st.call.ID, st)
+	case st.answered != nil && errors.Is(err, errClean):
+		st.responseEnd()
+	default: // it was handed over, and what became of it is not known
+		st.s.Counts.gaveUpAfter.Add(1)
+		st.tell(engine.Outcome{Attempt: st.attempt, Result: logic.Cancelled, Report: logic.NoReport})
+	}
+}
+
+// count counts a final answer that the agent gives itself.
+func (s *Server) count(kind engine.AnswerKind) {
+	switch kind {
+	case engine.Refused:
+		s.Counts.refused.Add(1)
+	case engine.Conflict:
+		s.Counts.conflicts.Add(1)
+	default:
+		s.Counts.gaveNothing.Add(1)
+	}
+}
+
+func (s *Server) countResult(r logic.Result) {
+	switch r {
+	case logic.OK:
+		s.Counts.served.Add(1)
+	case logic.Rejected, logic.ConnectFailed:
+		s.Counts.notRun.Add(1)
+	case logic.Cancelled:
+		s.Counts.unknown.Add(1)
+	default:
+		s.Counts.failed.Add(1)
+	}
+}
+
+func (s *Server) badReport(err error) {
+	s.once.report.Do(func() {
+		s.Log.Warn("passing over a malformed report; further ones are not logged", "error", err)
+	})
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,116 @@
+// Package program is what the agent's commands share: flags, signals, limits of the process, and the reading of the
+// configuration and the settings. A command says which fronts it holds beside the platform's own.
+package program
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"appleledge/internal/agent"
+	"appleledge/internal/settings"
+)
+
+// heapPart is how much of the memory limit the runtime may fill; sockets and files count too.
+const heapPart = 0.6
+
+// Fronts says which fronts the settings switch on. An error is a section that the command can't carry out.
+type Fronts func(settings.File) ([]agent.Front, error)
+
+const usage = `%[1]s is a client-side load balancer agent. It takes HTTP/1.1 requests where PROXY_LISTEN says and sends
+each to one of the backends that discovery names.
+
+    PROXY_CONFIG=FILE %[1]s [-settings FILE]
+
+PROXY_CONFIG names the platform's JSON configuration; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before what it
+says. SIGTERM drains and ends; SIGHUP reads the files again and follows discovery to where they say. GET /ready answers
+200 once there are backends to send to.
+
+`
+
+// Main runs a command until it is told to end, and ends the process with 1 if it could not start or failed.
+func Main(name string, fronts Fronts) {
+	if err := run(name, os.Args[1:], fronts); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		os.Exit(1)
+	}
+}
+
+func run(name string, args []string, fronts Fronts) error {
+	hangups := make(chan os.Signal, 1) // one that waits is enough: the files are read after it
+	signal.Notify(hangups, syscall.SIGHUP)
+	path, err := parse(name, args, os.Stderr)
+	if err != nil {
+		return err
+	}
+	cfg, err := agent.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", cfg.Name)
+	own, err := load(path)
+	if err != nil {
+		return err
+	}
+	beside, err := fronts(own)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) {
+		recheck(path, own, log)
+		return agent.ReloadConfig(os.Getenv)
+	}}
+	return agent.Run(ctx, cfg, reloads, log, beside...)
+}
+
+// parse reads the flags.
+func parse(name string, args []string, out io.Writer) (settingsPath string, err error) {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(out)
+	flags.Usage = func() {
+		fmt.Fprintf(out, usage, name)
+		flags.PrintDefaults()
+	}
+	flags.StringVar(&settingsPath, "settings", "", "the agent's own settings, a TOML `file` such as deploy/appleledge.toml;\n"+
+		"each section switches something on, and without the file all is off")
+	if err := flags.Parse(args); err != nil {
+		return "", err
+	}
+	if flags.NArg() > 0 {
+		return "", fmt.Errorf("%q is no flag; see %s -h", flags.Arg(0), name)
+	}
+	return settingsPath, nil
+}
+
+// load reads the settings; with no file all is off.
+func load(path string) (settings.File, error) {
+	if path == "" {
+		return settings.File{}, nil
+	}
+	return settings.Load(path)
+}
+
+// recheck reads the settings again on a signal and says what becomes of them. The agent goes on with what it has.
+func recheck(path string, old settings.File, log *slog.Logger) {
+	fresh, err := load(path)
+	switch {
+	case err != nil:
+		log.Error("settings not reloaded, keeping the old ones", "error", err)
+	case !reflect.DeepEqual(fresh.ExternalProcessor, old.ExternalProcessor):
+		log.Warn("the settings file has changed, which takes effect at the next start only")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,169 @@
+// Package settings reads the agent's own settings file, which is TOML (https://toml.io/en/v1.0.0). What the file does
+// not name stays off. Nothing in it concerns the platform, whose configuration is a file of its own.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// File is the whole file. A section that it does not hold is nil, and what belongs to it is off.
+type File struct {
+	ExternalProcessor *ExternalProcessor `toml:"external_processor"`
+
+	name  string
+	lines map[string]int
+}
+
+// Where says where a key or section stands in the file, as file and line.
+func (f File) Where(key string) string { return fmt.Sprintf("%s:%d", f.name, f.lines[key]) }
+
+// ExternalProcessor is the section [external_processor]: the front that other proxies call.
+type ExternalProcessor struct {
+	Listen         string   `toml:"listen"`            // host and port
+	MaxConnections int      `toml:"max_connections"`   // from proxies, at a time
+	MaxStreams     int      `toml:"max_streams"`       // open on one connection
+	MaxOpen        int      `toml:"max_open"`          // streams and requests held in all
+	MaxMessage     int      `toml:"max_message_bytes"` // of a message from a proxy
+	MaxSubset      int      `toml:"max_subset"`        // endpoints in a subset hint
+	DecisionValid  Duration `toml:"decision_valid"`    // how long a decision may be used, at most
+	FirstMessage   Duration `toml:"first_message"`     // how long a stream may say nothing at first
+	KeepaliveTime  Duration `toml:"keepalive_time"`    // of silence, after which a connection is pinged
+	KeepaliveWait  Duration `toml:"keepalive_wait"`    // for the answer to that ping
+	Remember       Duration `toml:"remember"`          // how requests ended that may have run
+	RememberMost   int      `toml:"remember_most"`     // how many of those
+	ModeOverride   bool     `toml:"mode_override"`     // ask proxies to send the ends of responses
+	Health         bool     `toml:"health"`            // offer grpc.health.v1.Health
+	Reflection     bool     `toml:"reflection"`        // offer grpc.reflection.v1.ServerReflection
+}
+
+// DefaultExternalProcessor is the section with nothing but an address set.
+func DefaultExternalProcessor() ExternalProcessor {
+	return ExternalProcessor{
+		MaxConnections: 16,
+		MaxStreams:     256,
+		MaxOpen:        1024,
+		MaxMessage:     64 << 10,
+		MaxSubset:      1024,
+		DecisionValid:  Duration(400 * time.Millisecond),
+		FirstMessage:   Duration(3 * time.Second),
+		KeepaliveTime:  Duration(10 * time.Second),
+		KeepaliveWait:  Duration(3 * time.Second),
+		Remember:       Duration(10 * time.Second),
+		RememberMost:   8192,
+		ModeOverride:   true,
+	}
+}
+
+// Duration is a time in the form of Go's time.ParseDuration, such as "400ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no duration; write a number and a unit, such as \"400ms\" or \"3s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// String is the duration in the form that UnmarshalText reads.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Load reads and checks a file. Errors name the file and the line and say what was meant.
+func Load(path string) (File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, fmt.Errorf("reading the settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks a file's text; name stands for the file in errors.
+func Parse(name string, text []byte) (File, error) {
+	f := File{name: name, lines: locate(text)}
+	if _, there := f.lines["external_processor"]; there { // what the file does not set keeps its default
+		section := DefaultExternalProcessor()
+		f.ExternalProcessor = &section
+	}
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		return File{}, located(name, err)
+	}
+	if f.ExternalProcessor != nil {
+		if key, err := f.ExternalProcessor.check(); err != nil {
+			key = "external_processor." + key
+			at := key
+			if _, set := f.lines[key]; !set {
+				at = "external_processor"
+			}
+			return File{}, fmt.Errorf("%s: %s: %w", f.Where(at), key, err)
+		}
+	}
+	return f, nil
+}
+
+// located puts the file and the line before an error of the decoder.
+func located(name string, err error) error {
+	if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		line, _ := first.Position()
+		return fmt.Errorf("%s:%d: unknown key %q; it is misspelt, or belongs to another section", name, line,
+			strings.Join(first.Key(), "."))
+	}
+	if decode, ok := errors.AsType[*toml.DecodeError](err); ok {
+		line, _ := decode.Position()
+		return fmt.Errorf("%s:%d: %s", name, line, strings.TrimPrefix(decode.Error(), "toml: "))
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
+// mostValid keeps decisions usable for less than the 500 ms after which nothing new may go to a server that drains,
+// with some room for the way to the proxy.
+const mostValid = 450 * time.Millisecond
+
+// check returns the key that is wrong, and what is wrong with it.
+func (e *ExternalProcessor) check() (key string, err error) {
+	if _, _, err := net.SplitHostPort(e.Listen); err != nil {
+		return "listen", fmt.Errorf("%q is no address; write host and port, such as \"127.0.0.1:9002\"", e.Listen)
+	}
+	for _, n := range []struct {
+		key                string
+		value, least, most int
+	}{
+		{"max_connections", e.MaxConnections, 1, 1024},
+		{"max_streams", e.MaxStreams, 1, 1 << 16},
+		{"max_open", e.MaxOpen, 1, 1 << 20},
+		{"max_message_bytes", e.MaxMessage, 1 << 10, 4 << 20},
+		{"max_subset", e.MaxSubset, 1, 1 << 16},
+		{"remember_most", e.RememberMost, 1, 1 << 20},
+	} {
+		if n.value < n.least || n.value > n.most {
+			return n.key, fmt.Errorf("%d must be from %d to %d", n.value, n.least, n.most)
+		}
+	}
+	for _, d := range []struct {
+		key         string
+		value       Duration
+		least, most time.Duration
+	}{
+		{"decision_valid", e.DecisionValid, time.Millisecond, mostValid},
+		{"first_message", e.FirstMessage, 10 * time.Millisecond, time.Minute},
+		{"keepalive_time", e.KeepaliveTime, time.Second, time.Hour}, // gRPC takes no less than a second
+		{"keepalive_wait", e.KeepaliveWait, 10 * time.Millisecond, time.Minute},
+		{"remember", e.Remember, 0, time.Hour},
+	} {
+		if v := time.Duration(d.value); v < d.least || v > d.most {
+			return d.key, fmt.Errorf("%v must be from %v to %v", d.value, d.least, d.most)
+		}
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestNoSectionIsOff(t *testing.T) {
+	for _, text := range []string{"", "# [external_processor]\n"} {
+		f, err := Parse("f.toml", []byte(text))
+		if err != nil || f.ExternalProcessor != nil {
+			t.Errorf("%q: %+v, %v", text, f.ExternalProcessor, err)
+		}
+	}
+}
+
+func TestWhatIsNotSetKeepsItsDefault(t *testing.T) {
+	f, err := Parse("f.toml", []byte("[external_processor]\nlisten = \"127.0.0.1:9002\"\ndecision_valid = \"250ms\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := DefaultExternalProcessor()
+	want.Listen, want.DecisionValid = "127.0.0.1:9002", Duration(250*time.Millisecond)
+	if *f.ExternalProcessor != want {
+		t.Errorf("%+v", *f.ExternalProcessor)
+	}
+}
+
+// A wrong file is refused with its name, the line, and what was meant.
+func TestWrongFilesAreRefused(t *testing.T) {
+	const good = "# agent\n[external_processor]\nlisten = \"127.0.0.1:9002\"\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"unknown key":       {good + "lisen = 1\n", "f.toml:4: unknown key \"external_processor.lisen\""},
+		"unknown section":   {good + "[external_processors]\nlisten = \"x\"\n", "f.toml:4: unknown key \"external_processors"},
+		"no TOML":           {good + "max_streams = = 3\n", "f.toml:4: "},
+		"wrong type":        {good + "max_streams = \"many\"\n", "f.toml:4: "},
+		"no duration":       {good + "\nfirst_message = \"soon\"\n", "f.toml:5: "},
+		"too long":          {good + "decision_valid = \"2s\"\n", "f.toml:4: external_processor.decision_valid: 2s must be from 1ms to 450ms"},
+		"below the least":   {good + "max_streams = 0\n", "f.toml:4: external_processor.max_streams: 0 must be from 1 to 65536"},
+		"no address":        {"[external_processor]\n", "f.toml:1: external_processor.listen: \"\" is no address"},
+		"address, no port":  {"[external_processor]\nlisten = \"here\"\n", "f.toml:2: external_processor.listen: \"here\" is no address"},
+		"dotted":            {"external_processor.listen = \"here\"\n", "f.toml:1: external_processor.listen"},
+		"the section twice": {good + good, "f.toml:5: "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("f.toml", []byte(c.text))
+			if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%v, want %s", err, c.want)
+			}
+		})
+	}
+	if _, err := Load("no such file"); err == nil {
+		t.Error("a file that is not there is no error")
+	}
+}
+
+// FuzzParse checks that no text makes the parser panic, and that what passes keeps to the checks.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[external_processor]\nlisten = \"127.0.0.1:9002\"\n"))
+	f.Add([]byte("external_processor = {listen = \"a:1\", decision_valid = \"3ms\"}"))
+	f.Add([]byte("[external_processor"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse("f", text)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("an error of several lines: %q", err)
+			}
+			return
+		}
+		if file.ExternalProcessor != nil {
+			if key, err := file.ExternalProcessor.check(); err != nil {
+				t.Errorf("%s passed: %v", key, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/standinproxy/proxy.go
@@ -0,0 +1,270 @@
+// Package standinproxy is a small HTTP/1.1 proxy that asks an external processor where each request goes, as Envoy with
+// its ext_proc filter would. It stands in for a real proxy in tests, and lets operators try the processor
+// (cmd/extprocproxy). It is not meant for service.
+package standinproxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/protobuf/types/known/structpb"
+
+	"appleledge/internal/extproc"
+)
+
+const (
+	maxBody      = 64 << 10
+	attributes   = "envoy.filters.http.ext_proc"
+	codeDetails  = "response.code_details"
+	dialTimeout  = time.Second
+	keptPerHost  = 64
+	tellTimeout  = 2 * time.Second // for the processor to take how a try ended
+	mostPatience = time.Minute
+)
+
+// Proxy forwards what it is sent to the endpoints that the processor chooses.
+type Proxy struct {
+	Processor extprocv3.ExternalProcessorClient
+	// Tries is how often a request is tried at most; each try is a stream of its own. The processor is asked for each,
+	// and has the last word: a proxy that stops on its own before it has answered can only say that the request failed.
+	Tries     int
+	Transport http.RoundTripper // to the endpoints
+}
+
+// New returns a proxy that asks the processor.
+func New(processor extprocv3.ExternalProcessorClient) *Proxy {
+	return &Proxy{Processor: processor, Tries: 10, Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: keptPerHost,
+		IdleConnTimeout:     5 * time.Second, // well below the time after which servers close
+		DisableCompression:  true,
+	}}
+}
+
+// result is how one try ended.
+type result struct {
+	final  bool // the client gets it; else another try may be made
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ServeHTTP gives a request its answer.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, "the body is too long or not whole", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience(r.Header))
+	defer cancel()
+	for try := 1; try <= p.Tries; try++ {
+		res, err := p.try(ctx, r, body, try)
+		if err != nil { // the processor is out of reach: nothing more may be sent on one's own
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		if res.final {
+			for _, name := range []string{"Content-Type", "Retry-After"} {
+				if v := res.header.Get(name); v != "" {
+					w.Header().Set(name, v)
+				}
+			}
+			w.Header().Set("Content-Length", strconv.Itoa(len(res.body)))
+			w.WriteHeader(res.status)
+			w.Write(res.body) // an error means that the client has gone
+			return
+		}
+	}
+	http.Error(w, "tried too often", http.StatusBadGateway)
+}
+
+// patience reads how long the client waits.
+func patience(h http.Header) time.Duration {
+	text, unit := h.Get("X-Timeout"), time.Millisecond
+	if n, err := strconv.ParseFloat(strings.TrimSuffix(text, "m"), 64); err == nil && n > 0 {
+		return min(time.Duration(n*float64(unit)), mostPatience)
+	}
+	return mostPatience // the processor judges what is malformed
+}
+
+// try makes one try on a stream of its own.
+func (p *Proxy) try(ctx context.Context, r *http.Request, body []byte, try int) (result, error) {
+	streamCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := p.Processor.Process(streamCtx)
+	if err != nil {
+		return result{}, fmt.Errorf("asking the processor: %w", err)
+	}
+	resp, err := exchange(stream, &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestHeaders{
+		RequestHeaders: requestHeaders(r, len(body), try)}})
+	if err != nil {
+		return result{}, fmt.Errorf("asking the processor: %w", err)
+	}
+	if now := resp.GetImmediateResponse(); now != nil {
+		return immediate(now), nil
+	}
+	choice, err := readChoice(resp)
+	if err != nil {
+		return result{}, err
+	}
+	res, told := p.forward(ctx, r, body, choice)
+	if err := tell(stream, told); err != nil && !res.final { // without its word there is no further try
+		return result{}, fmt.Errorf("telling the processor: %w", err)
+	}
+	return res, nil
+}
+
+// exchange sends a message and waits for the answer that it is owed.
+func exchange(stream extprocv3.ExternalProcessor_ProcessClient, req *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
+	if err := stream.Send(req); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return stream.Recv() // after io.EOF of the send it has the reason
+}
+
+// tell says how the try ended and ends the stream in order.
+func tell(stream extprocv3.ExternalProcessor_ProcessClient, req *extprocv3.ProcessingRequest) error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := exchange(stream, req)
+		if err == nil {
+			err = stream.CloseSend()
+		}
+		done <- err
+	}()
+	limit := time.NewTimer(tellTimeout)
+	defer limit.Stop()
+	select {
+	case err := <-done:
+		if err != nil {
+			return err
+		}
+	case <-limit.C:
+		return errors.New("the processor takes nothing")
+	}
+	if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("the processor did not end the stream: %w", err)
+	}
+	return nil
+}
+
+// choice is the processor's decision.
+type choice struct {
+	endpoint string
+	useBy    time.Time
+	set      map[string]string // headers for the request
+}
+
+func readChoice(resp *extprocv3.ProcessingResponse) (choice, error) {
+	c := choice{set: map[string]string{}}
+	for _, h := range resp.GetRequestHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
+		c.set[h.GetHeader().GetKey()] = string(h.GetHeader().GetRawValue())
+	}
+	c.endpoint = c.set[extproc.DestinationHeader]
+	valid, err := strconv.Atoi(strings.TrimSuffix(c.set[extproc.ValidHeader], "m"))
+	if c.endpoint == "" || err != nil {
+		return c, fmt.Errorf("the processor's answer names no endpoint: %.200v", resp)
+	}
+	c.useBy = time.Now().Add(time.Duration(valid) * time.Millisecond)
+	return c, nil
+}
+
+// forward makes the attempt and says how it ended, to the client and to the processor.
+func (p *Proxy) forward(ctx context.Context, r *http.Request, body []byte, c choice) (result, *extprocv3.ProcessingRequest) {
+	if time.Now().After(c.useBy) {
+		return result{}, localReply("no_healthy_upstream")
+	}
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.endpoint+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return result{}, localReply("no_healthy_upstream")
+	}
+	out.Host, out.Header = r.Host, r.Header.Clone()
+	out.GetBody = nil // the transport must not send it again by itself
+	if len(body) == 0 && r.Method != http.MethodGet {
+		out.Close = true // on a new connection there is nothing that it would send again for
+	}
+	for name, value := range c.set {
+		out.Header.Set(name, value)
+	}
+	resp, err := p.Transport.RoundTrip(out)
+	if err != nil {
+		return result{}, localReply(details(err))
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil || len(text) > maxBody {
+		return result{}, localReply("upstream_reset_after_response_started{connection_termination}")
+	}
+	header := []*corev3.HeaderValue{{Key: ":status", RawValue: []byte(strconv.Itoa(resp.StatusCode))},
+		{Key: extproc.ServedHeader, RawValue: []byte(c.endpoint)}}
+	for _, name := range []string{"X-Server-Load", "X-Not-Processed"} {
+		for _, v := range resp.Header.Values(name) {
+			header = append(header, &corev3.HeaderValue{Key: strings.ToLower(name), RawValue: []byte(v)})
+		}
+	}
+	return result{final: resp.StatusCode == http.StatusOK, status: resp.StatusCode, header: resp.Header, body: text},
+		responseHeaders(header, nil)
+}
+
+// details names the reason of a failed attempt as Envoy does.
+func details(err error) string {
+	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
+		if op.Timeout() {
+			return "upstream_reset_before_response_started{connection_timeout}"
+		}
+		return "upstream_reset_before_response_started{remote_connection_failure}"
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "upstream_response_timeout"
+	}
+	return "upstream_reset_before_response_started{connection_termination}"
+}
+
+// localReply tells of a response that the proxy made itself.
+func localReply(details string) *extprocv3.ProcessingRequest {
+	return responseHeaders([]*corev3.HeaderValue{{Key: ":status", RawValue: []byte("503")}},
+		map[string]*structpb.Struct{attributes: {Fields: map[string]*structpb.Value{
+			codeDetails: structpb.NewStringValue(details)}}})
+}
+
+func responseHeaders(header []*corev3.HeaderValue, attrs map[string]*structpb.Struct) *extprocv3.ProcessingRequest {
+	return &extprocv3.ProcessingRequest{Attributes: attrs, Request: &extprocv3.ProcessingRequest_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HttpHeaders{Headers: &corev3.HeaderMap{Headers: header}}}}
+}
+
+func requestHeaders(r *http.Request, body, try int) *extprocv3.HttpHeaders {
+	header := []*corev3.HeaderValue{
+		{Key: ":method", RawValue: []byte(r.Method)}, {Key: ":path", RawValue: []byte(r.URL.RequestURI())},
+		{Key: ":authority", RawValue: []byte(r.Host)},
+		{Key: "content-length", RawValue: []byte(strconv.Itoa(body))},
+		{Key: "x-envoy-attempt-count", RawValue: []byte(strconv.Itoa(try))},
+	}
+	for name, values := range r.Header {
+		if name == "Content-Length" || name == "X-Envoy-Attempt-Count" {
+			continue
+		}
+		for _, v := range values {
+			header = append(header, &corev3.HeaderValue{Key: strings.ToLower(name), RawValue: []byte(v)})
+		}
+	}
+	return &extprocv3.HttpHeaders{Headers: &corev3.HeaderMap{Headers: header}, EndOfStream: body == 0}
+}
+
+func immediate(now *extprocv3.ImmediateResponse) result {
+	res := result{final: true, status: int(now.GetStatus().GetCode()), header: http.Header{}, body: now.GetBody()}
+	for _, h := range now.GetHeaders().GetSetHeaders() {
+		res.header.Set(h.GetHeader().GetKey(), string(h.GetHeader().GetRawValue()))
+	}
+	return res
+}
