Generations: a configuration in force, switched at once, watched, rolled back by itself

Lists bring the kind of machine along.

A model test (rapid) holds pools, drains, routes, limits and rollbacks against plain ones.

--- a/internal/engine/chooser.go
+++ b/internal/engine/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"appleledge/internal/generation"
 	"appleledge/internal/recent"
 	"appleledge/internal/storm"
 	"appleledge/logic"
@@ -68,7 +69,7 @@
 	}
 	old.release()
 	old.Caller, old.chooser, old.Try, old.Among = c.Caller, c.chooser, c.Try, c.Among
-	e.decide(logic.Retry{Request: c.ID, Among: c.Among})
+	e.decide(logic.Retry{Request: c.ID, Among: old.among()})
 	return true
 }
 
@@ -128,7 +129,7 @@
 	}
 	e.withdraw(a)
 	if c := a.Call; !c.closed.Load() {
-		e.decide(logic.Retry{Request: c.ID, Among: c.Among})
+		e.decide(logic.Retry{Request: c.ID, Among: c.among()})
 	}
 }
 
@@ -152,6 +153,7 @@
 		c.closed.Store(true)
 		e.cameToNothing(c)
 		e.passed(c, storm.Left)
+		e.unbind(c, generation.Left)
 		e.decide(logic.ClientGone{Request: c.ID})
 		e.forget(c)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/generation"
 	"appleledge/internal/join"
 	"appleledge/internal/recent"
 	"appleledge/internal/storm"
@@ -33,6 +34,10 @@
 	Caller        Caller
 	Like          *join.Digest // what it asks, where it may be answered together with others; else nil
 
+	// Read where a configuration is in force:
+	Path   string
+	Header map[string][]string // canonical names; only read
+
 	// Of calls whose caller is a Chooser:
 	Among []string // ids of the servers to choose among, sorted; nil: any
 	Try   int      // which of the caller's own tries this is, from 1; 0 where it does not say
@@ -50,6 +55,7 @@
 	pass       *storm.Pass   // of one that a door let in
 	began      time.Duration // when the engine was told of it
 	flies      bool          // it is a flight of joined calls, and nobody's own
+	bound      generation.Bound
 }
 
 // Closed reports whether the call needs no answer any more. It may be asked from any goroutine.
@@ -129,6 +135,7 @@
 type Member struct {
 	logic.Server
 	Addr string // host and port
+	Kind string // of machine, as the list names it; may be empty
 }
 
 // Life is one life of a server under one address, as the fleet keeps it; only carriers look into it.
@@ -169,6 +176,11 @@
 	}
 	// ListUnavailable says that a subscription ended or could not be had.
 	ListUnavailable struct{}
+	// commanded asks or changes the configuration in force.
+	commanded struct {
+		do   func(time.Duration, *generation.Manager)
+		done chan<- struct{}
+	}
 )
 
 func (arrived) event()         {}
@@ -176,6 +188,7 @@
 func (gaveUp) event()          {}
 func (clientLeft) event()      {}
 func (counted) event()         {}
+func (commanded) event()       {}
 func (Outcome) event()         {}
 func (Listed) event()          {}
 func (ListUnavailable) event() {}
@@ -202,6 +215,7 @@
 	joins    *joins                    // nil where nothing is joined
 	door     Door                      // nil where all are let in
 	tally    *tally                    // nil where nothing is counted
+	governed *governed                 // nil where no configuration is in force
 }
 
 const eventQueue = 1024
@@ -236,6 +250,7 @@
 	Joins          join.Counts
 	Door           storm.Counts
 	Tally          Tally
+	Generation     generation.Status
 }
 
 // Load returns what the engine holds; it is empty once the engine has ended.
@@ -264,6 +279,9 @@
 	if e.joins != nil {
 		l.Joins = e.joins.table.Counts()
 	}
+	if e.governed != nil {
+		l.Generation = e.governed.manager.Status(e.clock.Now())
+	}
 	return l
 }
 
@@ -300,6 +318,11 @@
 			at, ok = due, true
 		}
 	}
+	if e.governed != nil {
+		if due, is := e.governed.manager.Due(); is && (!ok || due < at) {
+			at, ok = due, true
+		}
+	}
 	return at, ok
 }
 
@@ -363,6 +386,8 @@
 		e.list(ev)
 	case ListUnavailable:
 		e.decide(logic.ListUnavailable{})
+	case commanded:
+		e.command(ev)
 	}
 }
 
@@ -382,6 +407,9 @@
 	if c.chooser != nil && !e.takesNew(c) {
 		return
 	}
+	if e.governed != nil && !e.bind(c) {
+		return
+	}
 	if e.joins != nil && c.Like != nil && e.join(c) {
 		return
 	}
@@ -399,6 +427,7 @@
 		return
 	}
 	e.passed(c, storm.Left)
+	e.unbind(c, generation.Left)
 	e.decide(logic.ClientGone{Request: c.ID})
 	e.forget(c)
 }
@@ -410,7 +439,7 @@
 		return
 	}
 	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
-		Among: c.Among, OnDemand: c.chooser != nil})
+		Among: c.among(), OnDemand: c.chooser != nil})
 }
 
 // reject answers a call that the module never sees.
@@ -449,6 +478,14 @@
 }
 
 func (e *Engine) list(l Listed) {
+	if e.governed != nil {
+		l = e.governed.listed(l)
+	}
+	e.update(l)
+}
+
+// update brings the list of servers to the fleet and to the module.
+func (e *Engine) update(l Listed) {
 	ready := e.fleet.Update(l.Full, l.Members)
 	servers := make([]logic.Server, len(l.Members))
 	for i, m := range l.Members {
@@ -529,6 +566,7 @@
 	}
 	c.closed.Store(true)
 	e.passed(c, ends[a.Kind])
+	e.unbind(c, boundEnds[a.Kind])
 	if !c.flies {
 		e.tally.answered(e.clock.Now(), c, a.Kind)
 	}
@@ -540,6 +578,7 @@
 // forget drops a call that is over. While attempts are in flight it is kept: their outcomes still teach.
 func (e *Engine) forget(c *Call) {
 	if c.closed.Load() && c.out == 0 && e.calls[c.ID] == c {
+		e.unbind(c, generation.Left) // one that was closed from outside has told nobody
 		delete(e.calls, c.ID)
 		c.release()
 	}
@@ -553,6 +592,10 @@
 	if e.joins != nil {
 		e.settle()
 	}
+	if e.governed != nil {
+		e.governed.manager.Tick(e.clock.Now())
+		e.tellMoved()
+	}
 }
 
 // timer is a timer of the module.
--- /dev/null
+++ b/internal/engine/governed.go
@@ -0,0 +1,159 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"appleledge/internal/fleetconfig"
+	"appleledge/internal/generation"
+	"appleledge/logic"
+)
+
+// governed is what the engine keeps for a configuration in force: its manager, and the list as it was told, since drains of
+// the configuration lie over it and are taken off again.
+type governed struct {
+	manager *generation.Manager
+	zones   []string
+	clock   Clock
+	told    map[string]Member
+	drop    float64 // as the list said last
+}
+
+// Govern puts a configuration in force. zones are the names of the zones, in the order of the module's numbers. It is called
+// before Run.
+func (e *Engine) Govern(m *generation.Manager, zones []string) {
+	e.governed = &governed{manager: m, zones: zones, clock: e.clock, told: map[string]Member{}}
+}
+
+// ErrEnded says that the engine has ended.
+var ErrEnded = errors.New("the agent is ending")
+
+// Command runs do on the engine's goroutine, with the manager of the configuration in force. It waits until that is done.
+func (e *Engine) Command(ctx context.Context, do func(now time.Duration, m *generation.Manager)) error {
+	done := make(chan struct{})
+	select {
+	case e.events <- commanded{do, done}:
+	case <-e.done:
+		return ErrEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select { // it is in the queue: a caller that stopped waiting could not tell whether it was done
+	case <-done:
+		return nil
+	case <-e.done:
+		return ErrEnded
+	}
+}
+
+func (e *Engine) command(ev commanded) {
+	ev.do(e.clock.Now(), e.governed.manager)
+	e.tellMoved()
+	close(ev.done)
+}
+
+// bind ties a new call to the configuration in force, or answers it where a limit turns it away. Nothing of the call was
+// sent, and a chooser's call comes here only as a new request, so that trying again is harmless.
+func (e *Engine) bind(c *Call) bool {
+	a := generation.Ask{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Path: c.Path, Header: c.Header, Key: c.Key,
+		RepeatKey: c.RepeatKey, Deadline: c.Deadline}
+	told, ok := e.governed.manager.Bind(e.clock.Now(), &a, &c.bound)
+	if !ok {
+		e.cameToNothing(c)
+		e.reject(c, Answer{Kind: Refused, RetryAfter: told.After, Limit: told.Most})
+		return false
+	}
+	c.Deadline = c.bound.Deadline
+	return true
+}
+
+// unbind ends a call's tie, if it has one.
+func (e *Engine) unbind(c *Call, end generation.End) {
+	if e.governed != nil {
+		e.governed.manager.Done(e.clock.Now(), &c.bound, end)
+	}
+}
+
+// boundEnds are the manager's, by the kinds of answers.
+var boundEnds = [...]generation.End{Served: generation.Served, Refused: generation.Refused, Failed: generation.Failed, Conflict: generation.Left}
+
+// among are the servers that a call may go to: those of its pool and of its caller's choice, where there are such. The pool
+// is that of the configuration that the call is bound to, for all of its attempts.
+func (c *Call) among() []string {
+	pool := c.bound.Servers()
+	switch {
+	case pool == nil:
+		return c.Among
+	case c.Among == nil:
+		return pool
+	}
+	both := []string{}
+	for _, id := range c.Among {
+		if _, in := slices.BinarySearch(pool, id); in {
+			both = append(both, id)
+		}
+	}
+	return both
+}
+
+// listed takes a list over and returns it with the configuration's drains.
+func (g *governed) listed(l Listed) Listed {
+	changed := generation.Servers{}
+	if l.Full {
+		for id := range g.told {
+			changed[id] = nil
+		}
+		clear(g.told)
+	}
+	for _, m := range l.Members {
+		if m.State == logic.Gone {
+			delete(g.told, m.ID)
+			changed[m.ID] = nil
+			continue
+		}
+		g.told[m.ID] = m
+		changed[m.ID] = g.server(m)
+	}
+	g.manager.Listed(changed)
+	g.drop = l.Drop
+	out := Listed{Full: l.Full, Drop: l.Drop, Members: make([]Member, 0, len(l.Members))}
+	for _, m := range l.Members {
+		out.Members = append(out.Members, g.drained(m))
+	}
+	return out
+}
+
+func (g *governed) server(m Member) *fleetconfig.Server {
+	s := &fleetconfig.Server{ID: m.ID, Addr: m.Addr, Kind: m.Kind, Pod: m.Cell, Weight: m.Weight, Draining: m.State == logic.Draining}
+	if m.Zone >= 0 && m.Zone < len(g.zones) {
+		s.Zone = g.zones[m.Zone]
+	}
+	if m.Started != 0 {
+		s.StartedMS = g.clock.At(m.Started).UnixMilli()
+	}
+	return s
+}
+
+func (g *governed) drained(m Member) Member {
+	if m.State == logic.Ready && g.manager.Drained(m.ID) {
+		m.State = logic.Draining
+	}
+	return m
+}
+
+// tellMoved tells the fleet and the module of servers whose drain by the configuration has begun or ended.
+func (e *Engine) tellMoved() {
+	ids := e.governed.manager.Moved()
+	if len(ids) == 0 {
+		return
+	}
+	l := Listed{Drop: e.governed.drop}
+	for _, id := range ids {
+		if m, there := e.governed.told[id]; there {
+			l.Members = append(l.Members, e.governed.drained(m))
+		}
+	}
+	e.update(l)
+}
--- a/internal/extproc/message.go
+++ b/internal/extproc/message.go
@@ -103,8 +103,8 @@
 // All others are passed over: most of a head concerns others.
 var readNames = func() map[string]string {
 	names := map[string]string{}
-	for _, name := range append([]string{"Content-Length", "Transfer-Encoding", envoyTimeout, envoyAttempt, loadHeader,
-		notProcessedHeader, ServedHeader}, intake.Read...) {
+	for _, name := range slices.Concat([]string{"Content-Length", "Transfer-Encoding", envoyTimeout, envoyAttempt, loadHeader,
+		notProcessedHeader, ServedHeader}, intake.Read, intake.Routable) {
 		names[strings.ToLower(name)] = http.CanonicalHeaderKey(name)
 	}
 	return names
--- /dev/null
+++ b/internal/generation/manager.go
@@ -0,0 +1,472 @@
+// Package generation holds the configuration in force and its changes as transactions: checked, staged, switched at once,
+// watched, and kept or rolled back. A request is bound to the generation that is in force when it arrives and ends under
+// it. All of it is a deterministic state machine: it does no I/O and reads no clock, times go in.
+package generation
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"appleledge/internal/fleetconfig"
+)
+
+// Bounds of what a Manager remembers.
+const (
+	mostHistory = 200
+	mostBarred  = 100
+)
+
+// Options are what a Manager is told at start.
+type Options struct {
+	Names    Names
+	MaxAfter time.Duration               // the longest come-back time that clients heed
+	UnixMS   func(time.Duration) int64   // the wall time of a time on the engine's clock, for the history
+	Observe  func(what string, r Record) // is told of each record as it comes; may be nil, must not block
+}
+
+// Manager owns the generations. It is not safe for concurrent use: the engine's goroutine has it.
+type Manager struct {
+	options Options
+	servers Servers
+	force   *tenure   // in force
+	before  *Compiled // the one before, while a rollback may want it
+	staged  *Compiled
+	staging string // by whom
+	watch   *watch // nil while none is under way
+	step    int    // of the rollout, that is done
+	stepAt  time.Duration
+	traffic *traffic
+	barred  map[string]string
+	barList []string // in order of age
+	history []Record
+	drained map[string]bool // ids that get nothing new
+	moved   []string        // ids whose drain has begun or ended
+	old     []*tenure       // with requests still bound to them
+	refused uint64
+	changes uint64 // of what State says
+}
+
+// Ends of requests.
+type End int
+
+// How a request ended.
+const (
+	Served End = iota
+	Refused
+	Failed
+	Left // its client; that says nothing of the service
+)
+
+// New returns a Manager with the empty configuration in force, as generation 0.
+func New(o Options) *Manager {
+	empty, err := Compile(&fleetconfig.Config{}, o.Names, nil)
+	if err != nil {
+		panic("generation: " + err.Error()) // the empty configuration names nothing that could be wrong
+	}
+	return &Manager{options: o, servers: Servers{}, force: &tenure{Compiled: empty}, barred: map[string]string{}, drained: map[string]bool{},
+		traffic: newTraffic(len(o.Names.Classes), len(o.Names.Tenants))}
+}
+
+// Listed takes servers that have come, changed or gone; those that are nil have gone.
+func (m *Manager) Listed(changed Servers) {
+	ids := make([]string, 0, len(changed))
+	for id, s := range changed {
+		ids = append(ids, id)
+		if s == nil {
+			delete(m.servers, id)
+		} else {
+			m.servers[id] = s
+		}
+	}
+	for _, c := range m.all() {
+		c.update(m.servers, ids)
+	}
+	m.redrain()
+}
+
+// all are the generations that are at work.
+func (m *Manager) all() []*Compiled {
+	out := []*Compiled{m.force.Compiled}
+	add := func(c *Compiled) {
+		if c != nil && !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	add(m.before)
+	add(m.staged)
+	for _, t := range m.old {
+		add(t.Compiled)
+	}
+	return out
+}
+
+// Servers are those of the list, for Compile and plans. The caller gets a copy whose entries are only read.
+func (m *Manager) Servers() Servers { return maps.Clone(m.servers) }
+
+// Config is the configuration in force, with its number and hash. It is only read.
+func (m *Manager) Config() (c *fleetconfig.Config, number uint64, hash string) {
+	return m.force.Config, m.force.number, m.force.Hash
+}
+
+// Bind ties a request to the generation in force, or refuses it for a limit, before anything of it was sent. What is bound
+// is to be ended by Done, once.
+func (m *Manager) Bind(now time.Duration, a *Ask, b *Bound) (Refusal, bool) {
+	pair := m.traffic.pair(a.Class, a.Tenant)
+	touched := m.watch != nil && m.before != nil && m.force.sign(a) != m.before.sign(a)
+	m.traffic.arrived(now, pair)
+	told, ok := m.force.bind(now, a, b)
+	if !ok {
+		m.refused++
+		m.traffic.ended(now, pair, true, true)
+		if m.watch != nil {
+			m.watch.ended(pair, a.Class, touched, true)
+		}
+		told.After = m.comeBack(a.ID, told.After)
+		return told, false
+	}
+	b.pair, b.touched = pair, touched
+	return told, true
+}
+
+// comeBack spreads the times at which clients return: up to half as long again, by the request's id, within what they heed.
+func (m *Manager) comeBack(id string, after time.Duration) time.Duration {
+	part := float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+	spread := time.Duration(float64(after)*(1+part/2)) + time.Millisecond - 1 // up to the next millisecond
+	return min(spread.Truncate(time.Millisecond), m.options.MaxAfter)
+}
+
+// Done ends what Bind has tied.
+func (m *Manager) Done(now time.Duration, b *Bound, end End) {
+	c := b.of
+	if c == nil {
+		return
+	}
+	for _, l := range b.limits {
+		if l != nil {
+			l.gauge.inFlight--
+		}
+	}
+	class := m.traffic.class(b.pair)
+	bad := end != Served || now-b.began > m.options.Names.Classes[class].Aim
+	m.traffic.ended(now, b.pair, end != Left, bad)
+	if m.watch != nil && c == m.force && end != Left { // what was bound before the switch says nothing of either
+		m.watch.ended(b.pair, class, b.touched, bad)
+	}
+	b.of = nil
+	if c.open--; c.open == 0 && c != m.force {
+		m.old = slices.DeleteFunc(m.old, func(x *tenure) bool { return x == c })
+	}
+}
+
+// Drained reports whether a server gets nothing new, by the drains in force.
+func (m *Manager) Drained(id string) bool { return m.drained[id] }
+
+// Moved returns the ids of the servers whose drain has begun or ended since the last call.
+func (m *Manager) Moved() []string {
+	moved := m.moved
+	m.moved = nil
+	return moved
+}
+
+// redrain says anew who is drained: those of the generation in force, and of what is new among them as much as the rollout's
+// step allows.
+func (m *Manager) redrain() {
+	want := m.force.out
+	if part := m.part(); part < 1 {
+		var fresh []*fleetconfig.Server
+		want = map[string]bool{}
+		for id := range m.force.out {
+			if m.before.out[id] {
+				want[id] = true
+			} else if s := m.servers[id]; s != nil {
+				fresh = append(fresh, s)
+			}
+		}
+		for _, s := range fleetconfig.Part(fresh, "rollout", part) {
+			want[s.ID] = true
+		}
+	}
+	for id := range m.drained {
+		if !want[id] {
+			delete(m.drained, id)
+			m.moved = append(m.moved, id)
+		}
+	}
+	for id := range want {
+		if !m.drained[id] {
+			m.drained[id] = true
+			m.moved = append(m.moved, id)
+		}
+	}
+	slices.Sort(m.moved)
+	m.moved = slices.Compact(m.moved)
+}
+
+// part is how much of the change's drains is out by now.
+func (m *Manager) part() float64 {
+	r := m.force.Config.Rollout
+	if r == nil || m.before == nil || m.watch == nil {
+		return 1
+	}
+	return min(1, float64(m.step+1)*r.Step)
+}
+
+// Reasons why a change is not taken.
+var (
+	ErrMoved    = errors.New("another generation is in force than the one that the plan rests on")
+	ErrStaged   = errors.New("another change is being applied")
+	ErrWatched  = errors.New("the change before is still being watched")
+	ErrBarred   = errors.New("this configuration has done harm before")
+	ErrNoReturn = errors.New("there is no generation to go back to")
+	ErrNoChange = errors.New("the configuration is in force already")
+)
+
+// Stage takes a compiled configuration that is to come in force next. base is the hash of the one that it replaces; force
+// takes one that has done harm before, and ends a watch that is under way as if it had found nothing.
+func (m *Manager) Stage(c *Compiled, by, base string, force bool) error {
+	why, barred := m.barred[c.Hash]
+	switch {
+	case base != m.force.Hash:
+		return fmt.Errorf("%w: %.12s, not %.12s", ErrMoved, m.force.Hash, base)
+	case m.staged != nil:
+		return fmt.Errorf("%w, by %s", ErrStaged, m.staging)
+	case c.Hash == m.force.Hash:
+		return ErrNoChange
+	case m.watch != nil && !force:
+		return fmt.Errorf("%w; roll it back, or wait until the watch ends", ErrWatched)
+	case barred && !force:
+		return fmt.Errorf("%w: %s; it has to be forced", ErrBarred, why)
+	}
+	m.staged, m.staging = c, by
+	m.changes++
+	return nil
+}
+
+// Unstage drops what is staged.
+func (m *Manager) Unstage() {
+	if m.staged != nil {
+		m.staged = nil
+		m.changes++
+	}
+}
+
+// Switch brings what is staged in force, at once: what arrives from now on is bound to it. The servers that it was compiled
+// for are brought up to date first. It returns the new generation's number.
+func (m *Manager) Switch(now time.Duration, why string) (uint64, error) {
+	c := m.staged
+	if c == nil {
+		return 0, errors.New("nothing is staged")
+	}
+	m.staged = nil
+	c.update(m.servers, union(c.told, m.servers))
+	limited := m.limitedBy(now, c)
+	m.replace(c)
+	delete(m.barred, c.Hash)
+	m.record(now, Record{Number: m.force.number, Hash: c.Hash, What: Applied, By: m.staging, Why: why})
+	m.step = 0
+	m.startWatch(now, m.traffic.sums(now), limited)
+	m.redrain()
+	return m.force.number, nil
+}
+
+// union lists ids whose entries differ between two sets of servers.
+func union(a, b Servers) (ids []string) {
+	for id, s := range a {
+		if b[id] != s {
+			ids = append(ids, id)
+		}
+	}
+	for id := range b {
+		if a[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// replace makes a generation the one in force.
+func (m *Manager) replace(c *Compiled) {
+	old := m.force
+	c.inherit(old.Compiled)
+	if old.open > 0 {
+		m.old = append(m.old, old)
+	}
+	m.before, m.force = old.Compiled, &tenure{Compiled: c, number: old.number + 1}
+}
+
+func (m *Manager) startWatch(now time.Duration, before []Share, limited []float64) {
+	set := m.force.Config.Watching()
+	lasts := time.Duration(set.For)
+	if r := m.force.Config.Rollout; r != nil {
+		steps := math.Ceil(1/r.Step) - 1
+		lasts += time.Duration(steps) * time.Duration(r.Wait)
+		m.stepAt = now + time.Duration(r.Wait)
+	}
+	m.watch = newWatch(now, lasts, set.FalseAlarms, before, limited, len(m.options.Names.Classes))
+}
+
+// Due is when Tick is to be called next, if at all.
+func (m *Manager) Due() (time.Duration, bool) {
+	if m.watch == nil {
+		return 0, false
+	}
+	return m.watch.next, true
+}
+
+// Tick looks at the change under watch: it goes a step on, is kept, or is rolled back.
+func (m *Manager) Tick(now time.Duration) {
+	for m.watch != nil && m.watch.next <= now {
+		if h := m.watch.look(m.traffic); h != nil {
+			m.harmed(now, h)
+			return
+		}
+	}
+	if m.watch == nil {
+		return
+	}
+	if m.part() < 1 {
+		if now >= m.stepAt && m.watch.calm() {
+			m.step++
+			m.stepAt = now + time.Duration(m.force.Config.Rollout.Wait)
+			m.changes++
+			m.redrain()
+		}
+		m.watch.until = max(m.watch.until, now+time.Duration(m.force.Config.Watching().For)) // the last step is watched as long
+		return
+	}
+	if now >= m.watch.until && m.watch.calm() {
+		m.watch, m.step = nil, 0
+		m.record(now, Record{Number: m.force.number, Hash: m.force.Hash, What: Kept})
+		m.redrain()
+	}
+}
+
+// harmed rolls back by itself.
+func (m *Manager) harmed(now time.Duration, h *Harm) {
+	tenant := ""
+	if h.Pair != anyone && len(m.options.Names.Tenants) > 0 {
+		tenant = m.options.Names.Tenants[h.Pair%m.traffic.tenants]
+	}
+	why := h.text(m.options.Names.Classes[h.Class].Name, tenant)
+	m.bar(m.force.Hash, why)
+	m.back(now, Record{What: Harmed, Why: why})
+}
+
+func (m *Manager) bar(hash, why string) {
+	if _, there := m.barred[hash]; !there {
+		m.barList = append(m.barList, hash)
+	}
+	m.barred[hash] = why
+	for len(m.barList) > mostBarred {
+		delete(m.barred, m.barList[0])
+		m.barList = m.barList[1:]
+	}
+}
+
+// Rollback goes back to the generation before, as a new one, which is not watched.
+func (m *Manager) Rollback(now time.Duration, by, why string) error {
+	if m.before == nil {
+		return ErrNoReturn
+	}
+	m.back(now, Record{What: RolledBack, By: by, Why: why})
+	return nil
+}
+
+// back brings the generation before in force again. What it went back from can't be returned to by another rollback: the way
+// forward is a plan.
+func (m *Manager) back(now time.Duration, r Record) {
+	r.Hash, r.Number = m.force.Hash, m.force.number
+	m.replace(m.before)
+	m.before, m.watch, m.step, m.staged = nil, nil, 0, nil
+	m.record(now, r)
+	m.redrain()
+}
+
+func (m *Manager) record(now time.Duration, r Record) {
+	if m.options.UnixMS != nil {
+		r.UnixMS = m.options.UnixMS(now)
+	}
+	m.history = append(m.history, r)
+	if len(m.history) > mostHistory {
+		m.history = slices.Delete(m.history, 0, len(m.history)-mostHistory)
+	}
+	m.changes++
+	if m.options.Observe != nil {
+		m.options.Observe(r.What, r)
+	}
+}
+
+// Changes counts the changes of what State says: where it has moved, the state is to be kept anew.
+func (m *Manager) Changes() uint64 { return m.changes }
+
+// limitedBy is, by pair, the share of the last minute's requests that limits which are new or changed would have refused.
+func (m *Manager) limitedBy(now time.Duration, c *Compiled) []float64 {
+	out := make([]float64, len(m.traffic.pairs))
+	for w, l := range c.limits {
+		if old := m.force.limits[w]; old != nil && old.sign == l.sign {
+			continue
+		}
+		arrived, peaks := m.traffic.bySecond(now, w)
+		refused, came := turnedAway(&l.Limit, arrived, peaks)
+		if came == 0 {
+			continue
+		}
+		for pair := range out {
+			class := m.traffic.class(pair)
+			if (w.class == anyone || w.class == class) && (w.tenant == anyone || m.traffic.pair(class, w.tenant) == pair) {
+				out[pair] = max(out[pair], refused/came)
+			}
+		}
+	}
+	return out
+}
+
+// TurnedAway is about how many of the last minute's requests a limit would have refused, of how many.
+func (m *Manager) TurnedAway(now time.Duration, l fleetconfig.Limit) (refused, came float64) {
+	arrived, peaks := m.traffic.bySecond(now, m.options.Names.who(l.Class, l.Tenant))
+	return turnedAway(&l, arrived, peaks)
+}
+
+// Status is how a Manager stands.
+type Status struct {
+	Number   uint64         `json:"number"`
+	Hash     string         `json:"hash"`
+	Before   string         `json:"before,omitempty"` // hash of the one that a rollback goes back to
+	Staged   string         `json:"staged,omitempty"`
+	Watched  bool           `json:"watched"`
+	WatchFor float64        `json:"watch_for_s,omitempty"` // seconds left, at the least
+	Out      float64        `json:"rollout,omitempty"`     // the share of new drains that is out
+	Drained  int            `json:"drained"`               // servers
+	Refused  uint64         `json:"refused"`               // by limits, since the start
+	Open     map[uint64]int `json:"open"`                  // requests, by generation
+	Barred   int            `json:"barred"`
+	Servers  int            `json:"servers"`
+	History  []Record       `json:"-"`
+}
+
+// Status says how the Manager stands.
+func (m *Manager) Status(now time.Duration) Status {
+	s := Status{Number: m.force.number, Hash: m.force.Hash, Drained: len(m.drained), Refused: m.refused, Barred: len(m.barred),
+		Open: map[uint64]int{}, Servers: len(m.servers), History: slices.Clone(m.history)}
+	if m.before != nil {
+		s.Before = m.before.Hash
+	}
+	if m.staged != nil {
+		s.Staged = m.staged.Hash
+	}
+	if m.watch != nil {
+		s.Watched, s.WatchFor, s.Out = true, max(0, (m.watch.until-now).Seconds()), m.part()
+	}
+	for _, t := range append([]*tenure{m.force}, m.old...) {
+		if t.open > 0 {
+			s.Open[t.number] = t.open
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/generation/manager_test.go
@@ -0,0 +1,464 @@
+package generation
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"appleledge/internal/fleetconfig"
+)
+
+var names = Names{
+	Classes: []Class{{"form-check", 600 * time.Millisecond, 2 * time.Second}, {"refund-record", 600 * time.Millisecond, 2 * time.Second}},
+	Tenants: []string{"glasgow", "lerwick", "wick"}, Zones: []string{"a", "b"}, Headers: []string{"X-Attrs"},
+}
+
+func newManager() *Manager { return New(Options{Names: names, MaxAfter: time.Second}) }
+
+// normal is a configuration in its one form.
+func normal(c fleetconfig.Config) *fleetconfig.Config {
+	c.Normalize()
+	return &c
+}
+
+// apply stages and switches.
+func apply(t interface{ Fatal(...any) }, m *Manager, now time.Duration, c *fleetconfig.Config) {
+	ready, err := Compile(c, names, m.Servers())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, base := m.Config()
+	if err := m.Stage(ready, "test", base, true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Switch(now, ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func server(i int) *fleetconfig.Server {
+	return &fleetconfig.Server{ID: fmt.Sprintf("s-%d", i), Addr: fmt.Sprintf("127.0.%d.%d:80", i%3, i+1), Kind: []string{"twin-core", "quad-core"}[i%2],
+		Zone: names.Zones[i/2%2], Pod: i % 4, Weight: 1}
+}
+
+// drawSelector draws what selects some servers.
+func drawSelector(t *rapid.T) (s fleetconfig.Selector) {
+	switch rapid.IntRange(0, 4).Draw(t, "by") {
+	case 0:
+		s.Kinds = []string{rapid.SampledFrom([]string{"twin-core", "quad-core", "odd"}).Draw(t, "kind")}
+	case 1:
+		s.Pods = rapid.SliceOfN(rapid.IntRange(0, 4), 1, 3).Draw(t, "pods")
+	case 2:
+		s.Zones, s.Pods = []string{"b"}, []int{1, 2}
+	case 3:
+		s.IDs = []string{"s-1", "s-3"}
+	}
+	return s
+}
+
+func drawConfig(t *rapid.T) *fleetconfig.Config {
+	c := fleetconfig.Config{}
+	who := func() (class, tenant string) {
+		return rapid.SampledFrom([]string{"", "form-check", "refund-record"}).Draw(t, "class"),
+			rapid.SampledFrom([]string{"", "glasgow", "wick"}).Draw(t, "tenant")
+	}
+	pools := []string{fleetconfig.All}
+	for i := range rapid.IntRange(0, 3).Draw(t, "pools") {
+		pools = append(pools, fmt.Sprint("p", i))
+		c.Pools = append(c.Pools, fleetconfig.Pool{Name: fmt.Sprint("p", i), Selector: drawSelector(t)})
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, "routes") {
+		r := fleetconfig.Route{Name: fmt.Sprint("r", i), Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+			PathPrefix: rapid.SampledFrom([]string{"", "/", "/form", "/form-check/a"}).Draw(t, "prefix")}
+		r.Class, r.Tenant = who()
+		if rapid.Bool().Draw(t, "header") {
+			r.Headers = map[string]string{"X-Attrs": rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "value")}
+		}
+		r.To = []fleetconfig.Target{{Pool: pools[rapid.IntRange(0, len(pools)-1).Draw(t, "to")], Weight: 1}}
+		c.Routes = append(c.Routes, r)
+	}
+	seen := map[[2]string]bool{}
+	for i := range rapid.IntRange(0, 2).Draw(t, "limits") {
+		l := fleetconfig.Limit{Name: fmt.Sprint("l", i)}
+		l.Class, l.Tenant = who()
+		if n := rapid.IntRange(0, 4).Draw(t, "in flight"); !seen[[2]string{l.Class, l.Tenant}] {
+			l.InFlight = &n
+			seen[[2]string{l.Class, l.Tenant}] = true
+			c.Limits = append(c.Limits, l)
+		}
+	}
+	for i := range rapid.IntRange(0, 2).Draw(t, "drains") {
+		d := fleetconfig.Drain{Name: fmt.Sprint("d", i), Selector: drawSelector(t), Share: rapid.SampledFrom([]float64{0.25, 0.5, 1}).Draw(t, "share")}
+		if len(d.Kinds)+len(d.Pods)+len(d.Zones)+len(d.IDs) > 0 {
+			c.Drains = append(c.Drains, d)
+		}
+	}
+	return normal(c)
+}
+
+// selected is what a selector names, said as plainly as can be.
+func selected(s fleetconfig.Selector, x *fleetconfig.Server) bool {
+	in := func(words []string, w string) bool { return len(words) == 0 || slices.Contains(words, w) }
+	return in(s.Kinds, x.Kind) && in(s.Zones, x.Zone) && in(s.IDs, x.ID) && (len(s.Pods) == 0 || slices.Contains(s.Pods, x.Pod))
+}
+
+// plainRoute is the route of a request, found by asking all of them.
+func plainRoute(c *fleetconfig.Config, a Ask) *fleetconfig.Route {
+	var best *fleetconfig.Route
+	count := func(r *fleetconfig.Route) (n int) {
+		if r.Class != "" {
+			n++
+		}
+		if r.Tenant != "" {
+			n++
+		}
+		if r.PathPrefix != "" {
+			n++
+		}
+		return n + len(r.Headers)
+	}
+	before := func(r, o *fleetconfig.Route) bool {
+		switch {
+		case r.Priority != o.Priority:
+			return r.Priority > o.Priority
+		case count(r) != count(o):
+			return count(r) > count(o)
+		case len(r.PathPrefix) != len(o.PathPrefix):
+			return len(r.PathPrefix) > len(o.PathPrefix)
+		}
+		return r.Name < o.Name
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		fits := (r.Class == "" || r.Class == names.Classes[a.Class].Name) && (r.Tenant == "" || r.Tenant == names.Tenants[a.Tenant]) &&
+			strings.HasPrefix(a.Path, r.PathPrefix)
+		for name, value := range r.Headers {
+			fits = fits && len(a.Header[name]) == 1 && a.Header[name][0] == value
+		}
+		if fits && (best == nil || before(r, best)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// world is the model that a Manager is held against: configurations and servers as plain values, requests by hand.
+type world struct {
+	m       *Manager
+	now     time.Duration
+	config  *fleetconfig.Config // in force
+	before  *fleetconfig.Config // to go back to, or nil
+	servers Servers
+	open    []*taken
+	n       int
+}
+
+// taken is a request under way, with what it was told when it came.
+type taken struct {
+	bound  Bound
+	number uint64
+	ids    []string
+	limits []string // that it counts under
+}
+
+func (w *world) limitsOf(a Ask) (out []string) {
+	for _, l := range w.config.Limits {
+		if (l.Class == "" || l.Class == names.Classes[a.Class].Name) && (l.Tenant == "" || l.Tenant == names.Tenants[a.Tenant]) {
+			out = append(out, l.Name)
+		}
+	}
+	return out
+}
+
+// inFlight counts the requests under a limit's name that are open, whatever their generation: as long as the name is in
+// every generation between. The model asks only where that holds.
+func (w *world) inFlight(name string) (n int) {
+	for _, x := range w.open {
+		if slices.Contains(x.limits, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// Whatever comes, in whatever order: pools, drains and routes are what they are when all servers and routes are asked one by
+// one; limits let in what they say; a request keeps what it was bound to; a rollback brings the same hash back; and when all
+// requests have ended nothing is held any more.
+func TestManagerModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{m: newManager(), now: time.Second, config: &fleetconfig.Config{}, servers: Servers{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"servers": w.list, "apply": w.apply, "rollback": w.rollback, "arrive": w.arrive, "end": w.end, "restart": w.restart, "": w.check,
+		})
+		for len(w.open) > 0 {
+			w.end(t)
+		}
+		for _, l := range w.m.force.limits {
+			if l.gauge.inFlight != 0 {
+				t.Fatalf("limit %s has %d in flight, and nothing is", l.Name, l.gauge.inFlight)
+			}
+		}
+		if s := w.m.Status(w.now); len(s.Open) > 0 || len(w.m.old) > 0 {
+			t.Fatalf("held although nothing is open: %+v", s)
+		}
+	})
+}
+
+func (w *world) list(t *rapid.T) {
+	changed := Servers{}
+	for range rapid.IntRange(1, 6).Draw(t, "changes") {
+		s := server(rapid.IntRange(0, 15).Draw(t, "server"))
+		if changed[s.ID] = s; rapid.IntRange(0, 2).Draw(t, "gone") == 0 {
+			changed[s.ID] = nil
+		} else if rapid.IntRange(0, 3).Draw(t, "moves") == 0 {
+			s.Pod, s.Kind = 3, "quad-core"
+		}
+	}
+	for id, s := range changed {
+		if s == nil {
+			delete(w.servers, id)
+		} else {
+			w.servers[id] = s
+		}
+	}
+	w.m.Listed(changed)
+}
+
+func (w *world) apply(t *rapid.T) {
+	c := drawConfig(t)
+	if c.Hash() == w.config.Hash() {
+		return
+	}
+	apply(t, w.m, w.now, c)
+	w.config, w.before = c, w.config
+}
+
+func (w *world) rollback(t *rapid.T) {
+	err := w.m.Rollback(w.now, "test", "")
+	if (err == nil) != (w.before != nil) {
+		t.Fatalf("there is a generation to go back to: %v, and it said %v", w.before != nil, err)
+	}
+	if w.before != nil {
+		w.config, w.before = w.before, nil
+	}
+}
+
+// restart makes a new Manager of the state of the old one, whose requests are lost with it.
+func (w *world) restart(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "restart") > 0 {
+		return
+	}
+	s := w.m.State()
+	w.m, w.open = newManager(), nil
+	if err := w.m.Restore(w.now, s); err != nil {
+		t.Fatal(err)
+	}
+	w.m.Listed(maps.Clone(w.servers))
+}
+
+func (w *world) arrive(t *rapid.T) {
+	w.n++
+	a := Ask{ID: fmt.Sprint(w.n), Class: rapid.IntRange(0, 1).Draw(t, "class"), Tenant: rapid.IntRange(0, 2).Draw(t, "tenant"),
+		Path: rapid.SampledFrom([]string{"/", "/form-check/a/b", "/form-check"}).Draw(t, "path"), Deadline: w.now + time.Second}
+	if rapid.Bool().Draw(t, "attrs") {
+		a.Header = map[string][]string{"X-Attrs": {rapid.SampledFrom([]string{"1", "2"}).Draw(t, "attr")}}
+	}
+	x := &taken{}
+	told, ok := w.m.Bind(w.now, &a, &x.bound)
+	if !ok {
+		i := slices.IndexFunc(w.config.Limits, func(l fleetconfig.Limit) bool { return l.Name == told.Limit })
+		if i < 0 || told.Most != *w.config.Limits[i].InFlight {
+			t.Fatalf("refused by %+v, which is not in force", told)
+		}
+		return
+	}
+	if route := plainRoute(w.config, a); route == nil {
+		if x.bound.Servers() != nil {
+			t.Fatalf("without a route it is kept to %v", x.bound.Servers())
+		}
+	} else {
+		w.checkPool(t, route.To[0].Pool, x.bound.Servers())
+	}
+	x.number, x.ids, x.limits = x.bound.Generation(), slices.Clone(x.bound.Servers()), w.limitsOf(a)
+	w.open = append(w.open, x)
+}
+
+func (w *world) checkPool(t *rapid.T, name string, ids []string) {
+	i := slices.IndexFunc(w.config.Pools, func(p fleetconfig.Pool) bool { return p.Name == name })
+	var want []string
+	if i >= 0 {
+		for id, s := range w.servers {
+			if selected(w.config.Pools[i].Selector, s) {
+				want = append(want, id)
+			}
+		}
+		slices.Sort(want)
+		if all := fmt.Sprint(w.config.Pools[i].Selector) == fmt.Sprint(fleetconfig.Selector{}); all {
+			want = nil
+		}
+	}
+	if !slices.Equal(ids, want) {
+		t.Fatalf("pool %s is %v, want %v", name, ids, want)
+	}
+}
+
+func (w *world) end(t *rapid.T) {
+	if len(w.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.open)-1).Draw(t, "ends")
+	x := w.open[i]
+	if x.bound.Generation() != x.number || !slices.Equal(x.bound.Servers(), x.ids) {
+		t.Fatalf("bound to %d and %v, and it ends under %d with %v", x.number, x.ids, x.bound.Generation(), x.bound.Servers())
+	}
+	w.m.Done(w.now, &x.bound, Served)
+	w.m.Done(w.now, &x.bound, Served) // a second word changes nothing
+	w.open = slices.Delete(w.open, i, i+1)
+}
+
+func (w *world) check(t *rapid.T) {
+	if _, _, hash := w.m.Config(); hash != w.config.Hash() {
+		t.Fatalf("%s is in force, want %s", hash, w.config.Hash())
+	}
+	want := map[string]bool{}
+	for _, d := range w.config.Drains {
+		var in []*fleetconfig.Server
+		for _, s := range w.servers {
+			if selected(d.Selector, s) {
+				in = append(in, s)
+			}
+		}
+		for _, s := range fleetconfig.Part(in, d.Name, d.Share) {
+			want[s.ID] = true
+		}
+	}
+	if !maps.Equal(want, w.m.drained) {
+		t.Fatalf("drained are %v, want %v", w.m.drained, want)
+	}
+	for _, l := range w.m.force.limits {
+		if n := l.gauge.inFlight; n > max(*l.InFlight, w.inFlight(l.Name)) {
+			t.Fatalf("limit %s lets in %d", l.Name, n)
+		}
+	}
+	if n := w.m.Status(w.now).Open; sum(n) != len(w.open) {
+		t.Fatalf("open are %v, want %d", n, len(w.open))
+	}
+}
+
+func sum(m map[uint64]int) (n int) {
+	for _, x := range m {
+		n += x
+	}
+	return n
+}
+
+// A larger share holds the smaller one, and a share is rounded up.
+func TestPartsGrow(t *testing.T) {
+	var all []*fleetconfig.Server
+	for i := range 40 {
+		all = append(all, server(i))
+	}
+	last := map[string]bool{}
+	for _, tt := range []struct {
+		share float64
+		want  int
+	}{{0.01, 1}, {0.25, 10}, {0.26, 11}, {0.5, 20}, {1, 40}} {
+		part := fleetconfig.Part(all, "x", tt.share)
+		now := map[string]bool{}
+		for _, s := range part {
+			now[s.ID] = true
+		}
+		for id := range last {
+			if !now[id] {
+				t.Errorf("%v leaves %s out, which a smaller share has", tt.share, id)
+			}
+		}
+		if last = now; len(part) != tt.want {
+			t.Errorf("%v of 40 are %d, want %d", tt.share, len(part), tt.want)
+		}
+	}
+}
+
+// A rate lets in its burst and then so many a second, and tells when the next one fits; clients are told apart when to come.
+func TestRatesAndComeBackTimes(t *testing.T) {
+	m := newManager()
+	apply(t, m, time.Second, normal(fleetconfig.Config{Limits: []fleetconfig.Limit{{Name: "l", Tenant: "wick", Rate: 10, Burst: 5}}}))
+	in, afters := 0, map[time.Duration]bool{}
+	for i := range 2000 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		var b Bound
+		told, ok := m.Bind(now, &Ask{ID: fmt.Sprint(i), Tenant: 2}, &b)
+		if ok {
+			in++
+			m.Done(now, &b, Served)
+			continue
+		}
+		if told.After <= 0 || told.After > 150*time.Millisecond || told.Limit != "l" || told.Most != 0 {
+			t.Fatalf("refused with %+v", told)
+		}
+		afters[told.After] = true
+	}
+	if in != 5+19 && in != 5+20 {
+		t.Errorf("%d were let in, over 2 s at 10 a second with a burst of 5", in)
+	}
+	if len(afters) < 50 {
+		t.Errorf("clients are told %d different times to come back", len(afters))
+	}
+	var b Bound
+	if _, ok := m.Bind(time.Second, &Ask{Tenant: 1}, &b); !ok {
+		t.Error("another tenant is limited")
+	}
+}
+
+// What is staged is refused for a reason that can be told from others.
+func TestWhatIsNotStaged(t *testing.T) {
+	m := newManager()
+	a := normal(fleetconfig.Config{Drains: []fleetconfig.Drain{{Name: "d", Share: 1, Selector: fleetconfig.Selector{Pods: []int{1}}}}})
+	b := normal(fleetconfig.Config{Watch: &fleetconfig.Watch{For: fleetconfig.Time(time.Second), FalseAlarms: 0.01}})
+	compiled := func(c *fleetconfig.Config) *Compiled {
+		ready, err := Compile(c, names, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ready
+	}
+	empty := (&fleetconfig.Config{}).Hash()
+	wants := func(what string, err, want error) {
+		t.Helper()
+		if fmt.Sprint(err) != fmt.Sprint(want) && !strings.HasPrefix(fmt.Sprint(err), fmt.Sprint(want)) {
+			t.Errorf("%s: %v, want %v", what, err, want)
+		}
+	}
+	wants("another base", m.Stage(compiled(a), "x", "0000000000000000", false), ErrMoved)
+	wants("nothing new", m.Stage(compiled(&fleetconfig.Config{}), "x", empty, false), ErrNoChange)
+	wants("the first", m.Stage(compiled(a), "x", empty, false), nil)
+	wants("a second at once", m.Stage(compiled(b), "y", empty, false), ErrStaged)
+	if _, err := m.Switch(time.Second, ""); err != nil {
+		t.Fatal(err)
+	}
+	wants("while it is watched", m.Stage(compiled(b), "y", a.Hash(), false), ErrWatched)
+	wants("forced", m.Stage(compiled(b), "y", a.Hash(), true), nil)
+	m.Unstage()
+	m.bar(b.Hash(), "it was bad")
+	wants("rolled back", m.Rollback(2*time.Second, "x", ""), nil)
+	wants("with nothing before", m.Rollback(2*time.Second, "x", ""), ErrNoReturn)
+	wants("one that has done harm", m.Stage(compiled(b), "y", empty, false), ErrBarred)
+	wants("the same, forced", m.Stage(compiled(b), "y", empty, true), nil)
+}
+
+// Neither what is remembered of changes nor of harm grows without end.
+func TestBoundsOfMemory(t *testing.T) {
+	m := newManager()
+	for i := range 3 * mostHistory {
+		m.bar(fmt.Sprint(i), "")
+		m.record(0, Record{Number: uint64(i)})
+	}
+	if len(m.barred) != mostBarred || len(m.barList) != mostBarred || len(m.history) != mostHistory || m.history[0].Number != 2*mostHistory {
+		t.Errorf("%d barred, %d in the history", len(m.barred), len(m.history))
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,6 +37,9 @@
 // Read are the headers that Check reads.
 var Read = []string{RequestIDHeader, KeyHeader, TimeoutHeader, tenantHeader, routeKeyHeader, retriedHeader}
 
+// Routable are the headers by which a configuration may route. Every front hands them over.
+var Routable = []string{"X-Attrs", "X-Cost", routeKeyHeader}
+
 // passedOn are the headers that go on to a backend. All others concern the agent or nobody: what a client puts in them
 // must not change how a backend reads the message.
 var passedOn = []string{RequestIDHeader, KeyHeader, tenantHeader, routeKeyHeader, retriedHeader, "X-Cost", "X-Attrs",
@@ -89,7 +92,7 @@
 	}
 	c := &engine.Call{ID: h.Header.Get(RequestIDHeader), Class: index, Tenant: tenant, Key: h.Header.Get(routeKeyHeader),
 		Deadline: began + timeout - min(deadlineMargin, timeout/4), Again: h.Header.Get(retriedHeader) == "1",
-		Effect: class.Effect, RepeatKey: h.Header.Get(KeyHeader)}
+		Effect: class.Effect, RepeatKey: h.Header.Get(KeyHeader), Path: h.Path, Header: h.Header}
 	if class.Effect == logic.Keyed {
 		c.Window = class.Window
 	}
--- a/internal/membership/listing/listing.go
+++ b/internal/membership/listing/listing.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"slices"
+	"unique"
 
 	"appleledge/internal/engine"
 	"appleledge/logic"
@@ -27,6 +28,7 @@
 	ID        string  `json:"id"`
 	Addr      string  `json:"addr"` // host and port
 	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"` // of machine
 	Cell      int     `json:"cell"`
 	State     string  `json:"state"`
 	Weight    float64 `json:"weight"`
@@ -153,6 +155,9 @@
 	if _, _, err := net.SplitHostPort(e.Addr); err != nil && state != logic.Gone {
 		return m, err
 	}
-	return engine.Member{Addr: e.Addr, Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(r.Zones, e.Zone), Cell: e.Cell,
+	return engine.Member{Addr: e.Addr, Kind: kind(e.Kind), Server: logic.Server{ID: e.ID, State: state, Zone: slices.Index(r.Zones, e.Zone), Cell: e.Cell,
 		Weight: e.Weight, Started: r.Clock.FromUnix(e.StartedMS)}}, nil
 }
+
+// kind is the one copy of a kind's name: a list has few of them, and names each thousands of times.
+func kind(name string) string { return unique.Make(name).Value() }
--- a/internal/membership/xds/endpoints.go
+++ b/internal/membership/xds/endpoints.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"unique"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
@@ -20,7 +21,7 @@
 )
 
 // MetadataKey names the filter metadata in which an endpoint says what the protocol has no field for: id (text; without
-// it the address is the id), cell (number) and started_ms (number, Unix time).
+// it the address is the id), kind (text, of machine), cell (number) and started_ms (number, Unix time).
 const MetadataKey = "appleledge"
 
 // Bounds on what a resource may hold.
@@ -250,6 +251,7 @@
 	if id := fields["id"].GetStringValue(); id != "" {
 		m.ID = id
 	}
+	m.Kind = unique.Make(fields["kind"].GetStringValue()).Value()
 	m.Cell = int(clamp(fields["cell"].GetNumberValue(), math.MaxInt32))
 	m.Started = r.Clock.FromUnix(int64(clamp(fields["started_ms"].GetNumberValue(), 1<<52)))
 	return m, nil
