--- /dev/null
+++ b/cmd/appleledgectl/commands.go
@@ -0,0 +1,356 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/fatih/color"
+	"github.com/spf13/cobra"
+
+	"appleledge/internal/admin"
+	"appleledge/internal/fleetconfig"
+	"appleledge/internal/generation"
+	"appleledge/internal/plan"
+	"appleledge/internal/plan/show"
+)
+
+func (c *console) validate() *cobra.Command {
+	return c.withVars(&cobra.Command{
+		Use:   "validate DIR",
+		Short: "Check a folder's files",
+		Long: `Checks a folder's files. Without an agent only what the files say of themselves is checked; with one the names of
+classes, tenants and zones as well.`,
+		Example: "  appleledgectl validate fleet/",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			config, err := c.read(args[0])
+			if err != nil {
+				return err
+			}
+			if c.socket != "" {
+				if err := c.call(cmd, http.MethodPost, admin.PathCheck, admin.PlanRequest{Config: config}, &admin.Config{}); err != nil {
+					return err
+				}
+			}
+			if c.json {
+				return c.writeJSON(admin.Config{Hash: config.Hash(), Config: config})
+			}
+			fmt.Fprintf(c.out, "%s is right: %d pools, %d routes, %d limits, %d drains (%.12s)\n", args[0], len(config.Pools), len(config.Routes),
+				len(config.Limits), len(config.Drains), config.Hash())
+			return nil
+		},
+	})
+}
+
+func (c *console) plan() *cobra.Command {
+	var out string
+	var detailed bool
+	var taken float64
+	cmd := &cobra.Command{
+		Use:   "plan DIR",
+		Short: "Say what a folder's files would change, and what that would do now",
+		Long: `Says what a folder's files would change at the agent, object by object, and what that would do to the fleet as it is now.
+What should be known first stands first. Nothing is changed. With -o the plan is kept in a file, which apply takes.`,
+		Example: "  appleledgectl plan fleet/ -o change.plan\n  appleledgectl plan fleet/ --var canary=20 --detailed-exitcode",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			config, err := c.read(args[0])
+			if err != nil {
+				return err
+			}
+			p := &plan.Plan{}
+			if err := c.call(cmd, http.MethodPost, admin.PathPlan, admin.PlanRequest{Config: config, MostTaken: taken}, p); err != nil {
+				return err
+			}
+			if out != "" {
+				if err := savePlan(out, p); err != nil {
+					return err
+				}
+			}
+			if err := c.showPlan(p); err != nil {
+				return err
+			}
+			if detailed && len(p.Changes) > 0 {
+				return errChanges
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVarP(&out, "out", "o", "", "keep the plan in a `file`")
+	cmd.Flags().BoolVar(&detailed, "detailed-exitcode", false, "exit with 2 where there are changes")
+	cmd.Flags().Float64Var(&taken, "most-taken", 0.25, "the `share` of capacity that a change may take without a flag")
+	return c.withVars(cmd)
+}
+
+// savePlan keeps a plan for apply. Who reviews it may read it; nobody else may write it.
+func savePlan(path string, p *plan.Plan) error {
+	data, err := json.MarshalIndent(p, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+func (c *console) showPlan(p *plan.Plan) error {
+	if c.json {
+		return c.writeJSON(p)
+	}
+	return show.Plan(c.out, p)
+}
+
+func (c *console) show() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show [FILE]",
+		Short: "Show a plan, or the configuration in force",
+		Long:  "Shows a plan that was kept, checked for having been altered. Without a file the agent's configuration in force, as JSON.",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				var in admin.Config
+				if err := c.call(cmd, http.MethodGet, admin.PathConfig, nil, &in); err != nil {
+					return err
+				}
+				return c.writeJSON(in)
+			}
+			p, err := loadPlan(args[0])
+			if err != nil {
+				return err
+			}
+			return c.showPlan(p)
+		},
+	}
+}
+
+func loadPlan(path string) (*plan.Plan, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p, err := plan.Decode(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+func (c *console) apply() *cobra.Command {
+	var approved, force bool
+	var why string
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Apply a plan as it stands, or nothing",
+		Long: `Applies a plan that plan -o has kept. Where the running state has moved since, by another change or by a server that the
+plan concerns, nothing is changed and it says what has moved. While the question is open the lock is held, so that nobody else
+changes the configuration meanwhile.`,
+		Example: "  appleledgectl apply change.plan\n  appleledgectl apply change.plan --auto-approve --why \"ticket 312\"",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := loadPlan(args[0])
+			if err != nil {
+				return err
+			}
+			if len(p.Changes) == 0 {
+				return c.showPlan(p)
+			}
+			if !approved {
+				if err := c.approve(cmd, p); err != nil {
+					return err
+				}
+			}
+			var done admin.Applied
+			if err := c.call(cmd, http.MethodPost, admin.PathApply, admin.ApplyRequest{Plan: p, By: c.by, Why: why, Force: force}, &done); err != nil {
+				return err
+			}
+			return c.showApplied(done, "appleledgectl status says what the watch makes of it.")
+		},
+	}
+	cmd.Flags().BoolVar(&approved, "auto-approve", false, "do not ask")
+	cmd.Flags().BoolVar(&force, "force", false, "also what has done harm before, or while a change is still watched")
+	cmd.Flags().StringVar(&why, "why", "", "a reason, for the history")
+	return cmd
+}
+
+// approve shows a plan and asks, with the lock in hand.
+func (c *console) approve(cmd *cobra.Command, p *plan.Plan) error {
+	lock := admin.LockRequest{By: c.by, For: "5m"}
+	if err := c.call(cmd, http.MethodPost, admin.PathLock, lock, &admin.Lock{}); err != nil {
+		return err
+	}
+	defer c.call(cmd, http.MethodDelete, admin.PathLock, lock, &struct{}{}) // it ends by itself as well
+	if err := show.Plan(c.out, p); err != nil {
+		return err
+	}
+	ok, err := c.yes("\nApply this?")
+	if err == nil && !ok {
+		err = errors.New("nothing was applied")
+	}
+	return err
+}
+
+func (c *console) showApplied(a admin.Applied, more string) error {
+	if c.json {
+		return c.writeJSON(a)
+	}
+	fmt.Fprintf(c.out, "Generation %d (%.12s) is in force. %s\n", a.Number, a.Hash, more)
+	if !a.Durable {
+		fmt.Fprintln(c.out, color.New(color.FgYellow).Sprint("It would not survive a restart:"), a.Problem)
+	}
+	return nil
+}
+
+func (c *console) rollback() *cobra.Command {
+	var why string
+	cmd := &cobra.Command{
+		Use:   "rollback",
+		Short: "Go back to the generation before",
+		Long:  "Goes back to the configuration that was in force before the last one was applied, at once and as a whole.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var done admin.Applied
+			if err := c.call(cmd, http.MethodPost, admin.PathRollback, admin.RollbackRequest{By: c.by, Why: why}, &done); err != nil {
+				return err
+			}
+			return c.showApplied(done, "")
+		},
+	}
+	cmd.Flags().StringVar(&why, "why", "", "a reason, for the history")
+	return cmd
+}
+
+func (c *console) status() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Say what is in force, and whether it is watched",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s admin.Status
+			if err := c.call(cmd, http.MethodGet, admin.PathStatus, nil, &s); err != nil {
+				return err
+			}
+			if c.json {
+				return c.writeJSON(s)
+			}
+			return c.writeStatus(s)
+		},
+	}
+}
+
+func (c *console) writeStatus(s admin.Status) error {
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "agent\t%s\n", s.Agent)
+	fmt.Fprintf(w, "generation\t%d (%.12s)\n", s.Number, s.Hash)
+	if s.Watched {
+		fmt.Fprintf(w, "watched\tfor %.0f s more; %.0f%% of its drains are out\n", s.WatchFor, 100*s.Out)
+	} else {
+		fmt.Fprintf(w, "watched\tno\n")
+	}
+	if s.Before != "" {
+		fmt.Fprintf(w, "before\t%.12s, to which rollback goes back\n", s.Before)
+	}
+	fmt.Fprintf(w, "servers\t%d, %d of them drained by the configuration\n", s.Servers, s.Drained)
+	fmt.Fprintf(w, "refused\t%d by limits\n", s.Refused)
+	fmt.Fprintf(w, "open\t%s\n", openByGeneration(s.Open))
+	if s.Durable {
+		fmt.Fprintf(w, "kept\tyes\n")
+	} else {
+		fmt.Fprintf(w, "kept\tno: %s\n", s.Problem)
+	}
+	if s.Lock != nil {
+		fmt.Fprintf(w, "lock\t%s, for %.0f s more\n", s.Lock.By, s.Lock.LeftS)
+	}
+	return w.Flush()
+}
+
+func openByGeneration(open map[uint64]int) string {
+	if len(open) == 0 {
+		return "no requests"
+	}
+	var parts []string
+	for number, n := range open {
+		parts = append(parts, fmt.Sprintf("%d under generation %d", n, number))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (c *console) history() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "Say what became of changes, the newest last",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var records []generation.Record
+			if err := c.call(cmd, http.MethodGet, admin.PathHistory, nil, &records); err != nil {
+				return err
+			}
+			if c.json {
+				return c.writeJSON(records)
+			}
+			w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+			for _, r := range records {
+				fmt.Fprintf(w, "%s\t%d\t%.12s\t%s\t%s\t%s\n", time.UnixMilli(r.UnixMS).Format(time.RFC3339), r.Number, r.Hash, r.What, r.By, r.Why)
+			}
+			return w.Flush()
+		},
+	}
+}
+
+func (c *console) diff() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "diff A B",
+		Short: "Say what differs between two configurations",
+		Long:  "Says what differs between two configurations: folders, plans (where they lead to), or what show has written. Exits with 2 where they differ.",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			a, err := c.configOf(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := c.configOf(args[1])
+			if err != nil {
+				return err
+			}
+			changes := fleetconfig.Diff(a, b)
+			if c.json {
+				err = c.writeJSON(changes)
+			} else {
+				err = show.Changes(c.out, changes)
+			}
+			if err == nil && len(changes) > 0 {
+				err = errChanges
+			}
+			return err
+		},
+	}
+	return c.withVars(cmd)
+}
+
+func (c *console) lock() *cobra.Command {
+	var release bool
+	var lasts time.Duration
+	cmd := &cobra.Command{
+		Use:   "lock",
+		Short: "Keep others from changing the configuration",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			q := admin.LockRequest{By: c.by, For: lasts.String()}
+			if release {
+				return c.call(cmd, http.MethodDelete, admin.PathLock, q, &struct{}{})
+			}
+			var l admin.Lock
+			if err := c.call(cmd, http.MethodPost, admin.PathLock, q, &l); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.out, "%s holds the lock for %.0f s\n", l.By, l.LeftS)
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&release, "release", false, "give it back")
+	cmd.Flags().DurationVar(&lasts, "for", 5*time.Minute, "how long; 15m at most")
+	return cmd
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"appleledge/internal/admin"
 	"appleledge/internal/engine"
 	"appleledge/internal/httpcarrier"
 	"appleledge/internal/httpfront"
@@ -74,6 +75,8 @@
 	// error is a setting that does not fit them.
 	Join  func([]logic.Class) (Joins, error)
 	Storm *Storm // nil: storms are not noticed
+	// Generations are configurations of the fleet that operators plan and apply; nil: none is in force.
+	Generations *Generations
 }
 
 // Storm says how retry storms are noticed.
@@ -96,6 +99,9 @@
 	for _, s := range x.Sources {
 		n += s.Sockets
 	}
+	if x.Generations != nil {
+		n += admin.Sockets
+	}
 	return n
 }
 
@@ -141,6 +147,13 @@
 	if err != nil {
 		return err
 	}
+	governed, err := with.govern(core, clk, cfg, log)
+	if err != nil {
+		return err
+	}
+	if governed != nil {
+		parts.Go(func() { governed.run(ctx, core.Done(), log) })
+	}
 	if with.Storm != nil {
 		core.Guard(newStorm(cfg, *with.Storm))
 		parts.Go(func() { logStorms(inner, core, clk, cfg.Site.Logic.Classes, with.Storm.LogEvery, log) })
--- /dev/null
+++ b/internal/agent/generations.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"appleledge/internal/admin"
+	"appleledge/internal/engine"
+	"appleledge/internal/generation"
+	"appleledge/internal/intake"
+	"appleledge/internal/store"
+	"appleledge/logic"
+)
+
+// Generations says how configurations of the fleet are taken and kept.
+type Generations struct {
+	Socket string // of operators
+	State  string // file that keeps what is in force; empty: nothing is kept
+}
+
+// governing is what switched-on generations are at work with.
+type governing struct {
+	changes *admin.Changes
+	server  *admin.Server
+	socket  net.Listener
+	release func() error // of the state's lock; nil without a state
+}
+
+// govern puts the configuration in force that the state has, and opens the operators' socket. It is called before the engine
+// runs; the result is nil where nothing is switched on.
+func (x Extras) govern(core *engine.Engine, clk engine.Clock, cfg Config, log *slog.Logger) (g *governing, err error) {
+	if x.Generations == nil {
+		return nil, nil
+	}
+	names := generation.Names{Tenants: cfg.Site.Tenants, Zones: cfg.Site.Zones, Headers: intake.Routable}
+	var keyed []string
+	for _, c := range cfg.Site.Logic.Classes {
+		names.Classes = append(names.Classes, generation.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline})
+		if c.Effect == logic.Keyed {
+			keyed = append(keyed, c.Name)
+		}
+	}
+	manager := generation.New(generation.Options{Names: names, MaxAfter: cfg.Site.Logic.MaxRetryAfter,
+		UnixMS: func(t time.Duration) int64 { return clk.At(t).UnixMilli() }, Observe: func(r generation.Record) { logRecord(log, r) }})
+	changes := &admin.Changes{Agent: cfg.Name, Engine: core, Names: names, Keyed: keyed, Log: log, Now: time.Now,
+		Encode: func(s *generation.State) ([]byte, error) { return json.Marshal(s) }}
+	g = &governing{changes: changes, server: &admin.Server{Changes: changes, Log: log}}
+	defer func() {
+		if err != nil {
+			g.close()
+		}
+	}()
+	if path := x.Generations.State; path != "" {
+		if g.release, err = store.Lock(path); err != nil {
+			return nil, fmt.Errorf("the state of the configuration: %w", err)
+		}
+		file := store.File{Path: path, FS: store.OS{}}
+		changes.Keeper = file
+		if err := restore(manager, file, clk, log); err != nil {
+			return nil, err
+		}
+	}
+	if g.socket, err = admin.Listen(x.Generations.Socket); err != nil {
+		return nil, fmt.Errorf("the operators' socket: %w", err)
+	}
+	core.Govern(manager, cfg.Site.Zones)
+	return g, nil
+}
+
+// restore takes up the state on disk. What can't be read is set aside and the agent begins with the empty configuration; a
+// state that a newer program has written, or that does not fit the platform's names, is not touched and the agent does not
+// start: it would write over it, and who put it there meant it.
+func restore(m *generation.Manager, f store.File, clk engine.Clock, log *slog.Logger) error {
+	doc, err := f.Load()
+	if errors.Is(err, store.ErrNone) {
+		return nil
+	}
+	var s *generation.State
+	if err == nil {
+		s, err = generation.DecodeState(doc)
+	}
+	switch {
+	case errors.Is(err, generation.ErrNewer):
+		return fmt.Errorf("%s: %w", f.Path, err)
+	case err != nil:
+		name, aside := f.SetAside(time.Now())
+		if aside != nil {
+			return errors.Join(err, aside)
+		}
+		log.Error("the state of the configuration can't be read; the agent begins without one", "error", err, "kept_as", name)
+		return nil
+	}
+	if err := m.Restore(clk.Now(), s); err != nil {
+		return fmt.Errorf("%s does not fit the platform's configuration: %w", f.Path, err)
+	}
+	return nil
+}
+
+// run serves operators until the context ends, and keeps what changes by itself until the engine does.
+func (g *governing) run(ctx context.Context, engine <-chan struct{}, log *slog.Logger) {
+	keeping, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.changes.Run(keeping)
+	}()
+	if err := g.server.Serve(ctx, g.socket); err != nil {
+		log.Error("operators can't be served any more", "error", err)
+	}
+	<-engine
+	stop()
+	<-done
+	g.close()
+}
+
+func (g *governing) close() {
+	if g.socket != nil {
+		g.socket.Close()
+	}
+	if g.release != nil {
+		g.release() // the process gives the lock back in any case
+	}
+}
+
+// logRecord logs an entry of the history.
+func logRecord(log *slog.Logger, r generation.Record) {
+	level := slog.LevelInfo
+	if r.What == generation.Harmed {
+		level = slog.LevelWarn
+	}
+	log.Log(context.Background(), level, "configuration", "what", r.What, "generation", r.Number, "hash", r.Hash[:min(12, len(r.Hash))],
+		"by", r.By, "why", r.Why)
+}
--- a/internal/generation/compile.go
+++ b/internal/generation/compile.go
@@ -239,3 +239,18 @@
 	}
 	return sum
 }
+
+// Out are the ids of the servers that the drains take out, all of them whatever a rollout's step.
+func (c *Compiled) Out() map[string]bool { return c.out }
+
+// Pool are the ids of a pool's servers, sorted. There is no list for a pool of all servers, which is told by all.
+func (c *Compiled) Pool(name string) (ids []string, all bool) {
+	p := c.pools[name]
+	if p == nil {
+		return nil, false
+	}
+	return p.ids, p.match.Everything()
+}
+
+// Ordered are the configuration's routes in the order in which they are asked.
+func (c *Compiled) Ordered() []fleetconfig.Route { return orderOf(c.Config.Routes) }
--- a/internal/generation/manager.go
+++ b/internal/generation/manager.go
@@ -25,9 +25,9 @@
 // Options are what a Manager is told at start.
 type Options struct {
 	Names    Names
-	MaxAfter time.Duration               // the longest come-back time that clients heed
-	UnixMS   func(time.Duration) int64   // the wall time of a time on the engine's clock, for the history
-	Observe  func(what string, r Record) // is told of each record as it comes; may be nil, must not block
+	MaxAfter time.Duration             // the longest come-back time that clients heed
+	UnixMS   func(time.Duration) int64 // the wall time of a time on the engine's clock, for the history
+	Observe  func(Record)              // is told of each record as it comes; may be nil, must not block
 }
 
 // Manager owns the generations. It is not safe for concurrent use: the engine's goroutine has it.
@@ -398,7 +398,7 @@
 	}
 	m.changes++
 	if m.options.Observe != nil {
-		m.options.Observe(r.What, r)
+		m.options.Observe(r)
 	}
 }
 
@@ -470,3 +470,6 @@
 	}
 	return s
 }
+
+// Server is a server of the list, or nil.
+func (m *Manager) Server(id string) *fleetconfig.Server { return m.servers[id] }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -73,6 +73,9 @@
 	if s := own.Storm; s != nil {
 		with.Storm = &agent.Storm{Remember: s.Remember, LogEvery: time.Duration(s.LogEvery)}
 	}
+	if s := own.Generations; s != nil {
+		with.Generations = &agent.Generations{Socket: s.Socket, State: s.State}
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	Join              *Join              `toml:"join"`
 	Storm             *Storm             `toml:"storm"`
 	Telemetry         *Telemetry         `toml:"telemetry"`
+	Generations       *Generations       `toml:"generations"`
 
 	name  string
 	lines map[string]int
@@ -33,7 +34,7 @@
 func (f File) Same(other File) bool {
 	return reflect.DeepEqual(f.ExternalProcessor, other.ExternalProcessor) && reflect.DeepEqual(f.Membership, other.Membership) &&
 		reflect.DeepEqual(f.Join, other.Join) && reflect.DeepEqual(f.Storm, other.Storm) &&
-		reflect.DeepEqual(f.Telemetry, other.Telemetry)
+		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations)
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
@@ -59,6 +60,9 @@
 	if f.Telemetry != nil {
 		out["telemetry"] = f.Telemetry
 	}
+	if f.Generations != nil {
+		out["generations"] = f.Generations
+	}
 	return out
 }
 
