--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,510 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"appleledge/internal/fleetconfig"
+	"appleledge/internal/generation"
+	"appleledge/internal/plan"
+	"appleledge/internal/store"
+	"appleledge/internal/store/faultfs"
+	"appleledge/internal/testbed"
+)
+
+var names = generation.Names{Classes: []generation.Class{{Name: "form-check", Aim: time.Second}, {Name: "refund-record", Aim: time.Second}},
+	Tenants: []string{"wick", "lerwick"}, Zones: []string{"a"}}
+
+// core is an engine of which only the manager is there.
+type core struct {
+	mu      sync.Mutex
+	manager *generation.Manager
+	now     time.Duration
+}
+
+func (c *core) Command(_ context.Context, do func(time.Duration, *generation.Manager)) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += time.Millisecond
+	do(c.now, c.manager)
+	return nil
+}
+
+// installation is an agent's changes over a disk.
+type installation struct {
+	*Changes
+	core *core
+	disk store.FS
+}
+
+func server(i int) *fleetconfig.Server {
+	return &fleetconfig.Server{ID: fmt.Sprintf("s-%02d", i), Addr: fmt.Sprintf("127.0.0.%d:80", i+1), Kind: []string{"twin-core", "quad-core"}[i%2],
+		Zone: "a", Pod: i % 3, Weight: float64(1 + i%2), StartedMS: 1000}
+}
+
+// start begins an agent on what the disk has.
+func start(t testing.TB, disk store.FS, servers int) *installation {
+	t.Helper()
+	c := &core{manager: generation.New(generation.Options{Names: names, MaxAfter: time.Second}), now: time.Second}
+	fleet := generation.Servers{}
+	for i := range servers {
+		fleet[server(i).ID] = server(i)
+	}
+	c.manager.Listed(fleet)
+	x := &installation{core: c, disk: disk, Changes: &Changes{Agent: "n0", Engine: c, Names: names, Keyed: []string{"refund-record"}, Now: time.Now,
+		Log: slog.New(slog.DiscardHandler), Encode: func(s *generation.State) ([]byte, error) { return json.Marshal(s) }}}
+	if disk != nil {
+		f := store.File{Path: "state", FS: disk}
+		x.Keeper = f
+		doc, err := f.Load()
+		if err == nil {
+			s, err := generation.DecodeState(doc)
+			if err == nil {
+				err = c.manager.Restore(c.now, s)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		} else if !errors.Is(err, store.ErrNone) {
+			t.Fatal(err)
+		}
+	}
+	return x
+}
+
+func (x *installation) hash() string {
+	_, _, hash := x.core.manager.Config()
+	return hash
+}
+
+// drainPod is a configuration that drains a pod, among others.
+func drainPod(pod int) *fleetconfig.Config {
+	c := &fleetconfig.Config{Drains: []fleetconfig.Drain{{Name: "d", Share: 1, Selector: fleetconfig.Selector{Pods: []int{pod}}}}}
+	c.Normalize()
+	return c
+}
+
+func (x *installation) plan(t testing.TB, c *fleetconfig.Config) *plan.Plan {
+	t.Helper()
+	p, err := x.Plan(context.Background(), c, 0.25)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// An agent that is killed at any operation of its disk while it applies a plan comes back to the generation before or to the
+// new one, whole, and says which; what it has called durable is there. A disk that fails changes nothing, unless it fails
+// after the switch, which the answer tells.
+func TestKilledAtEachWrite(t *testing.T) {
+	kinds := map[string]int{}
+	for _, fault := range []error{nil, syscall.ENOSPC, syscall.EROFS} {
+		for at := 0; ; at++ {
+			done := false
+			for seed := range uint64(15) {
+				disk := faultfs.New(seed)
+				x := start(t, disk, 6)
+				if a, err := x.Apply(t.Context(), x.plan(t, drainPod(0)), "x", "", true); err != nil || !a.Durable {
+					t.Fatal(a, err)
+				}
+				old, fresh := x.hash(), drainPod(1)
+				disk.Left, disk.Fault = at, fault
+				a, err := x.Apply(t.Context(), x.plan(t, fresh), "x", "", true)
+				done = err == nil && a.Durable
+				if err != nil && x.hash() != old {
+					t.Fatalf("operation %d, %v: refused with %v, and yet it is in force", at, fault, err)
+				}
+				if err == nil && a.Hash != fresh.Hash() {
+					t.Fatalf("in force is %s", a.Hash)
+				}
+				disk.Left = -1
+				back := start(t, disk.Restart(), 6)
+				last := back.core.manager.State().History
+				switch back.hash() {
+				case old:
+					kinds["old"]++
+					if done {
+						t.Fatalf("operation %d, %v, seed %d: durable, and lost", at, fault, seed)
+					}
+				case fresh.Hash():
+					kinds["new"]++
+					if err != nil && fault == nil && !errors.Is(err, faultfs.ErrStopped) {
+						t.Fatal(err)
+					}
+				default:
+					t.Fatalf("operation %d: came back to %s", at, back.hash())
+				}
+				if r := last[len(last)-1]; r.What != generation.Restarted || r.Hash != back.hash() {
+					t.Fatalf("the history ends with %+v", r)
+				}
+			}
+			if done {
+				break
+			}
+		}
+	}
+	if kinds["old"] == 0 || kinds["new"] == 0 {
+		t.Errorf("came back to %v", kinds)
+	}
+}
+
+// What moves a plan's ground, and what is said of it. The last entry moves nothing that it rests on.
+func TestAPlanThatHasMovedIsRefused(t *testing.T) {
+	move := func(change func(fleet generation.Servers)) func(*installation) {
+		return func(x *installation) {
+			fleet := generation.Servers{}
+			change(fleet)
+			x.core.manager.Listed(fleet)
+		}
+	}
+	changed := func(i int, f func(*fleetconfig.Server)) func(*installation) {
+		return move(func(fleet generation.Servers) { s := server(i); f(s); fleet[s.ID] = s })
+	}
+	for name, tt := range map[string]struct {
+		meanwhile func(*installation)
+		want      string
+	}{
+		"a server has gone":      {move(func(f generation.Servers) { f["s-01"] = nil }), "server s-01 has gone"},
+		"a server has come":      {move(func(f generation.Servers) { f["s-07"] = server(7) }), "server s-07 has come"},
+		"a server has restarted": {changed(1, func(s *fleetconfig.Server) { s.StartedMS++ }), "server s-01 has restarted"},
+		"a server drains":        {changed(4, func(s *fleetconfig.Server) { s.Draining = true }), "server s-04 drains"},
+		"a server has moved":     {changed(1, func(s *fleetconfig.Server) { s.Addr = "127.0.0.99:80" }), "has changed its address"},
+		"another generation": {func(x *installation) {
+			if _, err := x.Apply(context.Background(), x.plan(t, drainPod(2)), "y", "", true); err != nil {
+				t.Fatal(err)
+			}
+		}, "generation 1"},
+		"a server of no concern": {changed(0, func(s *fleetconfig.Server) { s.StartedMS++ }), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := start(t, nil, 6)
+			p := x.plan(t, drainPod(1))
+			tt.meanwhile(x)
+			before := x.hash()
+			_, err := x.Apply(t.Context(), p, "x", "", true)
+			if tt.want == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			r, ok := errors.AsType[*refusal](err)
+			if !ok || r.kind != KindMoved || !strings.Contains(strings.Join(r.moved, "\n"), tt.want) {
+				t.Errorf("%v, want %q", err, tt.want)
+			}
+			if x.hash() != before {
+				t.Error("it was refused, and something was changed")
+			}
+		})
+	}
+}
+
+// For random fleets and configurations: what is in force after an apply is what the plan has printed, a plan of it anew is
+// empty, and a rollback brings the hash and the drains of before back.
+func TestAppliedIsWhatWasPlanned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := start(&testing.T{}, nil, rapid.IntRange(0, 12).Draw(t, "servers"))
+		drained := func() (ids []string) {
+			for i := range 12 {
+				if id := server(i).ID; x.core.manager.Drained(id) {
+					ids = append(ids, id)
+				}
+			}
+			return ids
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			c := &fleetconfig.Config{}
+			for i := range rapid.IntRange(0, 2).Draw(t, "drains") {
+				c.Drains = append(c.Drains, fleetconfig.Drain{Name: fmt.Sprint("d", i), Share: rapid.SampledFrom([]float64{0.3, 1}).Draw(t, "share"),
+					Selector: fleetconfig.Selector{Pods: []int{rapid.IntRange(0, 3).Draw(t, "pod")}}})
+			}
+			if n := rapid.IntRange(0, 3).Draw(t, "limit"); n > 0 {
+				c.Limits = []fleetconfig.Limit{{Name: "l", Tenant: "wick", InFlight: &n}}
+			}
+			c.Normalize()
+			p, err := x.Plan(t.Context(), c, 0.25)
+			if err != nil {
+				t.Fatal(err)
+			}
+			before, hash := drained(), x.hash()
+			if len(p.Changes) == 0 {
+				continue
+			}
+			if _, err := x.Apply(t.Context(), p, "x", "", true); err != nil {
+				t.Fatal(err)
+			}
+			after := drained()
+			want := slices.DeleteFunc(slices.Concat(before, p.Effect.Drains), func(id string) bool { return slices.Contains(p.Effect.Returns, id) })
+			slices.Sort(want)
+			if !slices.Equal(after, want) {
+				t.Fatalf("drained are %v, and the plan from %v drains %v and returns %v", after, before, p.Effect.Drains, p.Effect.Returns)
+			}
+			again, err := x.Plan(t.Context(), c, 0.25)
+			if err != nil || len(again.Changes)+len(again.Effect.Drains)+len(again.Effect.Returns)+len(again.Facts) > 0 {
+				t.Fatalf("planned again: %+v, %v", again, err)
+			}
+			if rapid.Bool().Draw(t, "back") {
+				a, err := x.Rollback(t.Context(), "x", "")
+				if err != nil || a.Hash != hash || !slices.Equal(drained(), before) {
+					t.Fatalf("rolled back to %+v, %v, drained %v; before %s, %v", a, err, drained(), hash, before)
+				}
+			}
+		}
+	})
+}
+
+// Plans say plainly, and first, what whoever approves them should know.
+func TestFlags(t *testing.T) {
+	drain := func(s fleetconfig.Selector) *fleetconfig.Config {
+		return &fleetconfig.Config{Drains: []fleetconfig.Drain{{Name: "d", Share: 1, Selector: s}}}
+	}
+	to := func(pool string, class string) *fleetconfig.Config {
+		return &fleetconfig.Config{Pools: []fleetconfig.Pool{{Name: "none", Selector: fleetconfig.Selector{IDs: []string{"x"}}}},
+			Routes: []fleetconfig.Route{{Name: "r", Class: class, To: []fleetconfig.Target{{Pool: pool, Weight: 1}}}}}
+	}
+	for name, tt := range map[string]struct {
+		config *fleetconfig.Config
+		want   []string
+	}{
+		"one server":           {drain(fleetconfig.Selector{IDs: []string{"s-00"}}), nil},
+		"all of a kind":        {drain(fleetconfig.Selector{Kinds: []string{"quad-core"}}), []string{plan.KindDrained, plan.TakesMuch}},
+		"a pod":                {drain(fleetconfig.Selector{Pods: []int{1}}), []string{plan.PodEmptied, plan.TakesMuch}},
+		"a route to nobody":    {to("none", "form-check"), []string{plan.RouteEmptied}},
+		"keyed ones elsewhere": {to("all", "refund-record"), []string{plan.MovesKeyed}},
+		"and of all classes":   {to("all", ""), []string{plan.MovesKeyed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tt.config.Normalize()
+			p := start(t, nil, 9).plan(t, tt.config)
+			var kinds []string
+			for _, f := range p.Flags {
+				kinds = append(kinds, f.Kind)
+			}
+			if !slices.Equal(kinds, tt.want) {
+				t.Errorf("flags are %+v, want %v", p.Flags, tt.want)
+			}
+		})
+	}
+	x := start(t, nil, 6)
+	for i := range 3000 { // 50 a second
+		var b generation.Bound
+		now := time.Second + time.Duration(i)*20*time.Millisecond
+		x.core.manager.Bind(now, &generation.Ask{Tenant: 1}, &b)
+		x.core.manager.Done(now+time.Millisecond, &b, generation.Served)
+		x.core.now = now
+	}
+	for rate, want := range map[float64]string{10: plan.NotWatched, 45: plan.TurnsAway, 60: ""} {
+		c := &fleetconfig.Config{Limits: []fleetconfig.Limit{{Name: "l", Tenant: "lerwick", Rate: rate, Burst: 5}}}
+		p, kind := x.plan(t, c), ""
+		if len(p.Flags) > 0 {
+			kind = p.Flags[0].Kind
+		}
+		if kind != want {
+			t.Errorf("a rate of %v for 50 a second is flagged %q, want %q: %+v", rate, kind, want, p.Effect.Limits)
+		}
+	}
+}
+
+// serve opens a socket for an installation and returns a client.
+func serve(t *testing.T, x *installation) *Client {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "s")
+	l, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- (&Server{Changes: x.Changes, Log: slog.New(slog.DiscardHandler)}).Serve(ctx, l) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	if _, err := Listen(path); err == nil || !strings.Contains(err.Error(), "another process listens") {
+		t.Errorf("a second socket at the path: %v", err)
+	}
+	return NewClient(path)
+}
+
+// Two who apply at once: one wins whole, and the other is told. A plan that was altered, or made for another agent, is
+// refused, and so is whoever does not hold the lock.
+func TestOperatorsTogether(t *testing.T) {
+	x := start(t, nil, 6)
+	c := serve(t, x)
+	plans := []*plan.Plan{x.plan(t, drainPod(0)), x.plan(t, drainPod(1))}
+	var all sync.WaitGroup
+	errs := make([]error, len(plans))
+	for i, p := range plans {
+		all.Go(func() {
+			errs[i] = c.Call(t.Context(), http.MethodPost, PathApply, ApplyRequest{Plan: p, By: fmt.Sprint("op-", i)}, &Applied{})
+		})
+	}
+	all.Wait()
+	won := slices.IndexFunc(errs, func(err error) bool { return err == nil })
+	if won < 0 || errs[1-won] == nil || x.hash() != plans[won].Hash {
+		t.Fatalf("%v; in force is %s", errs, x.hash())
+	}
+	if lost, ok := errors.AsType[*CallError](errs[1-won]); !ok || lost.Kind != KindMoved || lost.Status != http.StatusConflict {
+		t.Errorf("the other is told %v", errs[1-won])
+	}
+	try := func(what string, change func(*ApplyRequest), want string) {
+		t.Helper()
+		q := ApplyRequest{Plan: x.plan(t, drainPod(2)), By: "x", Force: true}
+		change(&q)
+		if err := c.Call(t.Context(), http.MethodPost, PathApply, q, &Applied{}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", what, err, want)
+		}
+	}
+	try("altered", func(q *ApplyRequest) { q.Plan.MadeMS++ }, plan.ErrAltered.Error())
+	try("nobody's", func(q *ApplyRequest) { q.By = "" }, "needs a name")
+	try("no plan", func(q *ApplyRequest) { q.Plan = nil }, "no plan")
+	other := start(t, nil, 6)
+	other.Agent = "n1"
+	try("of another agent", func(q *ApplyRequest) { q.Plan = other.plan(t, drainPod(2)) }, plan.ErrOther.Error())
+	try("while the change before is watched", func(q *ApplyRequest) { q.Force = false }, generation.ErrWatched.Error())
+	if err := c.Call(t.Context(), http.MethodPost, PathLock, LockRequest{By: "y", For: "1m"}, &Lock{}); err != nil {
+		t.Fatal(err)
+	}
+	try("without the lock", func(*ApplyRequest) {}, "y holds the lock")
+	if err := c.Call(t.Context(), http.MethodPost, PathLock, LockRequest{By: "z", For: "1m"}, &Lock{}); err == nil {
+		t.Error("two hold the lock")
+	}
+	if err := c.Call(t.Context(), http.MethodDelete, PathLock, LockRequest{By: "y"}, &struct{}{}); err != nil {
+		t.Fatal(err)
+	}
+	var a Applied
+	if err := c.Call(t.Context(), http.MethodPost, PathApply, ApplyRequest{Plan: x.plan(t, drainPod(2)), By: "x", Force: true}, &a); err != nil || a.Number != 2 || a.Durable {
+		t.Errorf("%+v, %v", a, err)
+	}
+	if err := c.Call(t.Context(), http.MethodGet, PathStatus, nil, &Status{}); err != nil {
+		t.Error(err)
+	}
+	var h []generation.Record
+	if err := c.Call(t.Context(), http.MethodGet, PathHistory, nil, &h); err != nil || len(h) != 2 || h[1].By != "x" {
+		t.Errorf("%+v, %v", h, err)
+	}
+}
+
+// slowKeeper is a disk on which a caller's patience ends.
+type slowKeeper struct{ begun, leave chan struct{} }
+
+func (k slowKeeper) Save([]byte) error {
+	k.begun <- struct{}{}
+	<-k.leave
+	return nil
+}
+
+// A caller that leaves in the middle does not leave half a change behind: it is brought to its end.
+func TestACallerThatLeaves(t *testing.T) {
+	x := start(t, nil, 6)
+	keeper := slowKeeper{make(chan struct{}, 10), make(chan struct{})}
+	x.Keeper = keeper
+	c := serve(t, x)
+	ctx, leave := context.WithCancel(t.Context())
+	p := x.plan(t, drainPod(1))
+	done := make(chan error, 1)
+	go func() { done <- c.Call(ctx, http.MethodPost, PathApply, ApplyRequest{Plan: p, By: "x"}, &Applied{}) }()
+	<-keeper.begun
+	leave()
+	if err := <-done; err == nil {
+		t.Fatal("it did not leave")
+	}
+	close(keeper.leave)
+	testbed.Eventually(t, "the change is in force", func() bool {
+		x.core.mu.Lock()
+		defer x.core.mu.Unlock()
+		return x.hash() == p.Hash
+	})
+}
+
+// What the watch does by itself is kept as well, and a disk that failed is tried again until it does not.
+func TestWhatChangesByItselfIsKept(t *testing.T) {
+	disk := faultfs.New(1)
+	x := start(t, disk, 6)
+	if _, err := x.Apply(t.Context(), x.plan(t, drainPod(1)), "x", "", false); err != nil {
+		t.Fatal(err)
+	}
+	x.core.now += time.Hour
+	if err := x.Engine.Command(t.Context(), func(now time.Duration, m *generation.Manager) { m.Tick(now) }); err != nil {
+		t.Fatal(err)
+	}
+	disk.Left, disk.Fault = 0, syscall.EIO
+	if err := x.keepChanged(t.Context()); !errors.Is(err, syscall.EIO) {
+		t.Fatalf("on a disk that fails: %v", err)
+	}
+	if s, err := x.Status(t.Context()); err != nil || s.Durable || s.Problem == "" {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if err := x.keepChanged(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := x.Status(t.Context()); err != nil || !s.Durable || s.Watched {
+		t.Errorf("%+v, %v", s, err)
+	}
+	h := start(t, disk, 6).core.manager.State().History
+	if len(h) != 3 || h[1].What != generation.Kept {
+		t.Errorf("%+v", h)
+	}
+}
+
+// Whatever bytes come as a plan, nothing is taken that is not a whole plan as it was made.
+func FuzzDecodePlan(f *testing.F) {
+	x := start(f, nil, 6)
+	whole, err := json.Marshal(x.plan(f, drainPod(1)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add(bytes.Replace(whole, []byte(`"share":1`), []byte(`"share":0.5`), 1))
+	f.Add([]byte(`{"format":2}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := plan.Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := plan.Decode(again); err != nil {
+			t.Fatalf("a plan that was taken is not taken again: %v", err)
+		}
+	})
+}
+
+// Every byte of a plan counts.
+func TestAnAlteredPlan(t *testing.T) {
+	whole, err := json.Marshal(start(t, nil, 4).plan(t, drainPod(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole {
+		bad := bytes.Clone(whole)
+		if bad[i]++; bad[i] == '\\' || bytes.EqualFold(bad, whole) {
+			continue
+		}
+		_, err := plan.Decode(bad)
+		if err == nil {
+			t.Fatalf("with byte %d altered it is taken: %.60s", i, bad[max(0, i-30):])
+		}
+	}
+	if _, err := plan.Decode([]byte(`{"format":2,"what":1}`)); !errors.Is(err, plan.ErrNewer) {
+		t.Errorf("a newer one: %v", err)
+	}
+}
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -25,7 +25,7 @@
 	Agent string `json:"agent"`
 	generation.Status
 	Lock    *Lock  `json:"lock,omitempty"`
-	Durable bool   `json:"durable"`          // the state in force would survive a restart
+	Durable bool   `json:"durable"`           // the state in force would survive a restart
 	Problem string `json:"problem,omitempty"` // why not
 }
 
--- a/internal/generation/limits.go
+++ b/internal/generation/limits.go
@@ -70,9 +70,8 @@
 		came += n
 		passed := n
 		if l.Rate > 0 {
-			tokens = min(float64(l.Burst), tokens+l.Rate)
-			passed = min(n, tokens)
-			tokens -= passed
+			passed = min(n, tokens+l.Rate) // a second's arrivals are taken to be even: what comes in it counts too
+			tokens = min(float64(l.Burst), tokens+l.Rate-passed)
 		}
 		if l.InFlight != nil && peaks[i] > 0 {
 			passed = min(passed, n*min(1, float64(*l.InFlight)/float64(peaks[i])))
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,146 +1,19 @@
-package store
+package store_test
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
-	"io/fs"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
-)
-
-// disk is a file system that forgets what was not synced when its machine stops: the contents of files, and the names in
-// folders. It stops, or fails, at a chosen one of its operations.
-type disk struct {
-	now, lasting map[string]*content // by name
-	left         int                 // operations until the fault; below 0 there is none
-	fault        error               // nil: the machine stops
-	stopped      bool
-	rng          *rand.Rand
-}
-
-type content struct{ now, lasting []byte }
-
-var errStopped = errors.New("the machine has stopped")
-
-func newDisk(seed uint64) *disk {
-	return &disk{now: map[string]*content{}, lasting: map[string]*content{}, left: -1, rng: rand.New(rand.NewPCG(seed, 0))}
-}
-
-// step counts an operation, and says whether it is the one that goes wrong.
-func (d *disk) step() error {
-	if d.stopped {
-		return errStopped
-	}
-	if d.left--; d.left == -1 {
-		if d.fault != nil {
-			return d.fault
-		}
-		d.stopped = true
-		return errStopped
-	}
-	return nil
-}
-
-// restart is the machine after it has stopped: of what was not synced any part may be there. Bytes that were never synced are
-// cut anywhere, and names that were not are old or new.
-func (d *disk) restart() *disk {
-	fresh := newDisk(d.rng.Uint64())
-	pick := d.now
-	if d.rng.IntN(2) == 0 {
-		pick = d.lasting
-	}
-	for name, c := range pick {
-		kept := c.lasting
-		if len(c.now) > len(c.lasting) && bytes.HasPrefix(c.now, c.lasting) {
-			kept = c.now[:len(c.lasting)+d.rng.IntN(len(c.now)-len(c.lasting)+1)]
-		}
-		fresh.now[name] = &content{kept, kept}
-	}
-	fresh.lasting = fresh.names()
-	return fresh
-}
-
-func (d *disk) names() map[string]*content {
-	out := map[string]*content{}
-	for n, c := range d.now {
-		out[n] = c
-	}
-	return out
-}
-
-func (d *disk) Create(name string) (Handle, error) {
-	if err := d.step(); err != nil {
-		return nil, err
-	}
-	c := &content{}
-	d.now[name] = c
-	return &handle{d, c}, nil
-}
-
-type handle struct {
-	d *disk
-	c *content
-}
-
-func (h *handle) Write(p []byte) (int, error) {
-	if err := h.d.step(); err != nil { // a part of it arrives
-		n := h.d.rng.IntN(len(p) + 1)
-		h.c.now = append(h.c.now, p[:n]...)
-		return n, err
-	}
-	h.c.now = append(h.c.now, p...)
-	return len(p), nil
-}
-
-func (h *handle) Sync() error {
-	if err := h.d.step(); err != nil {
-		return err
-	}
-	h.c.lasting = h.c.now
-	return nil
-}
-
-func (h *handle) Close() error { return h.d.step() }
-
-func (d *disk) Open(name string) (io.ReadCloser, error) {
-	c := d.now[name]
-	if c == nil {
-		return nil, fs.ErrNotExist
-	}
-	return io.NopCloser(bytes.NewReader(c.now)), nil
-}
-
-func (d *disk) Rename(from, to string) error {
-	if err := d.step(); err != nil {
-		return err
-	}
-	d.now[to] = d.now[from]
-	delete(d.now, from)
-	return nil
-}
 
-func (d *disk) Remove(name string) error {
-	if err := d.step(); err != nil {
-		return err
-	}
-	delete(d.now, name)
-	return nil
-}
-
-func (d *disk) SyncDir(string) error {
-	if err := d.step(); err != nil {
-		return err
-	}
-	d.lasting = d.names()
-	return nil
-}
+	. "appleledge/internal/store"
+	"appleledge/internal/store/faultfs"
+)
 
 // A machine that stops at any operation of a write, or a disk that fails at it, leaves the old document or the new one; one
 // whose writing was acknowledged is the new one.
@@ -151,17 +24,17 @@
 		for at := 0; ; at++ {
 			acknowledged := false
 			for seed := range uint64(40) {
-				d := newDisk(seed)
+				d := faultfs.New(seed)
 				if err := (File{"f", d}).Save(old); err != nil {
 					t.Fatal(err)
 				}
-				d.left, d.fault = at, fault
+				d.Left, d.Fault = at, fault
 				err := File{"f", d}.Save(fresh)
 				if acknowledged = err == nil; !acknowledged && fault != nil && !errors.Is(err, fault) {
 					t.Fatalf("the error at %d is %v", at, err)
 				}
-				d.left = -1
-				after := d.restart()
+				d.Left = -1
+				after := d.Restart()
 				got, loadErr := File{"f", after}.Load()
 				if loadErr != nil || !bytes.Equal(got, fresh) && (acknowledged || !bytes.Equal(got, old)) {
 					t.Fatalf("fault %v at operation %d, seed %d: acknowledged %v, and then %q, %v", fault, at, seed, acknowledged, got, loadErr)
