--- a/internal/agent/generations.go
+++ b/internal/agent/generations.go
@@ -33,7 +33,7 @@
 
 // govern puts the configuration in force that the state has, and opens the operators' socket. It is called before the engine
 // runs; the result is nil where nothing is switched on.
-func (x Extras) govern(core *engine.Engine, clk engine.Clock, cfg Config, log *slog.Logger) (g *governing, err error) {
+func (x Extras) govern(core *engine.Engine, clk engine.Clock, cfg Config, log *slog.Logger) (*governing, error) {
 	if x.Generations == nil {
 		return nil, nil
 	}
@@ -49,27 +49,31 @@
 		UnixMS: func(t time.Duration) int64 { return clk.At(t).UnixMilli() }, Observe: func(r generation.Record) { logRecord(log, r) }})
 	changes := &admin.Changes{Agent: cfg.Name, Engine: core, Names: names, Keyed: keyed, Log: log, Now: time.Now,
 		Encode: func(s *generation.State) ([]byte, error) { return json.Marshal(s) }}
-	g = &governing{changes: changes, server: &admin.Server{Changes: changes, Log: log}}
-	defer func() {
-		if err != nil {
-			g.close()
-		}
-	}()
-	if path := x.Generations.State; path != "" {
-		if g.release, err = store.Lock(path); err != nil {
-			return nil, fmt.Errorf("the state of the configuration: %w", err)
+	g := &governing{changes: changes, server: &admin.Server{Changes: changes, Log: log}}
+	if err := g.open(*x.Generations, manager, clk, log); err != nil {
+		g.close()
+		return nil, err
+	}
+	core.Govern(manager, cfg.Site.Zones)
+	return g, nil
+}
+
+// open takes up the state and opens the socket.
+func (g *governing) open(with Generations, m *generation.Manager, clk engine.Clock, log *slog.Logger) (err error) {
+	if with.State != "" {
+		if g.release, err = store.Lock(with.State); err != nil {
+			return fmt.Errorf("the state of the configuration: %w", err)
 		}
-		file := store.File{Path: path, FS: store.OS{}}
-		changes.Keeper = file
-		if err := restore(manager, file, clk, log); err != nil {
-			return nil, err
+		file := store.File{Path: with.State, FS: store.OS{}}
+		g.changes.Keeper = file
+		if err := restore(m, file, clk, log); err != nil {
+			return err
 		}
 	}
-	if g.socket, err = admin.Listen(x.Generations.Socket); err != nil {
-		return nil, fmt.Errorf("the operators' socket: %w", err)
+	if g.socket, err = admin.Listen(with.Socket); err != nil {
+		return fmt.Errorf("the operators' socket: %w", err)
 	}
-	core.Govern(manager, cfg.Site.Zones)
-	return g, nil
+	return nil
 }
 
 // restore takes up the state on disk. What can't be read is set aside and the agent begins with the empty configuration; a
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -374,7 +374,9 @@
 // flagKeyed tells of keyed requests whose servers change: a repeat that comes after the switch may then land in another pod
 // than the first try, which does not drop it.
 func (m *maker) flagKeyed() {
-	keyed := func(class string) bool { return len(m.in.Keyed) > 0 && (class == "" || slices.Contains(m.in.Keyed, class)) }
+	keyed := func(class string) bool {
+		return len(m.in.Keyed) > 0 && (class == "" || slices.Contains(m.in.Keyed, class))
+	}
 	for _, c := range m.plan.Changes {
 		if c.Kind != "route" && c.Kind != "pool" {
 			continue
--- a/internal/rig/controlplane/controlplane.go
+++ b/internal/rig/controlplane/controlplane.go
@@ -376,6 +376,7 @@
 	Port      int
 	Weight    int // 0: not told
 	Health    corev3.HealthStatus
+	Kind      string // of machine
 	Cell      int
 	StartedMS int64
 }
@@ -398,7 +399,7 @@
 	}
 	if e.ID != "" {
 		out.Metadata = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{"appleledge": {Fields: map[string]*structpb.Value{
-			"id": structpb.NewStringValue(e.ID), "cell": structpb.NewNumberValue(float64(e.Cell)),
+			"id": structpb.NewStringValue(e.ID), "kind": structpb.NewStringValue(e.Kind), "cell": structpb.NewNumberValue(float64(e.Cell)),
 			"started_ms": structpb.NewNumberValue(float64(e.StartedMS))}}}}
 	}
 	return out
--- a/internal/rig/fleetgen/fleetgen_test.go
+++ b/internal/rig/fleetgen/fleetgen_test.go
@@ -117,7 +117,7 @@
 func want(f *Fleet, clock engine.Clock) map[string]engine.Member {
 	out := map[string]engine.Member{}
 	for _, s := range f.Servers() {
-		m := engine.Member{Addr: fmt.Sprintf("%s:%d", s.Host, s.Port), Server: logic.Server{ID: s.ID, Cell: s.Cell, Weight: float64(s.Weight),
+		m := engine.Member{Kind: kind, Addr: fmt.Sprintf("%s:%d", s.Host, s.Port), Server: logic.Server{ID: s.ID, Cell: s.Cell, Weight: float64(s.Weight),
 			Started: clock.FromUnix(s.StartedMS)}}
 		if s.Draining {
 			m.State = logic.Draining
--- a/internal/rig/fleetgen/publish.go
+++ b/internal/rig/fleetgen/publish.go
@@ -13,12 +13,15 @@
 	"appleledge/internal/rig/controlplane"
 )
 
+// kind is that of all machines.
+const kind = "m1"
+
 func (s Server) entry() emulator.Entry {
 	state := "Ready"
 	if s.Draining {
 		state = "Terminating"
 	}
-	return emulator.Entry{ID: s.ID, Addr: fmt.Sprintf("%s:%d", s.Host, s.Port), Zone: s.Zone, Kind: "m1", Cell: s.Cell, State: state,
+	return emulator.Entry{ID: s.ID, Addr: fmt.Sprintf("%s:%d", s.Host, s.Port), Zone: s.Zone, Kind: kind, Cell: s.Cell, State: state,
 		Weight: float64(s.Weight), StartedMS: s.StartedMS}
 }
 
@@ -149,7 +152,7 @@
 	var endpoints []controlplane.Endpoint
 	zone := ""
 	for _, s := range c.shards[name] {
-		e := controlplane.Endpoint{ID: s.ID, Host: s.Host, Port: s.Port, Weight: s.Weight, Health: corev3.HealthStatus_HEALTHY, Cell: s.Cell,
+		e := controlplane.Endpoint{ID: s.ID, Host: s.Host, Port: s.Port, Weight: s.Weight, Health: corev3.HealthStatus_HEALTHY, Kind: kind, Cell: s.Cell,
 			StartedMS: s.StartedMS}
 		if s.Draining {
 			e.Health = corev3.HealthStatus_DRAINING
