--- a/internal/admin/changes.go
+++ b/internal/admin/changes.go
@@ -66,11 +66,13 @@
 	config  *fleetconfig.Config
 	number  uint64
 	servers generation.Servers
+	version uint64 // of the servers
 }
 
 func (c *Changes) view(ctx context.Context) (v view, err error) {
 	err = c.Engine.Command(ctx, func(now time.Duration, m *generation.Manager) {
-		v.now, v.servers = now, m.Servers()
+		v.now = now
+		v.servers, v.version = m.Servers()
 		v.config, v.number, _ = m.Config()
 	})
 	return v, err
@@ -86,14 +88,15 @@
 
 // Plan says what a configuration would do now.
 func (c *Changes) Plan(ctx context.Context, config *fleetconfig.Config, mostTaken float64) (*plan.Plan, error) {
-	p, _, err := c.plan(ctx, config, mostTaken)
+	p, _, _, err := c.plan(ctx, config, mostTaken)
 	return p, err
 }
 
-func (c *Changes) plan(ctx context.Context, config *fleetconfig.Config, mostTaken float64) (*plan.Plan, *generation.Compiled, error) {
+// plan makes a plan, and returns the configuration compiled, for that version of the servers.
+func (c *Changes) plan(ctx context.Context, config *fleetconfig.Config, mostTaken float64) (*plan.Plan, *generation.Compiled, uint64, error) {
 	v, err := c.view(ctx)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, 0, err
 	}
 	type turned struct{ refused, came float64 }
 	limits := map[string]turned{}
@@ -104,15 +107,15 @@
 		}
 	})
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, 0, err
 	}
 	p, compiled, err := plan.Make(plan.Input{Agent: c.Agent, Number: v.number, From: v.config, To: config, Names: c.Names, Servers: v.servers,
 		Keyed: c.Keyed, MostTaken: mostTaken, UnixMS: c.Now().UnixMilli(),
 		TurnedAway: func(l fleetconfig.Limit) (float64, float64) { return limits[l.Name].refused, limits[l.Name].came }})
 	if err != nil {
-		return nil, nil, refuse(KindInvalid, err)
+		return nil, nil, 0, refuse(KindInvalid, err)
 	}
-	return p, compiled, nil
+	return p, compiled, v.version, nil
 }
 
 // Apply carries a plan out as it stands, or changes nothing. It is not ended by its caller's leaving: a change that has begun
@@ -131,14 +134,14 @@
 	if err := c.mayChange(by); err != nil {
 		return Applied{}, err
 	}
-	fresh, compiled, err := c.plan(ctx, config, 1)
+	fresh, compiled, version, err := c.plan(ctx, config, 1)
 	if err != nil {
 		return Applied{}, err
 	}
 	if moved := p.Moved(fresh); len(moved) > 0 {
 		return Applied{}, &refusal{KindMoved, plan.ErrMoved, moved}
 	}
-	if err := c.stage(ctx, p, compiled, by, force); err != nil {
+	if err := c.stage(ctx, p, compiled, version, by, force); err != nil {
 		return Applied{}, err
 	}
 	if err := c.keep(ctx); err != nil {
@@ -148,8 +151,10 @@
 	return c.switchTo(ctx, p, why)
 }
 
-func (c *Changes) stage(ctx context.Context, p *plan.Plan, compiled *generation.Compiled, by string, force bool) error {
-	err := c.command(ctx, func(_ time.Duration, m *generation.Manager) error { return m.Stage(compiled, by, p.Base, force) })
+func (c *Changes) stage(ctx context.Context, p *plan.Plan, compiled *generation.Compiled, version uint64, by string, force bool) error {
+	err := c.command(ctx, func(_ time.Duration, m *generation.Manager) error {
+		return m.Stage(compiled, version, by, p.Base, force)
+	})
 	if err != nil {
 		return refuse(KindRefused, err)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -439,7 +439,7 @@
 		return
 	}
 	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
-		Among: c.among(), OnDemand: c.chooser != nil})
+		Among: c.among(), OnDemand: c.chooser != nil, Attempts: c.bound.Attempts})
 }
 
 // reject answers a call that the module never sees.
--- a/internal/fleetconfig/check.go
+++ b/internal/fleetconfig/check.go
@@ -189,7 +189,8 @@
 		k.at("limit", l.Name, duplicate(seen, l.Name))
 		k.who(l.Class, l.Tenant)
 		k.alone(whose, l.Class, l.Tenant, l.Name)
-		k.want(l.InFlight != nil || l.Rate > 0, "", "limits nothing; set in_flight or rate")
+		k.want(l.InFlight != nil || l.Rate > 0 || l.Attempts > 0, "", "limits nothing; set in_flight, rate or attempts")
+		k.want(l.Attempts >= 0 && l.Attempts <= 100, "attempts", "%d must be from 1 to 100, or not be there", l.Attempts)
 		k.want(l.InFlight == nil || *l.InFlight >= 0 && *l.InFlight <= 1<<20, "in_flight", "must be from 0 to %d", 1<<20)
 		k.want(!math.IsNaN(l.Rate) && l.Rate >= 0 && l.Rate <= 1e6, "rate", "%v must be from 0 to 1000000", l.Rate)
 		k.want(l.Rate == 0 && l.Burst == 0 || l.Rate > 0 && l.Burst >= 1 && l.Burst <= 1<<20, "burst",
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -68,8 +68,8 @@
 	Weight int    `json:"weight"`
 }
 
-// Limit bounds the requests of a class and tenant; an empty one stands for all together. Who is over it is refused before
-// anything is sent.
+// Limit bounds the requests of a class and tenant; an empty one stands for all together. Who is over InFlight or Rate is
+// refused before anything is sent.
 type Limit struct {
 	Name     string  `json:"name"`
 	Class    string  `json:"class,omitempty"`
@@ -77,6 +77,7 @@
 	InFlight *int    `json:"in_flight,omitempty"` // requests at a time
 	Rate     float64 `json:"rate,omitempty"`      // requests a second; 0: no limit
 	Burst    int     `json:"burst,omitempty"`     // requests at once, on top of the rate
+	Attempts int     `json:"attempts,omitempty"`  // at the most, for one request; 0: as the platform says
 	ComeBack Time    `json:"come_back,omitempty"` // when refused clients are told to return, at the least
 }
 
--- a/internal/fleetconfig/hclfile/hclfile.go
+++ b/internal/fleetconfig/hclfile/hclfile.go
@@ -236,6 +236,7 @@
 		InFlight *int    `hcl:"in_flight,optional"`
 		Rate     float64 `hcl:"rate,optional"`
 		Burst    int     `hcl:"burst,optional"`
+		Attempts int     `hcl:"attempts,optional"`
 		ComeBack string  `hcl:"come_back,optional"`
 	}
 	drainBlock struct {
@@ -330,7 +331,7 @@
 		var x limitBlock
 		if decode(&x) {
 			c.Limits = append(c.Limits, fleetconfig.Limit{Name: name, Class: x.Class, Tenant: x.Tenant, InFlight: x.InFlight, Rate: x.Rate,
-				Burst: x.Burst, ComeBack: r.time(x.ComeBack, 0, b, "come_back")})
+				Burst: x.Burst, Attempts: x.Attempts, ComeBack: r.time(x.ComeBack, 0, b, "come_back")})
 		}
 	case "deadline":
 		var x deadlineBlock
--- a/internal/generation/compile.go
+++ b/internal/generation/compile.go
@@ -41,6 +41,7 @@
 	Config *fleetconfig.Config
 	Hash   string
 
+	json []byte // of Config
 	fleet
 	routes    routeIndex
 	limits    map[who]*limit
@@ -62,7 +63,7 @@
 	if err := c.Check(names.Known()); err != nil {
 		return nil, err
 	}
-	out := &Compiled{Config: c, Hash: c.Hash(), routes: routeIndex{}, limits: map[who]*limit{}, deadlines: map[who]time.Duration{},
+	out := &Compiled{Config: c, Hash: c.Hash(), json: c.JSON(), routes: routeIndex{}, limits: map[who]*limit{}, deadlines: map[who]time.Duration{},
 		fleet: fleet{pools: map[string]*pool{}, told: Servers{}, out: map[string]bool{}}, drainSign: signOf(c.Drains)}
 	for _, p := range append([]fleetconfig.Pool{{Name: fleetconfig.All}}, c.Pools...) {
 		m, err := p.Matcher()
@@ -159,6 +160,7 @@
 	pool     *pool
 	ids      []string
 	Deadline time.Duration // when it is ended
+	Attempts int           // that it may have, in all; 0: as the platform says
 }
 
 // Servers are the ids of those that it may go to, sorted; nil: any.
@@ -201,10 +203,13 @@
 			n++
 		}
 	}
+	*b = Bound{of: c, limits: meets, began: now, Deadline: a.Deadline}
 	for _, l := range meets[:n] {
 		l.take(now)
+		if l.Attempts > 0 && (b.Attempts == 0 || l.Attempts < b.Attempts) {
+			b.Attempts = l.Attempts
+		}
 	}
-	*b = Bound{of: c, limits: meets, began: now, Deadline: a.Deadline}
 	if r := c.routes.find(a); r != nil {
 		b.pool = r.target(a)
 		b.ids = b.pool.ids
--- a/internal/generation/manager.go
+++ b/internal/generation/manager.go
@@ -34,6 +34,7 @@
 type Manager struct {
 	options Options
 	servers Servers
+	version uint64    // of servers: it counts their changes, from 1
 	force   *tenure   // in force
 	before  *Compiled // the one before, while a rollback may want it
 	staged  *Compiled
@@ -49,7 +50,8 @@
 	moved   []string        // ids whose drain has begun or ended
 	old     []*tenure       // with requests still bound to them
 	refused uint64
-	changes uint64 // of what State says
+	counts  map[string]uint64 // of records, by what they say, since the start
+	changes uint64            // of what State says
 }
 
 // Ends of requests.
@@ -69,12 +71,13 @@
 	if err != nil {
 		panic("generation: " + err.Error()) // the empty configuration names nothing that could be wrong
 	}
-	return &Manager{options: o, servers: Servers{}, force: &tenure{Compiled: empty}, barred: map[string]string{}, drained: map[string]bool{},
+	return &Manager{options: o, servers: Servers{}, force: &tenure{Compiled: empty}, barred: map[string]string{}, drained: map[string]bool{}, counts: map[string]uint64{},
 		traffic: newTraffic(len(o.Names.Classes), len(o.Names.Tenants))}
 }
 
 // Listed takes servers that have come, changed or gone; those that are nil have gone.
 func (m *Manager) Listed(changed Servers) {
+	m.version++
 	ids := make([]string, 0, len(changed))
 	for id, s := range changed {
 		ids = append(ids, id)
@@ -106,8 +109,8 @@
 	return out
 }
 
-// Servers are those of the list, for Compile and plans. The caller gets a copy whose entries are only read.
-func (m *Manager) Servers() Servers { return maps.Clone(m.servers) }
+// Servers are those of the list, for Compile and plans, and their version. The caller gets a copy whose entries are only read.
+func (m *Manager) Servers() (s Servers, version uint64) { return maps.Clone(m.servers), m.version }
 
 // Config is the configuration in force, with its number and hash. It is only read.
 func (m *Manager) Config() (c *fleetconfig.Config, number uint64, hash string) {
@@ -227,9 +230,9 @@
 	ErrNoChange = errors.New("the configuration is in force already")
 )
 
-// Stage takes a compiled configuration that is to come in force next. base is the hash of the one that it replaces; force
-// takes one that has done harm before, and ends a watch that is under way as if it had found nothing.
-func (m *Manager) Stage(c *Compiled, by, base string, force bool) error {
+// Stage takes a configuration, compiled for that version of the servers, that is to come in force next. base is the hash of the one
+// that it replaces; force takes one that has done harm before, and ends a watch that is under way as if it had found nothing.
+func (m *Manager) Stage(c *Compiled, version uint64, by, base string, force bool) error {
 	why, barred := m.barred[c.Hash]
 	switch {
 	case base != m.force.Hash:
@@ -243,7 +246,10 @@
 	case barred && !force:
 		return fmt.Errorf("%w: %s; it has to be forced", ErrBarred, why)
 	}
-	m.staged, m.staging = c, by
+	if version != m.version {
+		c.update(m.servers, union(c.told, m.servers))
+	}
+	m.staged, m.staging = c, by // from here on it hears of changes as the others do
 	m.changes++
 	return nil
 }
@@ -256,15 +262,14 @@
 	}
 }
 
-// Switch brings what is staged in force, at once: what arrives from now on is bound to it. The servers that it was compiled
-// for are brought up to date first. It returns the new generation's number.
+// Switch brings what is staged in force, at once: what arrives from now on is bound to it. It returns the new
+// generation's number.
 func (m *Manager) Switch(now time.Duration, why string) (uint64, error) {
 	c := m.staged
 	if c == nil {
 		return 0, errors.New("nothing is staged")
 	}
 	m.staged = nil
-	c.update(m.servers, union(c.told, m.servers))
 	limited := m.limitedBy(now, c)
 	m.replace(c)
 	delete(m.barred, c.Hash)
@@ -392,6 +397,7 @@
 	if m.options.UnixMS != nil {
 		r.UnixMS = m.options.UnixMS(now)
 	}
+	m.counts[r.What]++
 	m.history = append(m.history, r)
 	if len(m.history) > mostHistory {
 		m.history = slices.Delete(m.history, 0, len(m.history)-mostHistory)
@@ -448,12 +454,14 @@
 	Barred   int            `json:"barred"`
 	Servers  int            `json:"servers"`
 	History  []Record       `json:"-"`
+
+	Counts map[string]uint64 `json:"-"` // of records since the start, by what they say
 }
 
 // Status says how the Manager stands.
 func (m *Manager) Status(now time.Duration) Status {
 	s := Status{Number: m.force.number, Hash: m.force.Hash, Drained: len(m.drained), Refused: m.refused, Barred: len(m.barred),
-		Open: map[uint64]int{}, Servers: len(m.servers), History: slices.Clone(m.history)}
+		Open: map[uint64]int{}, Servers: len(m.servers), History: slices.Clone(m.history), Counts: maps.Clone(m.counts)}
 	if m.before != nil {
 		s.Before = m.before.Hash
 	}
--- a/internal/generation/manager_test.go
+++ b/internal/generation/manager_test.go
@@ -26,14 +26,20 @@
 	return &c
 }
 
+// compileFor compiles for the servers that there are.
+func compileFor(c *fleetconfig.Config, m *Manager) (*Compiled, error) {
+	servers, _ := m.Servers()
+	return Compile(c, names, servers)
+}
+
 // apply stages and switches.
 func apply(t interface{ Fatal(...any) }, m *Manager, now time.Duration, c *fleetconfig.Config) {
-	ready, err := Compile(c, names, m.Servers())
+	ready, err := compileFor(c, m)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, _, base := m.Config()
-	if err := m.Stage(ready, "test", base, true); err != nil {
+	if err := m.Stage(ready, m.version, "test", base, true); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := m.Switch(now, ""); err != nil {
@@ -434,21 +440,21 @@
 			t.Errorf("%s: %v, want %v", what, err, want)
 		}
 	}
-	wants("another base", m.Stage(compiled(a), "x", "0000000000000000", false), ErrMoved)
-	wants("nothing new", m.Stage(compiled(&fleetconfig.Config{}), "x", empty, false), ErrNoChange)
-	wants("the first", m.Stage(compiled(a), "x", empty, false), nil)
-	wants("a second at once", m.Stage(compiled(b), "y", empty, false), ErrStaged)
+	wants("another base", m.Stage(compiled(a), m.version, "x", "0000000000000000", false), ErrMoved)
+	wants("nothing new", m.Stage(compiled(&fleetconfig.Config{}), m.version, "x", empty, false), ErrNoChange)
+	wants("the first", m.Stage(compiled(a), m.version, "x", empty, false), nil)
+	wants("a second at once", m.Stage(compiled(b), m.version, "y", empty, false), ErrStaged)
 	if _, err := m.Switch(time.Second, ""); err != nil {
 		t.Fatal(err)
 	}
-	wants("while it is watched", m.Stage(compiled(b), "y", a.Hash(), false), ErrWatched)
-	wants("forced", m.Stage(compiled(b), "y", a.Hash(), true), nil)
+	wants("while it is watched", m.Stage(compiled(b), m.version, "y", a.Hash(), false), ErrWatched)
+	wants("forced", m.Stage(compiled(b), m.version, "y", a.Hash(), true), nil)
 	m.Unstage()
 	m.bar(b.Hash(), "it was bad")
 	wants("rolled back", m.Rollback(2*time.Second, "x", ""), nil)
 	wants("with nothing before", m.Rollback(2*time.Second, "x", ""), ErrNoReturn)
-	wants("one that has done harm", m.Stage(compiled(b), "y", empty, false), ErrBarred)
-	wants("the same, forced", m.Stage(compiled(b), "y", empty, true), nil)
+	wants("one that has done harm", m.Stage(compiled(b), m.version, "y", empty, false), ErrBarred)
+	wants("the same, forced", m.Stage(compiled(b), m.version, "y", empty, true), nil)
 }
 
 // Neither what is remembered of changes nor of harm grows without end.
--- a/internal/generation/state.go
+++ b/internal/generation/state.go
@@ -80,13 +80,13 @@
 
 // State is what is to be kept.
 func (m *Manager) State() *State {
-	s := &State{Format: Format, Number: m.force.number, Config: m.force.Config.JSON(), Hash: m.force.Hash, Barred: map[string]string{},
+	s := &State{Format: Format, Number: m.force.number, Config: m.force.json, Hash: m.force.Hash, Barred: map[string]string{},
 		History: append([]Record(nil), m.history...)}
 	for hash, why := range m.barred {
 		s.Barred[hash] = why
 	}
 	if m.before != nil {
-		s.Previous = m.before.Config.JSON()
+		s.Previous = m.before.json
 	}
 	if m.staged != nil {
 		s.Staged = m.staged.Hash
--- a/internal/generation/watch_test.go
+++ b/internal/generation/watch_test.go
@@ -211,11 +211,11 @@
 	if _, number, hash := x.m.Config(); number != 2 || hash != (&fleetconfig.Config{}).Hash() {
 		t.Errorf("generation %d, %s", number, hash)
 	}
-	ready, err := Compile(bad, names, x.m.Servers())
+	ready, err := compileFor(bad, x.m)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := x.m.Stage(ready, "x", (&fleetconfig.Config{}).Hash(), false); err == nil || !strings.Contains(err.Error(), last.Why) {
+	if err := x.m.Stage(ready, x.m.version, "x", (&fleetconfig.Config{}).Hash(), false); err == nil || !strings.Contains(err.Error(), last.Why) {
 		t.Errorf("staged again: %v", err)
 	}
 }
--- a/internal/rehearsal/quickstart.go
+++ b/internal/rehearsal/quickstart.go
@@ -21,7 +21,9 @@
 	For     time.Duration
 	Seed    uint64
 	Out     io.Writer
-	Live    bool // Out is a terminal: progress is shown on one line that changes
+	Live    bool   // Out is a terminal: progress is shown on one line that changes
+	Socket  string // of operators, who can plan and apply configurations there; empty: there is none
+	State   string // keeps their configuration; empty: nothing does
 }
 
 // startWait is how long the agent may take until it is ready.
@@ -48,6 +50,9 @@
 	fmt.Fprintf(q.Out, "%d form servers (%s), their list, and an agent are up on loopback.\n", q.Servers, fleet.Kinds())
 	fmt.Fprintf(q.Out, "The agent is at http://%s. Meanwhile, from another terminal:\n\n", addr)
 	fmt.Fprintf(q.Out, "    curl -i -H 'X-Request-ID: mine-1' -H 'X-Tenant-Id: lerwick-port' -H 'X-Timeout: 2000m' http://%s/form-check\n\n", addr)
+	if q.Socket != "" {
+		fmt.Fprintf(q.Out, "Operators: go run ./cmd/appleledgectl --socket %s status\n\n", q.Socket)
+	}
 	fmt.Fprintf(q.Out, "Clients now send %.0f requests a second for %v. Ctrl-C ends it with the report.\n", q.Rate, q.For)
 	clients := NewClients("http://"+addr, q.Rate, q.Seed)
 	limited, cancel := context.WithTimeout(ctx, q.For)
@@ -85,7 +90,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	result := make(chan error, 1)
-	go func() { result <- agent.Run(ctx, cfg, agent.Reloads{}, slog.New(slog.DiscardHandler), agent.Extras{}) }()
+	go func() { result <- agent.Run(ctx, cfg, agent.Reloads{}, slog.New(slog.DiscardHandler), q.extras()) }()
 	client := http.Client{Timeout: time.Second}
 	for until := time.Now().Add(startWait); ; time.Sleep(10 * time.Millisecond) {
 		if resp, err := client.Get("http://" + addr + "/ready"); err == nil {
@@ -108,6 +113,14 @@
 	}
 }
 
+// extras are what the agent has beside what the platform wants.
+func (q Quickstart) extras() (with agent.Extras) {
+	if q.Socket != "" {
+		with.Generations = &agent.Generations{Socket: q.Socket, State: q.State}
+	}
+	return with
+}
+
 // freeAddr finds a loopback address that nobody listens at.
 func freeAddr() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"appleledge/internal/engine"
+	"appleledge/internal/generation"
 	"appleledge/internal/pool"
 	"appleledge/internal/storm"
 	"appleledge/logic"
@@ -83,6 +84,7 @@
 	s.tally(page, l.Tally)
 	s.joins(page, l)
 	s.door(page, l.Door)
+	s.generation(page, l.Generation)
 	metrics.WriteProcessMetrics(w)
 }
 
@@ -130,6 +132,17 @@
 	}
 }
 
+func (s *Server) generation(p page, g generation.Status) {
+	p.gauge("appleledge_generation", "", float64(g.Number))
+	p.gauge("appleledge_generation_watched", "", bit(g.Watched))
+	p.gauge("appleledge_generation_drained", "", float64(g.Drained))
+	p.gauge("appleledge_generation_barred", "", float64(g.Barred))
+	p.count("appleledge_generation_refused_total", "", g.Refused)
+	for _, what := range []string{generation.Applied, generation.Kept, generation.RolledBack, generation.Harmed} {
+		p.count("appleledge_generation_changes_total", fmt.Sprintf("what=%q", what), g.Counts[what])
+	}
+}
+
 func bit(is bool) float64 {
 	if is {
 		return 1
--- a/logic/api.go
+++ b/logic/api.go
@@ -173,6 +173,7 @@
 		Again         bool          // the client's own repeat, where clients say so
 		Among         []string      // ids of the servers to choose among, sorted; nil: any
 		OnDemand      bool          // one attempt at a time, and a further one only when a Retry asks for it
+		Attempts      int           // that it may have in all, where that is fewer than MaxAttempts; 0: those
 	}
 	// Retry asks for a further attempt of an OnDemand request of which none is out. It is answered with a Send, or
 	// with the final answer where another attempt is not allowed.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -501,6 +501,7 @@
 // mayGoOn reports whether the request may be sent anywhere.
 func (b *Balancer) mayGoOn(r *request) bool {
 	return !r.closed && b.now < r.Deadline && len(r.attempts) < b.set.MaxAttempts &&
+		(r.Attempts == 0 || len(r.attempts) < r.Attempts) &&
 		r.out <= 1 && (r.out == 0 || !r.OnDemand && b.set.ParallelCopies)
 }
 
--- a/logic/ondemand_test.go
+++ b/logic/ondemand_test.go
@@ -129,3 +129,19 @@
 		t.Errorf("%d further attempts for 200 requests, %d without", sent, refused)
 	}
 }
+
+// A request that may have fewer attempts than others has no more than those, and is told at once that trying again is harmless
+// where none of them ran.
+func TestFewerAttempts(t *testing.T) {
+	for _, attempts := range []int{0, 1, 2} {
+		h := newBench(t, testSettings(), 1, 1, 1, 1, 1, 1)
+		to, final := sentTo(h.Handle(h.at, Request{ID: "r", Deadline: h.at + 2*time.Second, Attempts: attempts}))
+		n := 0
+		for ; final == nil; n++ {
+			to, final = sentTo(h.Handle(h.at, Outcome{Request: "r", Attempt: n, Server: to, Result: Rejected, Report: NoReport}))
+		}
+		if want := attempts; want > 0 && n != want || want == 0 && n <= 2 || !slices.Equal(final, []ActionKind{Refuse}) {
+			t.Errorf("with %d at the most it had %d attempts, and then %v", attempts, n, final)
+		}
+	}
+}
