--- a/internal/plan/show/show.go
+++ b/internal/plan/show/show.go
@@ -72,7 +72,7 @@
 	for _, c := range changes {
 		mark := marks[c.Verb]
 		out.line("")
-		out.line("  %s %s", mark.color.Sprint(mark.sign), strings.TrimSpace(fmt.Sprintf("%s %q", c.Kind, c.Name)))
+		out.line("  %s %s", mark.color.Sprint(mark.sign), object(c))
 		before, after := fields(c.Before), fields(c.After)
 		names := map[string]bool{}
 		for _, m := range []map[string]string{before, after} {
@@ -170,3 +170,11 @@
 	}
 	return fmt.Sprintf("Plan: %d to create, %d to update, %d to delete.", n[fleetconfig.Create], n[fleetconfig.Update], n[fleetconfig.Delete])
 }
+
+// object is what a change is of.
+func object(c fleetconfig.Change) string {
+	if c.Name == "" {
+		return c.Kind
+	}
+	return fmt.Sprintf("%s %q", c.Kind, c.Name)
+}
