SIGHUP while changes are applied and the agent is killed

A hard case of plan and apply: the platform's configuration read again, and discovery asked anew, at the instants of applies. The random kills of appleledgectl's test now come amid a SIGHUP every 5 ms; passes as before.

--- a/cmd/appleledgectl/main_test.go
+++ b/cmd/appleledgectl/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -170,9 +171,11 @@
 		under := ""
 		killed := make(chan struct{})
 		at, program := time.Duration(rng.IntN(120))*time.Millisecond, x.program
-		go func() {
+		go func() { // meanwhile the platform's configuration is read again and again, and the list of servers asked for anew
 			defer close(killed)
-			time.Sleep(at)
+			for until := time.Now().Add(at); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+				program.Process.Signal(syscall.SIGHUP)
+			}
 			program.Process.Kill()
 		}()
 		for n := 0; ; n++ {
