--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,6 +75,7 @@
 	// error is a setting that does not fit them.
 	Join  func([]logic.Class) (Joins, error)
 	Storm *Storm // nil: storms are not noticed
+	Ties  *Ties  // nil: where refunds go is not remembered
 	// Generations are configurations of the fleet that operators plan and apply; nil: none is in force.
 	Generations *Generations
 }
@@ -102,6 +103,9 @@
 	if x.Generations != nil {
 		n += admin.Sockets
 	}
+	if x.Ties != nil {
+		n += tieFiles
+	}
 	return n
 }
 
@@ -147,10 +151,18 @@
 	if err != nil {
 		return err
 	}
+	tying, err := with.tie(core, clk, cfg, log)
+	if err != nil {
+		return err
+	}
 	governed, err := with.govern(core, clk, cfg, log)
 	if err != nil {
 		return err
 	}
+	if tying != nil {
+		parts.Go(func() { tying.write(core.Done()) })
+		parts.Go(func() { tying.follow(inner) })
+	}
 	if governed != nil {
 		parts.Go(func() { governed.run(ctx, core.Done(), log) })
 	}
--- /dev/null
+++ b/internal/agent/ties.go
@@ -0,0 +1,177 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"appleledge/internal/affinity"
+	"appleledge/internal/affinity/tielog"
+	"appleledge/internal/engine"
+	"appleledge/internal/store"
+	"appleledge/logic"
+)
+
+// Ties says how it is remembered where keyed requests went.
+type Ties struct {
+	Dir    string        // that keeps them over a restart; empty: nothing does
+	Sync   bool          // to the disk itself
+	Most   int           // ties
+	Tail   time.Duration // for which a tie lasts after its window
+	Budget time.Duration // for which an attempt waits until its tie is kept
+}
+
+const (
+	tieFiles      = 8 // descriptors: the file that is written, and what is looked at
+	followEvery   = 100 * time.Millisecond
+	removeEvery   = time.Minute
+	flushAgain    = time.Second      // after a disk that failed
+	tieTroubleLog = 10 * time.Second // between two lines on what can't be kept
+)
+
+// tying is what keeps ties.
+type tying struct {
+	log    *tielog.Log
+	core   *engine.Engine
+	budget time.Duration
+	out    *slog.Logger
+}
+
+// tie switches ties on. What is kept of them is read before the first client is heard. The result is nil where nothing is kept
+// over a restart.
+func (x Extras) tie(core *engine.Engine, clk engine.Clock, cfg Config, log *slog.Logger) (*tying, error) {
+	if x.Ties == nil {
+		return nil, nil
+	}
+	set := *x.Ties
+	window := time.Duration(0)
+	for _, c := range cfg.Site.Logic.Classes {
+		if c.Effect == logic.Keyed {
+			window = max(window, c.Window)
+		}
+	}
+	if window == 0 {
+		log.Warn("no class is keyed: there are no ties to remember")
+	}
+	table := affinity.New(affinity.Options{Most: set.Most, Window: window, Tail: set.Tail})
+	if set.Dir == "" {
+		var secret affinity.Secret // nobody else's table has to be the same
+		core.Tie(table, secret, nil)
+		return nil, nil
+	}
+	o := tielog.Options{Dir: set.Dir, FS: store.OS{}, Sync: set.Sync, Lasts: window + set.Tail, Now: clk.Now}
+	if err := sinceBoot(&o, clk); err != nil {
+		return nil, fmt.Errorf("ties: %w", err)
+	}
+	secret, err := tielog.Secret(o)
+	if err != nil {
+		return nil, err
+	}
+	l, err := tielog.Open(o)
+	if err != nil {
+		return nil, fmt.Errorf("ties: %w", err)
+	}
+	began := time.Now()
+	found, err := l.Read()
+	if err != nil {
+		return nil, fmt.Errorf("ties: %w", err)
+	}
+	table.Restore(clk.Now(), found.Records)
+	log.Info("ties of earlier processes read", "records", len(found.Records), "ties", table.Counts().Entries, "took", time.Since(began))
+	t := &tying{log: l, core: core, budget: set.Budget, out: log}
+	t.damaged(found)
+	core.Tie(table, secret, t)
+	return t, nil
+}
+
+// bootID names the present run of the machine (proc(5)).
+const bootID = "/proc/sys/kernel/random/boot_id"
+
+// sinceBoot sets times since the machine has started, by clock_gettime(2)'s CLOCK_BOOTTIME: setting the clock does not change
+// them, and two processes have the same.
+func sinceBoot(o *tielog.Options, clk engine.Clock) error {
+	id, err := os.ReadFile(bootID)
+	if err != nil {
+		return err
+	}
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return fmt.Errorf("reading the time since the machine has started: %w", err)
+	}
+	offset := now.Nano() - int64(clk.Now())
+	o.Boot = strings.TrimSpace(string(id))
+	o.Stamp = func(t time.Duration) int64 { return int64(t) + offset }
+	o.Clock = func(stamp int64) time.Duration { return time.Duration(stamp - offset) }
+	return nil
+}
+
+// damaged logs what could not be read.
+func (t *tying) damaged(found tielog.Found) {
+	if found.Damaged > 0 {
+		t.out.Error("some ties could not be read: repeats of those requests are taken for new ones", "records", found.Damaged, "kept_as", found.Aside)
+	}
+}
+
+// Append hands a record over to be kept.
+func (t *tying) Append(r affinity.Record) engine.TieCommit { return commit{t.log.Append(r), t.budget} }
+
+type commit struct {
+	*tielog.Commit
+	budget time.Duration
+}
+
+// Wait waits for it for as long as the settings allow.
+func (c commit) Wait() bool { return c.Commit.Wait(c.budget) }
+
+// write keeps what is handed over until the engine has ended, and removes what is of no use any more.
+func (t *tying) write(ended <-chan struct{}) {
+	remove := time.NewTicker(removeEvery)
+	defer remove.Stop()
+	again := time.NewTimer(time.Hour)
+	defer again.Stop()
+	logged := time.Time{}
+	trouble := func(err error) {
+		if err != nil && time.Since(logged) > tieTroubleLog {
+			logged = time.Now()
+			t.out.Error("ties can't be kept: a restart now would forget where refunds under way have gone", "error", err)
+		}
+	}
+	for {
+		select {
+		case <-ended:
+			trouble(errors.Join(t.log.Flush(), t.log.Close()))
+			return
+		case <-t.log.Wake():
+			err := t.log.Flush()
+			if trouble(err); err != nil {
+				again.Reset(flushAgain)
+			}
+		case <-again.C:
+			trouble(t.log.Flush())
+		case <-remove.C:
+			trouble(t.log.Remove())
+		}
+	}
+}
+
+// follow hears what other processes keep: one that drains while this one serves already, or the other way round.
+func (t *tying) follow(ctx context.Context) {
+	failed := false
+	every(ctx, followEvery, func() {
+		found, err := t.log.Read()
+		if err != nil && !failed {
+			t.out.Error("ties of other processes can't be read", "error", err)
+		}
+		failed = err != nil
+		t.damaged(found)
+		if len(found.Records) > 0 {
+			t.core.Tell(engine.Restored{Records: found.Records})
+		}
+	})
+}
--- a/internal/engine/chooser.go
+++ b/internal/engine/chooser.go
@@ -91,6 +91,10 @@
 			e.neverRan.Put(now, c.ID, struct{}{}, now)
 		}
 	}
+	if c.Full && c.before.May {
+		e.reject(c, Answer{Kind: Failed})
+		return false
+	}
 	if c.Full {
 		e.cameToNothing(c)
 		e.reject(c, Answer{Kind: Refused, RetryAfter: fullRetry})
@@ -113,12 +117,27 @@
 }
 
 // choose hands an attempt to its chooser. What a proxy never ends is ended when its time is over.
-func (e *Engine) choose(c *Call, a *Attempt) {
+func (e *Engine) choose(c *Call, a *Attempt, tie TieCommit) {
 	c.last = a
 	a.expiry = time.AfterFunc(a.Until-a.Sent, func() {
 		e.Tell(Outcome{Attempt: a, Result: logic.TimedOut, Report: logic.NoReport})
 	})
-	c.chooser.Choose(a)
+	if tie == nil {
+		c.chooser.Choose(a)
+		return
+	}
+	e.attempts.Go(func() {
+		e.wait(tie)
+		e.Tell(kept{a})
+	})
+}
+
+// handOver hands an attempt to its chooser, unless it was ended while its tie was being kept: its proxy has left then, or
+// another try has taken the call over.
+func (e *Engine) handOver(a *Attempt) {
+	if !a.over && !a.Call.closed.Load() {
+		a.Call.chooser.Choose(a)
+	}
 }
 
 // rechoose ends an attempt that was not handed over and asks for another.
--- a/internal/engine/door.go
+++ b/internal/engine/door.go
@@ -25,7 +25,7 @@
 	if e.door == nil {
 		return true
 	}
-	a := storm.Ask{Class: c.Class, Tenant: c.Tenant, Key: c.RepeatKey, Again: c.Again, Bound: c.Try > 1, Deadline: c.Deadline}
+	a := storm.Ask{Class: c.Class, Tenant: c.Tenant, Key: c.RepeatKey, Again: c.Again, Bound: c.Try > 1 || c.before.May, Deadline: c.Deadline}
 	if a.Key == "" && c.Effect == logic.Safe && c.Key != "" {
 		a.Key = strconv.Itoa(c.Class) + " " + strconv.Itoa(c.Tenant) + " " + c.Key
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/affinity"
 	"appleledge/internal/generation"
 	"appleledge/internal/join"
 	"appleledge/internal/recent"
@@ -56,6 +57,8 @@
 	began      time.Duration // when the engine was told of it
 	flies      bool          // it is a flight of joined calls, and nobody's own
 	bound      generation.Bound
+	key        affinity.Key // of a keyed call, where ties are kept
+	before     logic.Before // what may have run of it under another id
 }
 
 // Closed reports whether the call needs no answer any more. It may be asked from any goroutine.
@@ -116,6 +119,7 @@
 	WriteBy time.Duration // when it is too late to begin: at Until, or earlier for a keyed request sent before
 
 	over   bool        // its outcome is known
+	tied   bool        // the table of ties counts it
 	expiry *time.Timer // of a chooser's: tells that Until has come
 }
 
@@ -216,6 +220,7 @@
 	door     Door                      // nil where all are let in
 	tally    *tally                    // nil where nothing is counted
 	governed *governed                 // nil where no configuration is in force
+	ties     *ties                     // nil where none are kept
 }
 
 const eventQueue = 1024
@@ -251,6 +256,7 @@
 	Door           storm.Counts
 	Tally          Tally
 	Generation     generation.Status
+	Ties           affinity.Counts
 }
 
 // Load returns what the engine holds; it is empty once the engine has ended.
@@ -279,6 +285,9 @@
 	if e.joins != nil {
 		l.Joins = e.joins.table.Counts()
 	}
+	if e.ties != nil {
+		l.Ties = e.ties.table.Counts()
+	}
 	if e.governed != nil {
 		l.Generation = e.governed.manager.Status(e.clock.Now())
 	}
@@ -388,6 +397,12 @@
 		e.decide(logic.ListUnavailable{})
 	case commanded:
 		e.command(ev)
+	case Restored:
+		e.ties.table.Restore(e.clock.Now(), ev.Records)
+	case undurable:
+		e.ties.table.Undurable()
+	case kept:
+		e.handOver(ev.attempt)
 	}
 }
 
@@ -404,6 +419,7 @@
 		e.reject(c, Answer{Kind: Conflict})
 		return
 	}
+	e.tied(c)
 	if c.chooser != nil && !e.takesNew(c) {
 		return
 	}
@@ -439,7 +455,7 @@
 		return
 	}
 	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
-		Among: c.among(), OnDemand: c.chooser != nil, Attempts: c.bound.Attempts})
+		Among: c.among(), OnDemand: c.chooser != nil, Attempts: c.bound.Attempts, Before: c.before})
 }
 
 // reject answers a call that the module never sees.
@@ -465,6 +481,9 @@
 		o.Result, o.Report = logic.Cancelled, logic.NoReport
 	}
 	c.ended(o)
+	if e.ties != nil {
+		e.ties.ended(e.clock.Now(), a, o.Result)
+	}
 	c.carried++
 	switch {
 	case served:
@@ -486,6 +505,9 @@
 
 // update brings the list of servers to the fleet and to the module.
 func (e *Engine) update(l Listed) {
+	if e.ties != nil {
+		e.ties.listed(l)
+	}
 	ready := e.fleet.Update(l.Full, l.Members)
 	servers := make([]logic.Server, len(l.Members))
 	for i, m := range l.Members {
@@ -520,15 +542,22 @@
 	c := e.calls[act.Request]
 	a := c.attempt(act, e.clock.Now())
 	a.Life = e.fleet.Life(act.Server)
+	var tie TieCommit
+	if e.ties != nil {
+		tie = e.ties.begin(e.clock.Now(), c, a)
+	}
 	if c.chooser != nil {
-		e.choose(c, a)
+		e.choose(c, a, tie)
 		return
 	}
 	if s, ok := c.Carrier.(Starter); ok {
 		s.Start(a)
 		return
 	}
-	e.attempts.Go(func() { e.Tell(c.Carrier.Carry(e.ctx, a)) })
+	e.attempts.Go(func() {
+		e.wait(tie)
+		e.Tell(c.Carrier.Carry(e.ctx, a))
+	})
 }
 
 // attempt is the next attempt of the request.
--- a/internal/engine/governed.go
+++ b/internal/engine/governed.go
@@ -60,6 +60,10 @@
 	a := generation.Ask{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Path: c.Path, Header: c.Header, Key: c.Key,
 		RepeatKey: c.RepeatKey, Deadline: c.Deadline}
 	told, ok := e.governed.manager.Bind(e.clock.Now(), &a, &c.bound)
+	if !ok && c.before.May { // a refusal would promise that trying again is harmless
+		e.reject(c, Answer{Kind: Failed})
+		return false
+	}
 	if !ok {
 		e.cameToNothing(c)
 		e.reject(c, Answer{Kind: Refused, RetryAfter: told.After, Limit: told.Most})
@@ -84,7 +88,8 @@
 func (c *Call) among() []string {
 	pool := c.bound.Servers()
 	switch {
-	case pool == nil:
+	case pool == nil, c.before.May: // what may have run goes to its pod, whatever the configuration makes of others
+
 		return c.Among
 	case c.Among == nil:
 		return pool
--- /dev/null
+++ b/internal/engine/ties.go
@@ -0,0 +1,118 @@
+package engine
+
+import (
+	"time"
+
+	"appleledge/internal/affinity"
+	"appleledge/logic"
+)
+
+// TieLog keeps ties over a restart.
+type TieLog interface {
+	// Append hands a record over, and must not block. What it returns may be waited for from any goroutine.
+	Append(affinity.Record) TieCommit
+}
+
+// TieCommit is a record on its way to where it lasts.
+type TieCommit interface {
+	// Wait reports whether it lasts, and waits no longer than a stated budget for that.
+	Wait() bool
+}
+
+// ties are what the engine keeps of keyed requests: where they went, so that a repeat under another id goes to the same pod, or
+// nowhere.
+type ties struct {
+	table  *affinity.Table
+	secret affinity.Secret
+	log    TieLog         // nil: nothing lasts
+	pods   map[string]pod // of servers, by id
+}
+
+type pod struct{ cell, zone int }
+
+// Tie makes the engine remember where keyed requests go. It is called before Run.
+func (e *Engine) Tie(t *affinity.Table, s affinity.Secret, l TieLog) {
+	e.ties = &ties{table: t, secret: s, log: l, pods: map[string]pod{}}
+}
+
+// Restored brings records that another process has kept.
+type Restored struct{ Records []affinity.Record }
+
+func (Restored) event() {}
+
+// undurable says that a tie could not be kept in time.
+type undurable struct{}
+
+func (undurable) event() {}
+
+// kept says that a chooser's attempt may be handed over, as its tie is kept, or was not in time.
+type kept struct{ attempt *Attempt }
+
+func (kept) event() {}
+
+func (t *ties) listed(l Listed) {
+	if l.Full {
+		clear(t.pods)
+	}
+	for _, m := range l.Members {
+		if m.State == logic.Gone {
+			delete(t.pods, m.ID)
+		} else {
+			t.pods[m.ID] = pod{m.Cell, m.Zone}
+		}
+	}
+}
+
+// tied looks up what may have run of a new call under another id. It is asked before any door: what may have run is never
+// refused.
+func (e *Engine) tied(c *Call) {
+	if e.ties == nil || c.Effect != logic.Keyed || c.RepeatKey == "" {
+		return
+	}
+	c.key = e.ties.secret.Key(c.RepeatKey)
+	if tie, ok := e.ties.table.Lookup(e.clock.Now(), c.key); ok {
+		c.before = logic.Before{May: true, Since: tie.Since, Zone: tie.Zone, Cell: tie.Pod}
+		c.ranSince = max(tie.Since, 1) // 0 stands for never
+	}
+}
+
+// begin notes an attempt that is about to be sent. What it returns is to be waited for before the first byte goes out.
+func (t *ties) begin(now time.Duration, c *Call, a *Attempt) TieCommit {
+	p, there := t.pods[a.Server]
+	if !there || c.Effect != logic.Keyed || c.RepeatKey == "" {
+		return nil
+	}
+	a.tied = true
+	r, fresh := t.table.Begin(now, c.key, p.cell, p.zone)
+	if !fresh || t.log == nil {
+		return nil
+	}
+	return t.log.Append(r)
+}
+
+// ended notes how an attempt ended.
+func (t *ties) ended(now time.Duration, a *Attempt, result logic.Result) {
+	if !a.tied {
+		return
+	}
+	var r affinity.Record
+	var keep bool
+	switch result {
+	case logic.NotSent, logic.ConnectFailed, logic.Rejected:
+		r, keep = t.table.NeverRan(now, a.Call.key)
+	case logic.OK:
+		r, keep = t.table.Ended(now, a.Call.key, affinity.Served)
+	default:
+		r, keep = t.table.Ended(now, a.Call.key, affinity.Unknown)
+	}
+	if keep && t.log != nil {
+		t.log.Append(r)
+	}
+}
+
+// wait waits for a tie to be kept, and counts one that is not in time. It runs in the attempt's goroutine.
+func (e *Engine) wait(c TieCommit) {
+	if c != nil && !c.Wait() {
+		e.Tell(undurable{})
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -73,6 +73,9 @@
 	if s := own.Storm; s != nil {
 		with.Storm = &agent.Storm{Remember: s.Remember, LogEvery: time.Duration(s.LogEvery)}
 	}
+	if s := own.Affinity; s != nil {
+		with.Ties = &agent.Ties{Dir: s.Dir, Sync: s.Sync, Most: s.Most, Tail: time.Duration(s.Tail), Budget: time.Duration(s.Budget)}
+	}
 	if s := own.Generations; s != nil {
 		with.Generations = &agent.Generations{Socket: s.Socket, State: s.State}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	Storm             *Storm             `toml:"storm"`
 	Telemetry         *Telemetry         `toml:"telemetry"`
 	Generations       *Generations       `toml:"generations"`
+	Affinity          *Affinity          `toml:"affinity"`
 
 	name  string
 	lines map[string]int
@@ -34,7 +35,8 @@
 func (f File) Same(other File) bool {
 	return reflect.DeepEqual(f.ExternalProcessor, other.ExternalProcessor) && reflect.DeepEqual(f.Membership, other.Membership) &&
 		reflect.DeepEqual(f.Join, other.Join) && reflect.DeepEqual(f.Storm, other.Storm) &&
-		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations)
+		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations) &&
+		reflect.DeepEqual(f.Affinity, other.Affinity)
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
@@ -63,6 +65,9 @@
 	if f.Generations != nil {
 		out["generations"] = f.Generations
 	}
+	if f.Affinity != nil {
+		out["affinity"] = f.Affinity
+	}
 	return out
 }
 
@@ -155,6 +160,10 @@
 		section := DefaultStorm()
 		f.Storm = &section
 	}
+	if _, there := f.lines["affinity"]; there {
+		section := DefaultAffinity()
+		f.Affinity = &section
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
 		return File{}, Located(name, text, err)
--- a/internal/store/faultfs/faultfs.go
+++ b/internal/store/faultfs/faultfs.go
@@ -7,6 +7,8 @@
 	"io"
 	"io/fs"
 	"math/rand/v2"
+	"path/filepath"
+	"slices"
 
 	"appleledge/internal/store"
 )
@@ -145,3 +147,14 @@
 	d.lasting = d.names()
 	return nil
 }
+
+// Names lists the names in a folder, sorted.
+func (d *Disk) Names(dir string) (names []string, err error) {
+	for name := range d.now {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,6 +30,8 @@
 	Remove(name string) error
 	// SyncDir makes the names in a folder last.
 	SyncDir(name string) error
+	// Names lists the names in a folder, sorted.
+	Names(dir string) ([]string, error)
 }
 
 // Handle is a file that is being written.
@@ -55,6 +57,16 @@
 // Remove removes a file.
 func (OS) Remove(name string) error { return os.Remove(name) }
 
+// Names lists the names in a folder, sorted.
+func (OS) Names(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
 // SyncDir makes the names in a folder last.
 func (OS) SyncDir(name string) error {
 	d, err := os.Open(name)
--- a/logic/api.go
+++ b/logic/api.go
@@ -174,6 +174,13 @@
 		Among         []string      // ids of the servers to choose among, sorted; nil: any
 		OnDemand      bool          // one attempt at a time, and a further one only when a Retry asks for it
 		Attempts      int           // that it may have in all, where that is fewer than MaxAttempts; 0: those
+		Before        Before        // what may have run of it under another id
+	}
+	// Before is an attempt that was made for the same key by an earlier request. The zero value is none.
+	Before struct {
+		May        bool // it may have run
+		Since      time.Duration
+		Zone, Cell int
 	}
 	// Retry asks for a further attempt of an OnDemand request of which none is out. It is answered with a Send, or
 	// with the final answer where another attempt is not allowed.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -217,7 +217,7 @@
 
 // maySendAgain reports whether a server that may be drawn may be drawn for this request.
 func (b *Balancer) maySendAgain(r *request, s *server) bool {
-	return len(r.attempts) == 0 || !r.tried(s) && b.maySend(r, s)
+	return len(r.attempts) == 0 && !r.Before.May || !r.tried(s) && b.maySend(r, s)
 }
 
 // first puts a cold server, if there is one, in the place of the first draw.
@@ -516,6 +516,9 @@
 
 // mayHaveRun is the first attempt that is not known to have had no effect.
 func (r *request) mayHaveRun() *attempt {
+	if r.Before.May {
+		return &r.before
+	}
 	for _, a := range r.attempts {
 		if !a.neverRan {
 			return a
@@ -630,6 +633,7 @@
 	}
 	r := b.newRequest()
 	r.Request, r.class = e, &b.set.Classes[e.Class]
+	r.before = attempt{zone: e.Before.Zone, cell: e.Before.Cell, sent: e.Before.Since}
 	b.requests[e.ID] = r
 	b.budget = min(b.budget+retryShare, retrySaved)
 	b.token++
--- a/logic/ondemand_test.go
+++ b/logic/ondemand_test.go
@@ -145,3 +145,50 @@
 		}
 	}
 }
+
+// What may have run under another id is sent within its cell and its window alone, and is never refused: with the key's class the
+// module makes of it what it makes of an attempt of its own.
+func TestWhatMayHaveRunBefore(t *testing.T) {
+	set := testSettings()
+	keyed := slices.IndexFunc(set.Classes, func(c Class) bool { return c.Effect == Keyed && c.Group == GroupCell })
+	unsafe := slices.IndexFunc(set.Classes, func(c Class) bool { return c.Effect == Unsafe })
+	if keyed < 0 || unsafe < 0 {
+		t.Fatal("the settings have no such class")
+	}
+	window := set.Classes[keyed].Window
+	for name, tt := range map[string]struct {
+		class int
+		ago   time.Duration
+		cell  int
+		want  bool // it is sent
+	}{
+		"within the window":            {keyed, window / 2, 1, true},
+		"a tick before its end":        {keyed, window - set.Tick - time.Millisecond, 1, true},
+		"at its end":                   {keyed, window - set.Tick, 1, false},
+		"to a cell that is not listed": {keyed, 0, 99, false},
+		"of a class that never is":     {unsafe, 0, 1, false},
+	} {
+		for range 30 {
+			h := newBench(t, set, 1, 1, 1, 1, 1, 1, 1, 1)
+			for i, s := range h.servers {
+				e := s.Server
+				e.Cell = i % 3
+				h.Handle(h.at, ServerList{Servers: []Server{e}})
+			}
+			h.at += window
+			to, final := sentTo(h.Handle(h.at, Request{ID: "r", Class: tt.class, Deadline: h.at + window,
+				Before: Before{May: true, Since: h.at - tt.ago, Cell: tt.cell}}))
+			if tt.want && (to == "" || h.byID[to].Cell != tt.cell) || !tt.want && (to != "" || !slices.Equal(final, []ActionKind{Fail})) {
+				t.Fatalf("%s: sent to %q, %v", name, to, final)
+			}
+			if to == "" {
+				continue
+			}
+			// An end that proves that this attempt never ran proves nothing of the one before.
+			to, final = sentTo(h.Handle(h.at+tt.ago, Outcome{Request: "r", Server: to, Result: Rejected, Report: NoReport}))
+			if to != "" && h.byID[to].Cell != tt.cell || to == "" && !slices.Equal(final, []ActionKind{Fail}) {
+				t.Fatalf("%s: sent again to %q, %v", name, to, final)
+			}
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -109,6 +109,7 @@
 	closed   bool
 	token    uint64 // of the timer for its deadline
 	first    attempt
+	before   attempt // of an earlier request for the same key, where there is one that may have run
 }
 
 type attempt struct {
