Refunds over restarts: the real agent killed ten times, two processes side by side

Engine: a repeat goes to the pod or is failed, never refused, at each door; agents side by side and one after the other send it to the same pod; a folder that is gone costs no request.

--- /dev/null
+++ b/cmd/appleledge/restart_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"appleledge/internal/testbed"
+)
+
+const podWindow = 2 * time.Second
+
+// pods are servers in pods that drop repeats of a key, with a ledger of what has run.
+type pods struct {
+	mu      sync.Mutex
+	seen    map[string]time.Time // by pod and key: when it ran there
+	ran     map[string][]string  // by key: where it ran
+	answers int
+}
+
+// take runs a key at a pod, unless it is a repeat.
+func (p *pods) take(pod int, key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := fmt.Sprint(pod, " ", key)
+	if ran, ok := p.seen[at]; ok && time.Since(ran) < podWindow {
+		return
+	}
+	p.seen[at] = time.Now()
+	p.ran[key] = append(p.ran[key], fmt.Sprintf("pod %d at %v", pod, time.Now().UnixMilli()))
+}
+
+// start begins servers: two in each of three pods. A third of the requests run and are never answered.
+func (p *pods) start(t *testing.T) (entries []string) {
+	for i := range 6 {
+		b := testbed.NewBackend(t, func(c net.Conn, r *http.Request, _ int) bool {
+			p.take(i/2, r.Header.Get("Idempotency-Key"))
+			time.Sleep(time.Duration(rand.IntN(40)) * time.Millisecond)
+			if rand.IntN(3) == 0 {
+				return false
+			}
+			_, err := io.WriteString(c, testbed.Served)
+			return err == nil
+		})
+		entries = append(entries, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"edinburgh-dc","cell":%d,"state":"Ready","weight":1,"started_ms":0}`, i, b.Addr(), i/2))
+	}
+	return entries
+}
+
+// agentAt starts the program in a process of its own and waits until it is ready.
+func agentAt(t *testing.T, args []string, config, addr string) *exec.Cmd {
+	t.Helper()
+	program := exec.Command(os.Args[0], args...)
+	program.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "PROXY_CONFIG="+config, "PROXY_LISTEN="+addr)
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { program.Process.Kill(); program.Wait() })
+	testbed.Eventually(t, "the agent is ready", func() bool {
+		resp, err := http.Get("http://" + addr + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return program
+}
+
+// repeats are clients that send refunds, and each again under another id until it is served: at once, later, or after the window.
+type repeats struct {
+	addr         string
+	id, sent     atomic.Int64
+	served, gone atomic.Int64
+}
+
+func (x *repeats) run(ended <-chan struct{}, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	client := http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		key := fmt.Sprintf("key-%d-%d", seed, n)
+		served := false
+		for try := 0; try < 6 && !served; try++ {
+			select {
+			case <-ended:
+				return
+			default:
+			}
+			served = x.send(&client, key)
+			wait := rng.IntN(150)
+			if rng.IntN(8) == 0 {
+				wait = 1900 + rng.IntN(300)
+			}
+			if !served {
+				time.Sleep(time.Duration(wait) * time.Millisecond)
+			}
+		}
+		if served {
+			x.served.Add(1)
+		} else {
+			x.gone.Add(1)
+		}
+	}
+}
+
+func (x *repeats) send(client *http.Client, key string) bool {
+	r, err := http.NewRequest(http.MethodPost, "http://"+x.addr+"/refund-record", bytes.NewReader([]byte("refund")))
+	if err != nil {
+		return false
+	}
+	r.Header.Set("X-Request-ID", fmt.Sprintf("%016x", x.id.Add(1)))
+	r.Header.Set("X-Tenant-Id", "glasgow-airport")
+	r.Header.Set("X-Route-Key", key)
+	r.Header.Set("X-Timeout", "800m")
+	r.Header.Set("Idempotency-Key", key)
+	x.sent.Add(1)
+	resp, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+// The real program under load of refunds that clients repeat, killed and started again ten times at random: with ties no refund
+// runs twice. Without them some do, else this proves nothing.
+func TestNoRefundRunsTwiceOverRestarts(t *testing.T) {
+	for name, with := range map[string]bool{"with ties": true, "without": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := &pods{seen: map[string]time.Time{}, ran: map[string][]string{}}
+			disco := testbed.NewDiscovery(t, 1, p.start(t)...)
+			dir := t.TempDir()
+			config, own := filepath.Join(dir, "config.json"), filepath.Join(dir, "own.toml")
+			text := fmt.Sprintf("[affinity]\ndir = %q\nbudget = \"100ms\"\n", dir) // busy machines take longer than 2 ms
+			for path, text := range map[string]string{config: string(testbed.ConfigText(disco.Addr().String(), "null")), own: text} {
+				if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			var args []string
+			if with {
+				args = []string{"-settings", own}
+			}
+			x := &repeats{addr: testbed.Refusing(t)}
+			program := agentAt(t, args, config, x.addr)
+			ended := make(chan struct{})
+			var all sync.WaitGroup
+			for i := range 16 {
+				all.Go(func() { x.run(ended, uint64(i)) })
+			}
+			rng := rand.New(rand.NewPCG(1, 2))
+			for range 10 {
+				time.Sleep(time.Duration(200+rng.IntN(700)) * time.Millisecond)
+				program.Process.Kill()
+				program.Wait()
+				program = agentAt(t, args, config, x.addr)
+			}
+			time.Sleep(time.Second)
+			close(ended)
+			all.Wait()
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			twice := 0
+			for key, where := range p.ran {
+				if len(where) > 1 {
+					if twice++; with {
+						t.Errorf("%s ran at %v", key, where)
+					}
+				}
+			}
+			t.Logf("%d sent, %d refunds, %d served, %d given up, %d ran more than once", x.sent.Load(), len(p.ran), x.served.Load(), x.gone.Load(), twice)
+			if !with && twice < 3 || len(p.ran) < 100 {
+				t.Errorf("%d of %d refunds ran more than once without ties: that proves nothing", twice, len(p.ran))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/affinity/tielog/bench_test.go
@@ -0,0 +1,137 @@
+package tielog
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/wal"
+	"go.etcd.io/bbolt"
+
+	"appleledge/internal/affinity"
+	"appleledge/internal/store"
+)
+
+// keeper is a way to keep records; many goroutines call it at a time, and it returns when the record is kept.
+type keeper func(r affinity.Record) error
+
+// ways are those that docs/design/affinity.md compares: this log, bbolt with its group commit, and tidwall/wal, each with and
+// without a sync to the disk.
+func ways(b *testing.B, lasting bool) map[string]func() (keeper, func()) {
+	return map[string]func() (keeper, func()){
+		"log": func() (keeper, func()) {
+			c := &clock{now: time.Minute}
+			o := c.options(store.OS{}, lasting, "boot")
+			o.Dir = b.TempDir()
+			l, ended, done := open(b, o), make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(done)
+				for {
+					select {
+					case <-ended:
+						return
+					case <-l.Wake():
+						if err := l.Flush(); err != nil {
+							b.Error(err)
+						}
+					}
+				}
+			}()
+			return func(r affinity.Record) error {
+				if !l.Append(r).Wait(time.Minute) {
+					return fmt.Errorf("not kept")
+				}
+				return nil
+			}, func() { close(ended); <-done; l.Close() }
+		},
+		"bbolt": func() (keeper, func()) {
+			db, err := bbolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, &bbolt.Options{NoSync: !lasting})
+			if err != nil {
+				b.Fatal(err)
+			}
+			db.MaxBatchDelay = time.Millisecond
+			name := []byte("ties")
+			if err := db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucket(name); return err }); err != nil {
+				b.Fatal(err)
+			}
+			return func(r affinity.Record) error {
+				data := r.Append(nil, func(d time.Duration) int64 { return int64(d) })
+				return db.Batch(func(tx *bbolt.Tx) error { return tx.Bucket(name).Put(data[:16], data[16:]) })
+			}, func() { db.Close() }
+		},
+		"wal": func() (keeper, func()) {
+			l, err := wal.Open(filepath.Join(b.TempDir(), "wal"), &wal.Options{NoSync: !lasting})
+			if err != nil {
+				b.Fatal(err)
+			}
+			var mu sync.Mutex
+			n := uint64(0)
+			return func(r affinity.Record) error {
+				mu.Lock()
+				defer mu.Unlock()
+				n++
+				return l.Write(n, r.Append(nil, func(d time.Duration) int64 { return int64(d) }))
+			}, func() { l.Close() }
+		},
+	}
+}
+
+// BenchmarkKeep is how long a record takes to be kept at 1,000 a second, each as its own request.
+func BenchmarkKeep(b *testing.B) {
+	for _, lasting := range []bool{false, true} {
+		for name, open := range ways(b, lasting) {
+			b.Run(fmt.Sprintf("%s/sync=%v", name, lasting), func(b *testing.B) {
+				keep, closeAll := open()
+				defer closeAll()
+				took := make([]time.Duration, max(b.N, 1))
+				var all sync.WaitGroup
+				tick := time.NewTicker(time.Millisecond)
+				defer tick.Stop()
+				for i := range b.N {
+					<-tick.C
+					all.Go(func() {
+						r := record(i, time.Duration(i))
+						began := time.Now()
+						if err := keep(r); err != nil {
+							b.Error(err)
+						}
+						took[i] = time.Since(began)
+					})
+				}
+				all.Wait()
+				slices.Sort(took)
+				b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+				b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+			})
+		}
+	}
+}
+
+// BenchmarkRecover is how long a million records take to be read into a table.
+func BenchmarkRecover(b *testing.B) {
+	c := &clock{now: time.Minute}
+	o := c.options(store.OS{}, false, "boot")
+	o.Dir = b.TempDir()
+	l := open(b, o)
+	for i := range 1_000_000 {
+		l.Append(record(i, c.now))
+		if i%1000 == 999 {
+			if err := l.Flush(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	for b.Loop() {
+		table := affinity.New(affinity.Options{Most: 1 << 20, Window: 2 * time.Second, Tail: 8 * time.Second})
+		found, err := open(b, o).Read()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if table.Restore(c.now, found.Records); table.Counts().Entries != 1_000_000 {
+			b.Fatal(table.Counts())
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/ties_test.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"appleledge/internal/testbed"
+)
+
+// Two agents side by side, as at a planned restart: a refund that may have run by way of the one goes to the same pod by way of
+// the other, and so it does by way of a third that starts when both have ended. A folder that can't be written to costs no
+// request, and is told of.
+func TestTiesFromOneProcessToTheNext(t *testing.T) {
+	t.Parallel()
+	var servers []*testbed.Backend
+	var entries []string
+	for i := range 6 {
+		b := newBackend(t, func(c net.Conn, r *http.Request, _ int) bool {
+			if r.Header.Get("X-Attrs") == "lost" {
+				return false // it has run, and the answer is lost
+			}
+			_, err := io.WriteString(c, served)
+			return err == nil
+		})
+		servers = append(servers, b)
+		entries = append(entries, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"edinburgh-dc","cell":%d,"state":"Ready","weight":1,"started_ms":0}`, i, b.Addr(), i))
+	}
+	at := func() (seen []int) {
+		for _, b := range servers {
+			seen = append(seen, b.Requests())
+		}
+		return seen
+	}
+	d := newFakeDiscovery(t, 1, entries...)
+	dir, log := t.TempDir(), &testbed.LockedBuffer{}
+	begin := func() *running {
+		return startOn(t, d, time.Millisecond, func(*Config) {}, Extras{Ties: &Ties{Dir: dir, Most: 1000, Tail: 10 * time.Second, Budget: time.Second}},
+			slog.New(slog.NewTextHandler(log, nil)))
+	}
+	refund := func(a *running, key, attrs string) (status int, pods []int) {
+		before := at()
+		r := a.newRequest(t, http.MethodPost, "/refund-record", "")
+		r.Header.Set("Idempotency-Key", key)
+		r.Header.Set("X-Attrs", attrs)
+		status = send(t, r).status
+		for i, n := range at() {
+			if n > before[i] {
+				pods = append(pods, i)
+			}
+		}
+		return status, pods
+	}
+	old, fresh := begin(), begin()
+	for i := range 10 {
+		key := fmt.Sprint("key-", i)
+		status, first := refund(old, key, "lost")
+		if status == http.StatusOK || len(first) != 1 {
+			t.Fatalf("the first: status %d, at the pods %v", status, first)
+		}
+		time.Sleep(3 * followEvery)
+		if status, again := refund(fresh, key, ""); status != http.StatusOK || fmt.Sprint(again) != fmt.Sprint(first) {
+			t.Fatalf("by way of another process: status %d, at the pods %v, and the first went to %v", status, again, first)
+		}
+	}
+	_, first := refund(fresh, "last", "lost")
+	for _, a := range []*running{old, fresh} {
+		a.stop()
+		if err := <-a.done; err != nil {
+			t.Fatal(err)
+		}
+		a.done <- nil
+	}
+	third := begin()
+	if status, again := refund(third, "last", ""); status != http.StatusOK || fmt.Sprint(again) != fmt.Sprint(first) {
+		t.Errorf("after a restart: status %d, at the pods %v, and the first went to %v", status, again, first)
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*.ties"))
+	if err != nil || len(files) < 2 {
+		t.Errorf("%v, %v", files, err)
+	}
+	if err := os.RemoveAll(dir); err != nil { // as a disk that fails: the file that is open can still be written, another can't be begun
+		t.Fatal(err)
+	}
+	if status, _ := refund(third, "without a disk", ""); status != http.StatusOK {
+		t.Errorf("without a disk: status %d", status)
+	}
+	eventually(t, "it is told of", func() bool { return log.Count("ties of other processes can't be read") == 1 })
+}
--- /dev/null
+++ b/internal/engine/ties_test.go
@@ -0,0 +1,199 @@
+package engine
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"appleledge/internal/affinity"
+	"appleledge/internal/fleetconfig"
+	"appleledge/internal/generation"
+	"appleledge/logic"
+)
+
+// tieLog keeps what it is told.
+type tieLog struct{ records []affinity.Record }
+
+func (l *tieLog) Append(r affinity.Record) TieCommit {
+	l.records = append(l.records, r)
+	return nil
+}
+
+// tiedEngine is an engine with ties, in front of two servers in each of two pods.
+type tiedEngine struct {
+	*Engine
+	now  time.Duration
+	log  *tieLog
+	out  *starter
+	door *keeper
+	ids  int
+}
+
+func newTied(t *testing.T, change func(*tiedEngine)) *tiedEngine {
+	b, err := logic.New(logic.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 4, Classes: classes()}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &tiedEngine{now: time.Second, log: &tieLog{}, out: &starter{}, door: &keeper{}}
+	x.Engine = New(b, DrivenClock(&x.now), noFleet{}, slog.New(slog.DiscardHandler))
+	x.Tie(affinity.New(affinity.Options{Most: 100, Window: window, Tail: time.Minute}), affinity.Secret{}, x.log)
+	change(x)
+	x.Begin()
+	x.list(Listed{Full: true, Members: x.members(logic.Ready)})
+	return x
+}
+
+func (x *tiedEngine) members(first logic.State) (out []Member) {
+	for i := range 4 {
+		m := Member{Server: logic.Server{ID: fmt.Sprint("s", i), Cell: i / 2}}
+		if m.Cell == 0 {
+			m.State = first
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// call brings a refund, and returns its attempt, if it has one, and its answers.
+func (x *tiedEngine) call(key string, caller Caller) (*Attempt, *ear) {
+	heard := &ear{}
+	if caller == nil {
+		caller = heard
+	}
+	x.ids++
+	before := len(x.out.attempts)
+	x.Step(Arrival(&Call{ID: fmt.Sprint(x.ids), Class: 1, Effect: logic.Keyed, Window: window, Deadline: x.now + deadline, RepeatKey: key,
+		Carrier: x.out, Caller: caller}))
+	if len(x.out.attempts) == before {
+		return nil, heard
+	}
+	return x.out.attempts[before], heard
+}
+
+func (x *tiedEngine) end(a *Attempt, result logic.Result) {
+	x.Step(Outcome{Attempt: a, Result: result, Report: logic.NoReport})
+}
+
+func cellOf(a *Attempt) int { return int(a.Server[1]-'0') / 2 }
+
+// A repeat under another id goes to the pod of the first try while that may have run, and is failed, never refused, where it
+// can't: after the window, when the pod drains or is gone, when a limit, a door or a full processor would turn it away.
+func TestRepeatsOfWhatMayHaveRun(t *testing.T) {
+	zero := 0
+	limited := func(x *tiedEngine) {
+		m := generation.New(generation.Options{Names: generation.Names{Classes: make([]generation.Class, 3)}})
+		x.Govern(m, nil)
+	}
+	limit := func(x *tiedEngine) {
+		c := &fleetconfig.Config{Limits: []fleetconfig.Limit{{Name: "l", InFlight: &zero}}}
+		ready, err := generation.Compile(c, generation.Names{}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := x.governed.manager
+		_, _, base := m.Config()
+		if m.Stage(ready, 0, "", base, true) != nil {
+			t.Fatal("not staged")
+		}
+		m.Switch(x.now, "")
+	}
+	nothing := func(*tiedEngine) {}
+	for name, tt := range map[string]struct {
+		setup, meanwhile func(*tiedEngine)
+		first            logic.Result
+		want             string
+	}{
+		"at once":                       {nothing, nothing, logic.TimedOut, "same pod"},
+		"while the first is out":        {nothing, nothing, -1, "same pod"},
+		"of one that was served":        {nothing, nothing, logic.OK, "same pod"},
+		"of one that never ran":         {nothing, func(x *tiedEngine) { x.list(Listed{Members: x.members(logic.Draining)[:2]}) }, logic.Rejected, "other pod"},
+		"after the window":              {nothing, func(x *tiedEngine) { x.now += window }, logic.TimedOut, "failed"},
+		"whose pod drains":              {nothing, func(x *tiedEngine) { x.list(Listed{Members: x.members(logic.Draining)[:2]}) }, logic.TimedOut, "failed"},
+		"whose pod is gone":             {nothing, func(x *tiedEngine) { x.list(Listed{Members: x.members(logic.Gone)[:2]}) }, logic.TimedOut, "failed"},
+		"that the door would turn away": {func(x *tiedEngine) { x.Guard(x.door) }, func(x *tiedEngine) { x.door.shut = true }, logic.TimedOut, "same pod"},
+		"that a limit would turn away":  {limited, limit, logic.TimedOut, "failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 8 { // draws are by chance
+				x := newTied(t, tt.setup)
+				x.list(Listed{Members: x.members(logic.Ready)})
+				// The first goes to pod 0, whose servers are the only ones that are ready.
+				far := x.members(logic.Ready)[2:]
+				for i := range far {
+					far[i].State = logic.Draining
+				}
+				x.list(Listed{Members: far})
+				first, _ := x.call("k", nil)
+				if first == nil || cellOf(first) != 0 {
+					t.Fatalf("the first went to %+v", first)
+				}
+				x.list(Listed{Members: x.members(logic.Ready)[2:]})
+				if tt.first >= 0 {
+					first.Call.Close() // its client has left: no further attempt of its own
+					x.end(first, tt.first)
+				}
+				tt.meanwhile(x)
+				again, heard := x.call("k", nil)
+				got := "nothing"
+				switch {
+				case again != nil && cellOf(again) == 0:
+					got = "same pod"
+				case again != nil:
+					got = "other pod"
+				case len(*heard) == 1 && (*heard)[0].Kind == Failed:
+					got = "failed"
+				}
+				if got != tt.want {
+					t.Fatalf("%s, want %s; answers %+v", got, tt.want, *heard)
+				}
+				if stranger, _ := x.call("another key", nil); tt.want != "failed" && stranger == nil && !x.door.shut {
+					t.Error("another key is held up")
+				}
+			}
+		})
+	}
+}
+
+// A full processor refuses what is new, and fails what may have run under another id.
+func TestFullProcessorAndTies(t *testing.T) {
+	x := newTied(t, func(x *tiedEngine) { x.RememberEnded(10, time.Minute) })
+	first, _ := x.call("k", nil)
+	first.Call.Close()
+	x.end(first, logic.TimedOut)
+	for key, want := range map[string]AnswerKind{"k": Failed, "new": Refused} {
+		p := &proxied{id: key, m: &machine{ran: map[string][]*run{}}}
+		x.Step(Arrival(&Call{ID: "p" + key, Class: 1, Effect: logic.Keyed, Window: window, Deadline: x.now + deadline, RepeatKey: key, Caller: p, Full: true}))
+		if len(p.answers) != 1 || p.answers[0].Kind != want {
+			t.Errorf("%s: %+v, want %v", key, p.answers, want)
+		}
+	}
+}
+
+// What is kept: a tie before it is sent, and that it never ran.
+func TestWhatIsKeptOfTies(t *testing.T) {
+	x := newTied(t, func(*tiedEngine) {})
+	a, _ := x.call("k", nil)
+	if len(x.log.records) != 1 || x.log.records[0].Kind != affinity.Began || int(x.log.records[0].Pod) != cellOf(a) {
+		t.Fatalf("%+v", x.log.records)
+	}
+	a.Call.Close()
+	x.end(a, logic.ConnectFailed)
+	b, _ := x.call("k", nil)
+	x.end(b, logic.OK)
+	var kinds []affinity.Kind
+	for _, r := range x.log.records {
+		kinds = append(kinds, r.Kind)
+	}
+	if fmt.Sprint(kinds) != fmt.Sprint([]affinity.Kind{affinity.Began, affinity.Cleared, affinity.Began, affinity.EndedServed}) {
+		t.Errorf("kept are %v", kinds)
+	}
+	y := newTied(t, func(*tiedEngine) {})
+	y.Step(Restored{x.log.records})
+	if again, _ := y.call("k", nil); again == nil || cellOf(again) != cellOf(b) {
+		t.Errorf("after a restart %+v, and it went to %s", again, b.Server)
+	}
+	if c := y.load().Ties; c.Restored != 2 || c.Tied != 1 || c.Entries != 1 { // two have begun, one of which never ran
+		t.Errorf("%+v", c)
+	}
+}
