appleledgectl affinity: what is kept of where refunds went; its figures in telemetry

Operators need to look into the folder of ties without an agent: stat, check, export, lookup by key, compact. Run by a test over a folder with files of two runs of the machine and a damaged record.

--- /dev/null
+++ b/cmd/appleledgectl/affinity.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"appleledge/internal/affinity"
+	"appleledge/internal/affinity/tielog"
+	"appleledge/internal/store"
+)
+
+// affinityCommands look into the folder in which agents keep where refunds went. They need no agent.
+func (c *console) affinityCommands() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "affinity",
+		Short: "Look into the folder that keeps where refunds went",
+		Long:  "Looks into the folder that the section [affinity] of an agent's settings names. No agent has to run, and one that does is not disturbed.",
+	}
+	cmd.PersistentFlags().StringVar(&c.dir, "dir", "", "the `folder`")
+	cmd.MarkPersistentFlagRequired("dir")
+	cmd.AddCommand(
+		c.inspecting("stat", "Say what the files hold", 0, c.stat),
+		c.inspecting("check", "Check each record; exits with 1 where any is damaged", 0, c.checkFiles),
+		c.inspecting("export", "Write all records as lines of JSON", 0, c.export),
+		c.inspecting("lookup KEY", "Say where a repeat key (Idempotency-Key) went", 1, c.lookup),
+		c.compact())
+	return cmd
+}
+
+// inspecting is a command on the files of a folder.
+func (c *console) inspecting(use, short string, args int, do func(dir string, files []tielog.Report, args []string) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(args), RunE: func(_ *cobra.Command, args []string) error {
+		files, err := tielog.Inspect(store.OS{}, c.dir)
+		if err != nil {
+			return err
+		}
+		return do(c.dir, files, args)
+	}}
+}
+
+// kindNames are the kinds of records.
+var kindNames = map[affinity.Kind]string{affinity.Began: "began", affinity.Cleared: "never ran", affinity.EndedServed: "served", affinity.EndedFailed: "failed"}
+
+func (c *console) stat(_ string, files []tielog.Report, _ []string) error {
+	if c.json {
+		return c.writeJSON(files)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	for _, f := range files {
+		kinds := map[string]int{}
+		for _, r := range f.Records {
+			kinds[kindNames[r.Kind]]++
+		}
+		fmt.Fprintf(w, "%s\t%d bytes\t%d began\t%d never ran\t%d served\t%d damaged\t%s\n", f.Name, f.Bytes, kinds["began"], kinds["never ran"], kinds["served"], f.Damaged, f.Problem)
+	}
+	return w.Flush()
+}
+
+func (c *console) checkFiles(dir string, files []tielog.Report, _ []string) error {
+	var wrong []error
+	for _, f := range files {
+		if f.Damaged > 0 || f.Problem != "" {
+			wrong = append(wrong, fmt.Errorf("%s: %d damaged records %s", filepath.Join(dir, f.Name), f.Damaged, f.Problem))
+		}
+	}
+	if len(wrong) == 0 {
+		fmt.Fprintf(c.out, "%d files, all of it can be read\n", len(files))
+	}
+	return errors.Join(wrong...)
+}
+
+// line is a record as it is exported.
+type line struct {
+	File string  `json:"file"`
+	Boot string  `json:"boot"`
+	Key  string  `json:"key"` // hashed
+	Kind string  `json:"kind"`
+	AtS  float64 `json:"at_s"` // since that run of the machine began
+	Pod  int32   `json:"pod"`
+	Zone int32   `json:"zone"`
+}
+
+func lineOf(f tielog.Report, r affinity.Record) line {
+	return line{f.Name, f.Boot, fmt.Sprintf("%016x%016x", r.Key[0], r.Key[1]), kindNames[r.Kind], r.At.Seconds(), r.Pod, r.Zone}
+}
+
+func (c *console) export(_ string, files []tielog.Report, _ []string) error {
+	e := json.NewEncoder(c.out)
+	for _, f := range files {
+		for _, r := range f.Records {
+			if err := e.Encode(lineOf(f, r)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *console) lookup(dir string, files []tielog.Report, args []string) error {
+	if _, err := os.Stat(filepath.Join(dir, "secret")); err != nil {
+		return fmt.Errorf("the secret by which keys are hashed: %w", err) // one is not made by a look
+	}
+	secret, err := tielog.Secret(tielog.Options{Dir: dir, FS: store.OS{}})
+	if err != nil {
+		return err
+	}
+	key, found := secret.Key(args[0]), false
+	e := json.NewEncoder(c.out)
+	for _, f := range files {
+		for _, r := range f.Records {
+			if r.Key == key {
+				found = true
+				if err := e.Encode(lineOf(f, r)); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	if !found {
+		return fmt.Errorf("nothing is kept of %q", args[0])
+	}
+	return nil
+}
+
+func (c *console) compact() *cobra.Command {
+	var lasts time.Duration
+	cmd := c.inspecting("compact", "Remove files of which nothing is of use any more", 0, func(dir string, files []tielog.Report, _ []string) error {
+		boot, now, err := tielog.SinceBoot()
+		if err != nil {
+			return err
+		}
+		for _, f := range files {
+			if !f.Obsolete(boot, now, lasts) {
+				continue
+			}
+			if err := os.Remove(filepath.Join(dir, f.Name)); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.out, "removed", f.Name)
+		}
+		return nil
+	})
+	cmd.Long = "Removes files of which nothing is of use any more, as agents do by themselves. Files of an earlier run of the machine are removed, too: do\nthat only when an agent has been started since, or clients' repeats of that time have ended."
+	cmd.Flags().DurationVar(&lasts, "lasts", 10*time.Minute, "how long records are of use: the window and the tail of the settings, and some more")
+	return cmd
+}
--- a/cmd/appleledgectl/main_test.go
+++ b/cmd/appleledgectl/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -15,11 +16,14 @@
 	"time"
 
 	"appleledge/internal/admin"
+	"appleledge/internal/affinity"
+	"appleledge/internal/affinity/tielog"
 	"appleledge/internal/agent"
 	"appleledge/internal/generation"
 	"appleledge/internal/plan"
 	"appleledge/internal/program"
 	"appleledge/internal/settings"
+	"appleledge/internal/store"
 	"appleledge/internal/testbed"
 )
 
@@ -211,3 +215,64 @@
 	}
 	t.Logf("came back to %v", came)
 }
+
+// What a folder of ties holds, with a damaged file and one of an earlier run of the machine among them.
+func TestAffinityCommands(t *testing.T) {
+	dir := t.TempDir()
+	boot, now, err := tielog.SinceBoot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := tielog.Options{Dir: dir, FS: store.OS{}, Lasts: time.Minute, Now: func() time.Duration { return now }, Boot: boot,
+		Stamp: func(t time.Duration) int64 { return int64(t) }, Clock: func(n int64) time.Duration { return time.Duration(n) }}
+	secret, err := tielog.Secret(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range []string{boot, "earlier"} {
+		o.Boot = b
+		l, err := tielog.Open(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Append(affinity.Record{Kind: affinity.Began, Key: secret.Key("refund-" + b[:3]), At: now, Pod: 3})
+		if err := errors.Join(l.Flush(), l.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x := &installation{}
+	for i, step := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"stat"}, exitOK, "1 began"},
+		{[]string{"check"}, exitOK, "2 files, all of it can be read"},
+		{[]string{"export"}, exitOK, `"boot":"earlier"`},
+		{[]string{"lookup", "refund-ear"}, exitOK, `"pod":3`},
+		{[]string{"lookup", "another"}, exitError, "nothing is kept"},
+		{[]string{"compact"}, exitOK, "removed"},
+		{[]string{"export"}, exitOK, boot},
+		{[]string{"lookup", "refund-ear"}, exitError, "nothing is kept"},
+	} {
+		got := x.try(append([]string{"affinity", "--dir", dir}, step.args...)...)
+		if got.code != step.code || !strings.Contains(got.out+got.err, step.want) {
+			t.Fatalf("step %d, %v: %+v", i, step.args, got)
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*.ties"))
+	if err != nil || len(files) != 1 {
+		t.Fatal(files, err)
+	}
+	data, err := os.ReadFile(files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)-1] ^= 1
+	if err := os.WriteFile(files[0], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := x.try("affinity", "--dir", dir, "check"); got.code != exitError || !strings.Contains(got.err, "1 damaged") {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/agent/ties.go
+++ b/internal/agent/ties.go
@@ -5,12 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"os"
-	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"appleledge/internal/affinity"
 	"appleledge/internal/affinity/tielog"
 	"appleledge/internal/engine"
@@ -90,22 +86,14 @@
 	return t, nil
 }
 
-// bootID names the present run of the machine (proc(5)).
-const bootID = "/proc/sys/kernel/random/boot_id"
-
-// sinceBoot sets times since the machine has started, by clock_gettime(2)'s CLOCK_BOOTTIME: setting the clock does not change
-// them, and two processes have the same.
+// sinceBoot sets times since the machine has started, which two processes have in common.
 func sinceBoot(o *tielog.Options, clk engine.Clock) error {
-	id, err := os.ReadFile(bootID)
+	boot, now, err := tielog.SinceBoot()
 	if err != nil {
 		return err
 	}
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		return fmt.Errorf("reading the time since the machine has started: %w", err)
-	}
-	offset := now.Nano() - int64(clk.Now())
-	o.Boot = strings.TrimSpace(string(id))
+	offset := int64(now - clk.Now())
+	o.Boot = boot
 	o.Stamp = func(t time.Duration) int64 { return int64(t) + offset }
 	o.Clock = func(stamp int64) time.Duration { return time.Duration(stamp - offset) }
 	return nil
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/netutil"
 
+	"appleledge/internal/affinity"
 	"appleledge/internal/engine"
 	"appleledge/internal/generation"
 	"appleledge/internal/pool"
@@ -85,6 +86,7 @@
 	s.joins(page, l)
 	s.door(page, l.Door)
 	s.generation(page, l.Generation)
+	s.ties(page, l.Ties)
 	metrics.WriteProcessMetrics(w)
 }
 
@@ -143,6 +145,14 @@
 	}
 }
 
+func (s *Server) ties(p page, c affinity.Counts) {
+	p.gauge("appleledge_ties", "", float64(c.Entries))
+	for name, n := range map[string]uint64{"tied": c.Tied, "lost": c.Lost, "overflowed": c.Overflowed, "evicted": c.Evicted,
+		"unprotected": c.Unprotected, "undurable": c.Undurable, "restored": c.Restored} {
+		p.count("appleledge_ties_"+name+"_total", "", n)
+	}
+}
+
 func bit(is bool) float64 {
 	if is {
 		return 1
