--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -193,6 +193,30 @@
 	}
 }
 
+// One hot key, tried a thousand times at once and again, is one tie that lasts from the first try on and is let go with the last.
+func TestOneHotKey(t *testing.T) {
+	table, now, k := New(Options{Most: 4, Window: window, Tail: tail}), time.Second, Secret{}.Key("hot")
+	records := 0
+	for range 1000 {
+		now += time.Millisecond
+		if _, fresh := table.Begin(now, k, 3, 0); fresh {
+			records++
+		}
+	}
+	tie, ok := table.Lookup(now, k)
+	if !ok || tie.Pod != 3 || tie.Since != time.Second+time.Millisecond || records != 1 || len(table.queue) != 1 {
+		t.Errorf("%+v, %v; %d records, %d in the queue", tie, ok, records, len(table.queue))
+	}
+	for i := range 1000 {
+		if _, cleared := table.NeverRan(now, k); cleared != (i == 999) {
+			t.Fatalf("end %d: the tie is gone: %v", i, cleared)
+		}
+	}
+	if _, ok := table.Lookup(now, k); ok {
+		t.Error("nothing of it ran, and it is tied")
+	}
+}
+
 // Records are read as they were written, and no bit of one can change unseen.
 func TestRecords(t *testing.T) {
 	unix := func(d time.Duration) int64 { return int64(d) + 1e18 }
