Second reading: bounded looks at traffic, maps of files that are gone, a disk that hangs

An estimate of what limits turn away looked at every pair of class and tenant for each limit on the engine's goroutine (up to a million looks at 1,024 limits and pairs): now at those that it concerns. The log of ties kept names of files that were gone, without bound. A hash that was forced stayed in the order of those barred, so that a later one could go early. A retry timer of the log did nothing. A disk that hangs could keep the agent from ending: it waits a second.

Tests for the names and the order, each seen to fail with its mend taken out; the wait at the end and the looks have none of their own.

--- a/internal/affinity/tielog/tielog.go
+++ b/internal/affinity/tielog/tielog.go
@@ -11,7 +11,9 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -94,14 +96,13 @@
 	wake    chan struct{}
 
 	// Of the goroutine that writes:
-	file    store.Handle
-	name    string
-	size    int
-	last    time.Duration // when the file was written last
-	files   int
-	spare   []byte
-	mine    map[string]time.Duration // files, with the time of their last record, as far as it was looked at
-	failing error
+	file  store.Handle
+	name  string
+	size  int
+	last  time.Duration // when the file was written last
+	files int
+	spare []byte
+	mine  map[string]time.Duration // files, with the time of their last record, as far as it was looked at
 
 	// Of the goroutine that reads:
 	read    map[string]int // bytes read of others' files
@@ -168,7 +169,7 @@
 	l.mu.Unlock()
 	if batch == nil {
 		l.spare = data
-		return l.failing
+		return nil
 	}
 	err := l.write(data)
 	if err != nil && l.file != nil {
@@ -177,7 +178,7 @@
 	}
 	batch.err = err
 	close(batch.done)
-	l.spare, l.failing = data[:0], err
+	l.spare = data[:0]
 	return err
 }
 
@@ -249,6 +250,13 @@
 	if err != nil {
 		return found, err
 	}
+	for name := range l.read { // of a file that is gone nothing needs to be known
+		if _, there := slices.BinarySearch(names, name); !there {
+			delete(l.read, name)
+			delete(l.boots, name)
+			delete(l.damaged, filepath.Join(l.options.Dir, name))
+		}
+	}
 	files := 0
 	for _, name := range names {
 		if !strings.HasSuffix(name, ending) || strings.HasPrefix(name, l.prefix) {
@@ -349,6 +357,10 @@
 		return err
 	}
 	now := l.options.Now()
+	maps.DeleteFunc(l.mine, func(name string, _ time.Duration) bool {
+		_, there := slices.BinarySearch(names, name)
+		return !there
+	})
 	for _, name := range names {
 		if !strings.HasSuffix(name, ending) || name == l.name && l.file != nil {
 			continue
--- a/internal/affinity/tielog/tielog_test.go
+++ b/internal/affinity/tielog/tielog_test.go
@@ -193,6 +193,13 @@
 	}
 	keep(a, 4)
 	hear(b, "[4]")
+	if err := a.Remove(); err != nil { // its first file, which was open until then
+		t.Fatal(err)
+	}
+	hear(b, "[]")
+	if len(b.read) != 1 || len(b.boots) != 1 || len(a.mine) != 1 {
+		t.Errorf("of files that are gone it is known %v, %v, %v", b.read, b.boots, a.mine)
+	}
 }
 
 // The secret is made once, and one that is damaged is not replaced: keys hashed with another one would be strangers.
--- a/internal/agent/generations.go
+++ b/internal/agent/generations.go
@@ -119,10 +119,16 @@
 	}
 	<-engine
 	stop()
-	<-done
+	select {
+	case <-done:
+	case <-time.After(lastKeep): // a disk that hangs must not keep the agent from ending
+	}
 	g.close()
 }
 
+// lastKeep is how long the end of the agent waits for a disk.
+const lastKeep = time.Second
+
 func (g *governing) close() {
 	if g.socket != nil {
 		g.socket.Close()
--- a/internal/agent/ties.go
+++ b/internal/agent/ties.go
@@ -27,7 +27,6 @@
 	tieFiles      = 8 // descriptors: the file that is written, and what is looked at
 	followEvery   = 100 * time.Millisecond
 	removeEvery   = time.Minute
-	flushAgain    = time.Second      // after a disk that failed
 	tieTroubleLog = 10 * time.Second // between two lines on what can't be kept
 )
 
@@ -121,8 +120,6 @@
 func (t *tying) write(ended <-chan struct{}) {
 	remove := time.NewTicker(removeEvery)
 	defer remove.Stop()
-	again := time.NewTimer(time.Hour)
-	defer again.Stop()
 	logged := time.Time{}
 	trouble := func(err error) {
 		if err != nil && time.Since(logged) > tieTroubleLog {
@@ -136,11 +133,6 @@
 			trouble(errors.Join(t.log.Flush(), t.log.Close()))
 			return
 		case <-t.log.Wake():
-			err := t.log.Flush()
-			if trouble(err); err != nil {
-				again.Reset(flushAgain)
-			}
-		case <-again.C:
 			trouble(t.log.Flush())
 		case <-remove.C:
 			trouble(t.log.Remove())
--- a/internal/engine/governed.go
+++ b/internal/engine/governed.go
@@ -89,7 +89,6 @@
 	pool := c.bound.Servers()
 	switch {
 	case pool == nil, c.before.May: // what may have run goes to its pod, whatever the configuration makes of others
-
 		return c.Among
 	case c.Among == nil:
 		return pool
--- a/internal/generation/manager.go
+++ b/internal/generation/manager.go
@@ -273,6 +273,7 @@
 	limited := m.limitedBy(now, c)
 	m.replace(c)
 	delete(m.barred, c.Hash)
+	m.barList = slices.DeleteFunc(m.barList, func(hash string) bool { return hash == c.Hash })
 	m.record(now, Record{Number: m.force.number, Hash: c.Hash, What: Applied, By: m.staging, Why: why})
 	m.step = 0
 	m.startWatch(now, m.traffic.sums(now), limited)
@@ -423,11 +424,8 @@
 		if came == 0 {
 			continue
 		}
-		for pair := range out {
-			class := m.traffic.class(pair)
-			if (w.class == anyone || w.class == class) && (w.tenant == anyone || m.traffic.pair(class, w.tenant) == pair) {
-				out[pair] = max(out[pair], refused/came)
-			}
+		for pair := range m.traffic.matching(w) {
+			out[pair] = max(out[pair], refused/came)
 		}
 	}
 	return out
--- a/internal/generation/manager_test.go
+++ b/internal/generation/manager_test.go
@@ -455,6 +455,9 @@
 	wants("with nothing before", m.Rollback(2*time.Second, "x", ""), ErrNoReturn)
 	wants("one that has done harm", m.Stage(compiled(b), m.version, "y", empty, false), ErrBarred)
 	wants("the same, forced", m.Stage(compiled(b), m.version, "y", empty, true), nil)
+	if _, err := m.Switch(3*time.Second, ""); err != nil || len(m.barList) != len(m.barred) {
+		t.Errorf("%v; %d in the order of those that have done harm, %d of them", err, len(m.barList), len(m.barred))
+	}
 }
 
 // Neither what is remembered of changes nor of harm grows without end.
--- a/internal/generation/traffic.go
+++ b/internal/generation/traffic.go
@@ -1,6 +1,9 @@
 package generation
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 const (
 	trafficSeconds = 60   // that are remembered
@@ -83,6 +86,28 @@
 	return out
 }
 
+// matching are the pairs that an object for that class and tenant concerns. It looks at no others: there is one object for a
+// class and tenant at the most, so that all of them together look at each pair four times.
+func (t *traffic) matching(w who) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for class := range len(t.pairs) / t.tenants {
+			if w.class != anyone && w.class != class {
+				continue
+			}
+			first, last := 0, t.tenants-1
+			if w.tenant != anyone {
+				first = min(w.tenant, last)
+				last = first
+			}
+			for tenant := first; tenant <= last; tenant++ {
+				if !yield(t.pair(class, tenant)) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // bySecond are the arrivals and peaks of those pairs that fit, from the oldest second, without the present one.
 func (t *traffic) bySecond(now time.Duration, w who) (arrived, peaks []uint32) {
 	if len(t.pairs) == 0 {
@@ -91,10 +116,7 @@
 	t.at(now, 0)
 	for back := int64(trafficSeconds - 1); back > 0; back-- {
 		var sum second
-		for i := range t.pairs {
-			if w.class != anyone && w.class != t.class(i) || w.tenant != anyone && t.pair(t.class(i), w.tenant) != i {
-				continue
-			}
+		for i := range t.matching(w) {
 			s := t.pairs[i].ring[(t.now-back+trafficSeconds)%trafficSeconds]
 			sum.arrived += s.arrived
 			sum.peak += s.peak
