Figures in the agents' logs by reason, added up over a fleet by appleledgectl

Nothing told why requests were given up, how many went to cold servers, how many connections were dialled, or what the list was asked.

Change: the module names the reason of each refusal and failure (a closed list) and whether a send is to a server that has started lately; the pool and the platform's list count what they do; a section [figures] logs it, appleledgectl figures adds it up over agents by second; telemetry shows the same. Off without the section.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,9 +73,10 @@
 	Membership membership.Options
 	// Join says, for the classes of the platform's configuration, which requests are answered together; nil: none. An
 	// error is a setting that does not fit them.
-	Join  func([]logic.Class) (Joins, error)
-	Storm *Storm // nil: storms are not noticed
-	Ties  *Ties  // nil: where refunds go is not remembered
+	Join    func([]logic.Class) (Joins, error)
+	Storm   *Storm        // nil: storms are not noticed
+	Ties    *Ties         // nil: where refunds go is not remembered
+	Figures time.Duration // between two lines of the log with what is counted; 0: none
 	// Generations are configurations of the fleet that operators plan and apply; nil: none is in force.
 	Generations *Generations
 }
@@ -170,6 +171,11 @@
 		core.Guard(newStorm(cfg, *with.Storm))
 		parts.Go(func() { logStorms(inner, core, clk, cfg.Site.Logic.Classes, with.Storm.LogEvery, log) })
 	}
+	if with.Figures > 0 {
+		core.Count(cfg.Site.Logic.Classes)
+		look := counters{core, conns, disco}
+		parts.Go(func() { look.log(inner, with.Figures, log) })
+	}
 	parts.Go(func() { core.Run(inner) })
 	if joined != nil {
 		parts.Go(func() { logJoins(inner, core, joined.logEvery, log) })
--- /dev/null
+++ b/internal/agent/figures.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/figures"
+	"appleledge/internal/membership/platform"
+	"appleledge/internal/pool"
+	"appleledge/logic"
+)
+
+// counters are the parts of an agent that count.
+type counters struct {
+	core  *engine.Engine
+	conns *pool.Pool
+	disco *platform.Discovery
+}
+
+// log logs what has been counted since the last line, at intervals, and how much is held; what is 0 is left out. A line
+// has as many figures as there are kinds of them, whatever comes.
+func (f counters) log(ctx context.Context, interval time.Duration, log *slog.Logger) {
+	last := map[string]uint64{}
+	every(ctx, interval, func() {
+		var attrs []any
+		for _, c := range f.counts() {
+			if n := c.n - last[c.name]; n > 0 {
+				attrs = append(attrs, c.name, n)
+			}
+			last[c.name] = c.n
+		}
+		held := f.conns.Count()
+		log.Info(figures.Message, append(attrs, "held_open", held.Open, "held_idle", held.Idle)...)
+	})
+}
+
+// count is a figure that only grows.
+type count struct {
+	name string
+	n    uint64
+}
+
+func (f counters) counts() (all []count) {
+	t, p, d := f.core.Load().Tally, f.conns.Count(), f.disco.Counts()
+	add := func(name string, n uint64) { all = append(all, count{name, n}) }
+	for kind, name := range engine.AnswerKinds {
+		var n uint64
+		for _, class := range t.Answers {
+			n += class[kind]
+		}
+		add(name, n)
+	}
+	for kind, name := range engine.SendKinds {
+		add("send_"+name, t.Sends[kind])
+	}
+	add("send_cold", t.Cold)
+	for result, name := range logic.Results {
+		add("end_"+name, t.Attempts[result])
+	}
+	for why, name := range logic.Reasons {
+		add("given_up_"+name, t.GivenUp[why])
+	}
+	add("dials", p.Dials)
+	add("dials_failed", p.Failed)
+	add("conns_reused", p.Reused)
+	add("conns_dead", p.Dead)
+	add("conns_no_room", p.NoRoom)
+	add("list_whole", d.Whole)
+	add("list_watch", d.Watches)
+	add("list_failed", d.Failed)
+	add("list_unreadable", d.Unreadable)
+	return all
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -526,8 +526,10 @@
 		case logic.Send:
 			e.send(a)
 		case logic.Refuse:
+			e.tally.givenUp(a.Why)
 			e.finish(e.calls[a.Request], Answer{Kind: Refused, RetryAfter: a.After})
 		case logic.Fail:
+			e.tally.givenUp(a.Why)
 			e.finish(e.calls[a.Request], Answer{Kind: Failed})
 		case logic.SetTimer:
 			heap.Push(&e.timers, timer{due: e.clock.Now() + a.After, token: a.Token})
@@ -540,6 +542,7 @@
 // send starts an attempt in a goroutine of its own, so that a dead dial holds up nothing else.
 func (e *Engine) send(act logic.Action) {
 	c := e.calls[act.Request]
+	e.tally.sent(c, act.Cold)
 	a := c.attempt(act, e.clock.Now())
 	a.Life = e.fleet.Life(act.Server)
 	var tie TieCommit
--- a/internal/engine/tally.go
+++ b/internal/engine/tally.go
@@ -13,12 +13,21 @@
 // quantilesOf are the shares of which a Tally tells the times.
 var quantilesOf = [...]float64{0.5, 0.9, 0.99}
 
+// SendKinds and AnswerKinds are the names of what is counted by kind, for logs and figures.
+var (
+	SendKinds   = [...]string{"first", "further", "copy"}
+	AnswerKinds = [...]string{Served: "served", Refused: "refused", Failed: "failed", Conflict: "conflict"}
+)
+
 // Tally is what became of calls and attempts since the engine was made.
 type Tally struct {
-	Answers  [][4]uint64 // by class and AnswerKind; calls that are joined count one by one
-	Left     []uint64    // by class: calls whose client left first
-	Attempts [8]uint64   // by logic.Result
-	Times    []Times     // of served calls, by class
+	Answers  [][4]uint64                // by class and AnswerKind; calls that are joined count one by one
+	Left     []uint64                   // by class: calls whose client left first
+	Attempts [len(logic.Results)]uint64 // by logic.Result
+	Sends    [len(SendKinds)]uint64     // by kind
+	Cold     uint64                     // of all these, to servers that had started lately
+	GivenUp  [len(logic.Reasons)]uint64
+	Times    []Times // of served calls, by class
 }
 
 // Times are how long calls took of late, from when the engine was told of them.
@@ -36,6 +45,9 @@
 
 // Count makes the engine count what becomes of calls of so many classes, for Load. It is called before Run.
 func (e *Engine) Count(classes []logic.Class) {
+	if e.tally != nil {
+		return
+	}
 	t := &tally{counts: Tally{Answers: make([][4]uint64, len(classes)), Left: make([]uint64, len(classes)), Times: make([]Times, len(classes))}}
 	for _, c := range classes {
 		t.windows = append(t.windows, latency.New(c.Deadline, tallyTurn, 0))
@@ -62,6 +74,30 @@
 	}
 }
 
+// sent counts an attempt, before it counts as one of the call's.
+func (t *tally) sent(c *Call, cold bool) {
+	if t == nil {
+		return
+	}
+	switch {
+	case c.sends == 0:
+		t.counts.Sends[0]++
+	case c.out == 0:
+		t.counts.Sends[1]++
+	default:
+		t.counts.Sends[2]++
+	}
+	if cold {
+		t.counts.Cold++
+	}
+}
+
+func (t *tally) givenUp(why logic.Reason) {
+	if t != nil {
+		t.counts.GivenUp[why]++
+	}
+}
+
 func (t *tally) attempt(r logic.Result) {
 	if t != nil {
 		t.counts.Attempts[r]++
@@ -70,7 +106,7 @@
 
 // view is a copy of what is counted.
 func (t *tally) view() Tally {
-	v := Tally{Attempts: t.counts.Attempts}
+	v := Tally{Attempts: t.counts.Attempts, Sends: t.counts.Sends, Cold: t.counts.Cold, GivenUp: t.counts.GivenUp}
 	v.Answers = append(v.Answers, t.counts.Answers...)
 	v.Left = append(v.Left, t.counts.Left...)
 	for i, x := range t.counts.Times {
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,105 @@
+// Package figures adds up what agents have counted, from their logs.
+package figures
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Message is that of the lines in which agents log their figures.
+const Message = "figures"
+
+// Bounds on what is read: a line, and how many steps there may be.
+const (
+	longestLine = 64 << 10
+	mostRows    = 24 * 3600
+)
+
+// Sum holds the sums by time.
+type Sum struct {
+	Rows map[int64]map[string]float64 // by the number of the step since 1970, and by name
+	step time.Duration
+}
+
+// New returns an empty sum in steps of that time.
+func New(step time.Duration) (*Sum, error) {
+	if step <= 0 {
+		return nil, fmt.Errorf("a step of %v must be above 0", step)
+	}
+	return &Sum{Rows: map[int64]map[string]float64{}, step: step}, nil
+}
+
+// Read adds a log.
+func (s *Sum) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, longestLine)
+	for number := 1; lines.Scan(); number++ {
+		if err := s.line(lines.Text()); err != nil {
+			return fmt.Errorf("line %d: %w", number, err)
+		}
+	}
+	return lines.Err()
+}
+
+// line adds one line of a log, which slog's text handler has written.
+func (s *Sum) line(text string) error {
+	_, text, found := strings.Cut(text, "time=")
+	if !found || !strings.Contains(text, " msg="+Message+" ") {
+		return nil
+	}
+	fields := strings.Fields(text)
+	at, err := time.Parse(time.RFC3339Nano, fields[0])
+	if err != nil {
+		return fmt.Errorf("%q is no time: %w", fields[0], err)
+	}
+	key := at.UnixNano() / int64(s.step)
+	row := s.Rows[key]
+	if row == nil {
+		if len(s.Rows) == mostRows {
+			return fmt.Errorf("the logs have over %d steps; take longer ones", mostRows)
+		}
+		row = map[string]float64{}
+		s.Rows[key] = row
+	}
+	for _, field := range fields[1:] {
+		name, value, _ := strings.Cut(field, "=")
+		if n, err := strconv.ParseFloat(value, 64); err == nil {
+			row[name] += n
+		}
+	}
+	return nil
+}
+
+// Write writes a row for each figure and a column for each time, from the first on.
+func (s *Sum) Write(w io.Writer) error {
+	if len(s.Rows) == 0 {
+		return errors.New("no line of figures in these logs; agents write them whose settings have a section [figures]")
+	}
+	times := slices.Sorted(maps.Keys(s.Rows))
+	names := map[string]bool{}
+	for _, row := range s.Rows {
+		for name := range row {
+			names[name] = true
+		}
+	}
+	fmt.Fprintf(w, "%-24s", "from "+time.Unix(0, times[0]*int64(s.step)).UTC().Format(time.TimeOnly))
+	for _, at := range times {
+		fmt.Fprintf(w, "%7v", time.Duration(at-times[0])*s.step)
+	}
+	fmt.Fprintln(w)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		fmt.Fprintf(w, "%-24s", name)
+		for _, at := range times {
+			fmt.Fprintf(w, "%7.0f", s.Rows[at][name])
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
--- a/internal/httpcarrier/carrier_test.go
+++ b/internal/httpcarrier/carrier_test.go
@@ -47,9 +47,9 @@
 	return &engine.Attempt{Call: c, Server: "b", Life: f.Pool.Life("b"), Until: until, WriteBy: until}
 }
 
-func (f *fixture) open() int { open, _ := f.Pool.Count(); return open }
+func (f *fixture) open() int { return f.Pool.Count().Open }
 
-func (f *fixture) idle() int { _, idle := f.Pool.Count(); return idle }
+func (f *fixture) idle() int { return f.Pool.Count().Idle }
 
 // body is what a testbed.Served attempt brought.
 func body(out engine.Outcome) string {
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"appleledge/internal/engine"
@@ -42,6 +43,8 @@
 	addr string             // where discovery is; mu guards it and what follows
 	drop context.CancelFunc // ends the calls to the present address
 
+	whole, watches, failed, unreadable atomic.Uint64 // calls
+
 	// Those of the goroutine that runs:
 	at      string // the address that is followed
 	version int64
@@ -73,6 +76,14 @@
 	}
 }
 
+// Counts are calls to discovery since the start. Those that are unreadable have failed as well.
+type Counts struct{ Whole, Watches, Failed, Unreadable uint64 }
+
+// Counts says how many calls were made, and how they ended.
+func (d *Discovery) Counts() Counts {
+	return Counts{Whole: d.whole.Load(), Watches: d.watches.Load(), Failed: d.failed.Load(), Unreadable: d.unreadable.Load()}
+}
+
 // Ask subscribes to the list. A subscription that waits to begin is enough.
 func (d *Discovery) Ask() {
 	select {
@@ -187,6 +198,19 @@
 
 // call makes one call and takes in what it brings.
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) error {
+	if query == "" {
+		d.whole.Add(1)
+	} else {
+		d.watches.Add(1)
+	}
+	err := d.ask(ctx, query, wait)
+	if err != nil {
+		d.failed.Add(1)
+	}
+	return err
+}
+
+func (d *Discovery) ask(ctx context.Context, query string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
@@ -207,6 +231,7 @@
 	}
 	l, err := listing.Parse(body)
 	if err != nil {
+		d.unreadable.Add(1)
 		return fmt.Errorf("discovery's list: %w", err)
 	}
 	return d.take(l, query == "")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,9 +31,10 @@
 	backends map[string]*Backend
 	byAddr   map[string][]*Backend // those of backends, by their address
 	open     map[*Conn]struct{}
-	opening  int  // dials under way
-	ready    int  // backends that may get new requests
-	resting  int  // connections that wait for use
+	opening  int // dials under way
+	ready    int // backends that may get new requests
+	resting  int // connections that wait for use
+	counts   Counts
 	oldest   Conn // the ring of those, by the time since they do: after it comes the first
 }
 
@@ -176,11 +177,22 @@
 // Life is Backend in the engine's terms.
 func (p *Pool) Life(id string) engine.Life { return p.Backend(id) }
 
-// Count says how many connections are open, and how many of them wait for use.
-func (p *Pool) Count() (open, idle int) {
+// Counts are what a pool holds, and what it has done since it was made.
+type Counts struct {
+	Open, Idle   int    // connections, and those of them that wait for use
+	Dials        uint64 // connections asked for
+	Failed       uint64 // of which did not come up
+	Reused, Dead uint64 // idle ones that were used again, and such as turned out to be over
+	NoRoom       uint64 // uses for which there was no place
+}
+
+// Count says what the pool holds and has done.
+func (p *Pool) Count() Counts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.open), p.resting
+	c := p.counts
+	c.Open, c.Idle = len(p.open), p.resting
+	return c
 }
 
 // At returns the ids of the list's backends at an address; there may be several while one follows another.
@@ -222,6 +234,7 @@
 	}
 	if err != nil {
 		b.conns--
+		p.counts.Failed++
 		return nil, fmt.Errorf("connecting to %s: %w", b.id, err)
 	}
 	left := &io.LimitedReader{R: raw}
@@ -243,15 +256,19 @@
 		b.idle = b.idle[:last]
 		p.unrest(c)
 		if time.Since(c.idleSince) < p.idleFor && c.quiet() {
+			p.counts.Reused++
 			return c, nil
 		}
+		p.counts.Dead++
 		p.drop(c)
 	}
 	if p.closed || b.conns >= p.perBackend || len(p.open)+p.opening >= p.most && !p.evict() {
+		p.counts.NoRoom++
 		return nil, ErrNoRoom
 	}
 	b.conns++
 	p.opening++
+	p.counts.Dials++
 	return nil, nil
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -66,7 +66,7 @@
 	}
 	p.Put(second, true)
 	p.Sweep()
-	if open, idle := p.Count(); open+idle != 0 {
+	if c := p.Count(); c.Open+c.Idle != 0 {
 		t.Error("the sweep left an old connection open")
 	}
 }
@@ -89,7 +89,7 @@
 	for i := range 9 {
 		p.Put(take(t, p, fmt.Sprint(i)), true)
 	}
-	if open, _ := p.Count(); open > 8 {
+	if open := p.Count().Open; open > 8 {
 		t.Errorf("%d connections of at most 8", open)
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -70,6 +70,9 @@
 	if own.Telemetry != nil {
 		with.Fronts = append(with.Fronts, telemetryFront(own))
 	}
+	if s := own.Figures; s != nil {
+		with.Figures = time.Duration(s.Every)
+	}
 	if s := own.Storm; s != nil {
 		with.Storm = &agent.Storm{Remember: s.Remember, LogEvery: time.Duration(s.LogEvery)}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	Telemetry         *Telemetry         `toml:"telemetry"`
 	Generations       *Generations       `toml:"generations"`
 	Affinity          *Affinity          `toml:"affinity"`
+	Figures           *Figures           `toml:"figures"`
 
 	name  string
 	lines map[string]int
@@ -36,7 +37,7 @@
 	return reflect.DeepEqual(f.ExternalProcessor, other.ExternalProcessor) && reflect.DeepEqual(f.Membership, other.Membership) &&
 		reflect.DeepEqual(f.Join, other.Join) && reflect.DeepEqual(f.Storm, other.Storm) &&
 		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations) &&
-		reflect.DeepEqual(f.Affinity, other.Affinity)
+		reflect.DeepEqual(f.Affinity, other.Affinity) && reflect.DeepEqual(f.Figures, other.Figures)
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
@@ -68,6 +69,9 @@
 	if f.Affinity != nil {
 		out["affinity"] = f.Affinity
 	}
+	if f.Figures != nil {
+		out["figures"] = f.Figures
+	}
 	return out
 }
 
@@ -164,6 +168,10 @@
 		section := DefaultAffinity()
 		f.Affinity = &section
 	}
+	if _, there := f.lines["figures"]; there {
+		section := DefaultFigures()
+		f.Figures = &section
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
 		return File{}, Located(name, text, err)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -60,22 +60,13 @@
 	return nil
 }
 
-// kinds and results are the labels of answers and of attempts, as they are counted.
-var (
-	kinds   = [...]string{engine.Served: "served", engine.Refused: "refused", engine.Failed: "failed", engine.Conflict: "conflict"}
-	results = [...]string{logic.OK: "ok", logic.Failed: "failed", logic.Rejected: "rejected", logic.TimedOut: "timed_out",
-		logic.ConnectFailed: "connect_failed", logic.Reset: "reset", logic.Cancelled: "cancelled", logic.NotSent: "not_sent"}
-)
-
 // Write writes all figures in Prometheus' text format.
 func (s *Server) Write(w io.Writer) {
 	l := s.Engine.Load()
 	page := page{w}
 	page.gauge("appleledge_ready", "", bit(s.Engine.Ready()))
 	page.gauge("appleledge_calls", "", float64(l.Calls))
-	open, idle := s.Pool.Count()
-	page.gauge("appleledge_connections", `state="in_use"`, float64(open-idle))
-	page.gauge("appleledge_connections", `state="idle"`, float64(idle))
+	s.pool(page, s.Pool.Count())
 	for i, id := range slices.Sorted(maps.Keys(l.InFlight)) {
 		if i == mostServers {
 			break
@@ -90,11 +81,19 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+func (s *Server) pool(p page, c pool.Counts) {
+	p.gauge("appleledge_connections", `state="in_use"`, float64(c.Open-c.Idle))
+	p.gauge("appleledge_connections", `state="idle"`, float64(c.Idle))
+	for name, n := range map[string]uint64{"dials": c.Dials, "failed_dials": c.Failed, "reused": c.Reused, "found_dead": c.Dead, "no_room": c.NoRoom} {
+		p.count("appleledge_connections_"+name+"_total", "", n)
+	}
+}
+
 func (s *Server) tally(p page, t engine.Tally) {
 	for class, counts := range t.Answers {
 		name := s.Classes[class].Name
 		for kind, n := range counts {
-			p.count("appleledge_answers_total", fmt.Sprintf("class=%q,kind=%q", name, kinds[kind]), n)
+			p.count("appleledge_answers_total", fmt.Sprintf("class=%q,kind=%q", name, engine.AnswerKinds[kind]), n)
 		}
 		p.count("appleledge_clients_left_total", fmt.Sprintf("class=%q", name), t.Left[class])
 		times := t.Times[class]
@@ -104,8 +103,15 @@
 		p.gauge("appleledge_served_seconds_sum", fmt.Sprintf("class=%q", name), times.Sum.Seconds())
 		p.count("appleledge_served_seconds_count", fmt.Sprintf("class=%q", name), times.Count)
 	}
+	for kind, n := range t.Sends {
+		p.count("appleledge_sends_total", fmt.Sprintf("kind=%q", engine.SendKinds[kind]), n)
+	}
+	p.count("appleledge_sends_cold_total", "", t.Cold)
+	for why, n := range t.GivenUp {
+		p.count("appleledge_given_up_total", fmt.Sprintf("reason=%q", logic.Reasons[why]), n)
+	}
 	for result, n := range t.Attempts {
-		p.count("appleledge_attempts_total", fmt.Sprintf("result=%q", results[result]), n)
+		p.count("appleledge_attempts_total", fmt.Sprintf("result=%q", logic.Results[result]), n)
 	}
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -149,6 +149,10 @@
 	NotSent                     // not sent at all: too late, or one attempt too many
 )
 
+// Results are their names, for logs and figures.
+var Results = [...]string{OK: "ok", Failed: "failed", Rejected: "rejected", TimedOut: "timed_out", ConnectFailed: "connect_failed",
+	Reset: "reset", Cancelled: "cancelled", NotSent: "not_sent"}
+
 // neverRan reports whether the result proves that the request had no effect.
 func (r Result) neverRan() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
 
@@ -247,12 +251,29 @@
 	Tell                        // every other balancer of Data
 )
 
+// Reason says why a request was given up. Refusals and failures have one.
+type Reason int
+
+// The reasons why requests are given up.
+const (
+	Overload Reason = iota // it gave way, as servers have too much to do
+	Withheld               // the list's owner wants so many turned away
+	NoServer               // there is none that it may go to, or only cold ones that have had their part
+	NoBudget               // further attempts are used up
+	Spent                  // its time, its attempts, or what its class allows are
+)
+
+// Reasons are their names, for logs and figures.
+var Reasons = [...]string{Overload: "overload", Withheld: "withheld", NoServer: "no_server", NoBudget: "no_budget", Spent: "spent"}
+
 // Action is something that the Balancer wants done. Actions take effect in order.
 type Action struct {
 	Kind    ActionKind
 	Request string
 	Server  string
 	Attempt int
+	Cold    bool   // of a Send: the server has started lately
+	Why     Reason // of a Refuse or a Fail
 	After   time.Duration
 	Token   uint64
 	Data    []byte
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,7 +99,7 @@
 	default:
 		if r := b.timers[token]; r != nil {
 			delete(b.timers, token)
-			b.finish(r)
+			b.finish(r, Spent)
 		}
 	}
 }
@@ -535,12 +535,14 @@
 
 // try sends the request to the best server, or ends it when there is none.
 func (b *Balancer) try(r *request) {
-	s := b.pick(r)
-	if s == nil {
-		b.finish(r)
-		return
+	switch s := b.pick(r); {
+	case s != nil:
+		b.send(r, s)
+	case b.mayGoOn(r):
+		b.finish(r, NoServer)
+	default:
+		b.finish(r, Spent)
 	}
-	b.send(r, s)
 }
 
 func (b *Balancer) send(r *request, s *server) {
@@ -557,7 +559,7 @@
 	r.out++
 	s.inFlight = append(s.inFlight, a)
 	b.sent++
-	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID})
+	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID, Cold: s.coldShare(b) < 1})
 }
 
 // copyLate sends a second copy of requests whose answer is late: it may never come, where a connection fell
@@ -611,7 +613,7 @@
 // again makes a further attempt, as far as the budget for them goes.
 func (b *Balancer) again(r *request) {
 	if b.budget < 1 {
-		b.finish(r)
+		b.finish(r, NoBudget)
 		return
 	}
 	b.budget--
@@ -640,9 +642,11 @@
 	r.token, b.timers[b.token] = b.token, r
 	b.timer(b.token, r.Deadline-b.now)
 	// In a jam all cheap work may be refused, but an idle server must not wait for its trial till the end.
-	switch dropped := b.drop > 0 && b.rng.Float64() < b.drop; {
-	case dropped, b.refused(b.worthOf(r)) && b.trial(r) == nil:
-		b.finish(r)
+	switch {
+	case b.drop > 0 && b.rng.Float64() < b.drop:
+		b.finish(r, Withheld)
+	case b.refused(b.worthOf(r)) && b.trial(r) == nil:
+		b.finish(r, Overload)
 	default:
 		b.try(r)
 	}
@@ -745,7 +749,7 @@
 
 // finish ends a request that was not served. A refusal is a promise, so it is a failure where that is not
 // known to hold.
-func (b *Balancer) finish(r *request) {
+func (b *Balancer) finish(r *request, why Reason) {
 	if r.closed {
 		return
 	}
@@ -753,7 +757,7 @@
 	if r.mayRefuse() {
 		kind = Refuse
 	}
-	b.act(Action{Kind: kind, Request: r.ID, After: min(b.set.MaxRetryAfter, r.class.Aim/2)})
+	b.act(Action{Kind: kind, Request: r.ID, Why: why, After: min(b.set.MaxRetryAfter, r.class.Aim/2)})
 	b.close(r)
 }
 
