Cold servers get what they can do at present, in views of equal capacity

Cause, in logic.go: coldDraw set the view's cold servers against the capacity of the whole fleet (coldMost), and what it drew then had to win against fifteen warm draws in lowest, which a server with a part of its capacity and nothing in flight hardly ever does.

Change: a request is drawn for among cold servers alone as often as their capacity at present has a part in the view's. A view holds the same capacity at present at every agent, not the same number of servers. Cold sends are bound by the best rate at which a balancer was served of late or half its even part of the fleet, so that a storm of repeats after an outage, which topples cold servers without it (TestStormDays failed with 50 agents), does not: argument above coldTurn. Settings.Limited has gone.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -122,7 +122,6 @@
 // serve is Run on a listener that is open.
 func serve(ctx context.Context, cfg Config, reloads Reloads, listener net.Listener, log *slog.Logger, with Extras) error {
 	defer listener.Close()
-	cfg.Site.Logic.Limited = with.Storm != nil
 	balancer, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/rehearsal/simulate.go
+++ b/internal/rehearsal/simulate.go
@@ -208,7 +208,7 @@
 	a.life++
 	a.up, a.due, a.knows, a.told = true, 0, map[string]known{}, map[string]time.Duration{}
 	set := w.settings()
-	set.Me, set.Limited = a.number, w.script.Agents.Door == "storm"
+	set.Me = a.number
 	b, err := logic.New(set, w.random.Uint64())
 	if err != nil { // the settings are our own
 		panic(err)
--- a/logic/api.go
+++ b/logic/api.go
@@ -59,7 +59,6 @@
 	ColdFor        time.Duration // and has all of it after this time at the latest
 	Shares         []float64     // of the service, one for each tenant; may be empty
 	OverShareWorth float64       // what a request over its tenant's share is worth, as a part of its worth
-	Limited        bool          // what is in flight is limited by the time, before requests come here
 	Overload       float64       // a cold server topples at this multiple of its capacity; 0 if not known
 }
 
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -11,7 +11,7 @@
 func TestAllColdInAView(t *testing.T) {
 	for _, tt := range []struct{ servers, balancers int }{{12, 4}, {12, 50}, {120, 500}, {2000, 1000}} {
 		set := Settings{Balancers: tt.balancers, Tick: 5 * time.Millisecond, MaxAttempts: 3, ColdFrom: 0.32, ColdFor: 10 * time.Second,
-			Overload: 3, Limited: true, WarmKeys: true, Classes: []Class{{Name: "check", Aim: 600 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}}}
+			Overload: 3, WarmKeys: true, Classes: []Class{{Name: "check", Aim: 600 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}}}
 		b, err := New(set, 7)
 		if err != nil {
 			t.Fatal(err)
@@ -39,3 +39,55 @@
 		}
 	}
 }
+
+// Six in ten of a fleet's servers have just been replaced. Together its many balancers, each of which sees a part of it and
+// sends little, ask the cold ones for what these can do at present, and none of them for much more than its part.
+func TestManyBalancersAndAFleetMostlyCold(t *testing.T) {
+	const servers, balancers, requests, coldFrom = 60, 80, 400, 0.4
+	now := time.Minute
+	var all []Server
+	for i := range servers {
+		s := Server{ID: fmt.Sprint(i), Weight: 1}
+		if i%5 < 3 {
+			s.Started = now
+		}
+		all = append(all, s)
+	}
+	got := map[string]int{}
+	for me := range balancers {
+		b, err := New(Settings{Balancers: balancers, Me: me, Tick: 5 * time.Millisecond, MaxAttempts: 3, ColdFrom: coldFrom, ColdFor: 10 * time.Second,
+			Overload: 3, Classes: []Class{{Name: "check", Aim: 600 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}}}, uint64(me))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(now)
+		b.Handle(now, ServerList{Full: true, Servers: all})
+		for i := range requests {
+			id := fmt.Sprint("r", i)
+			for _, a := range b.Handle(now, Request{ID: id, Deadline: now + time.Second}) {
+				if a.Kind == Send {
+					got[a.Server]++
+					if a.Cold != (b.byID[a.Server].Started > 0) {
+						t.Fatalf("a send to %+v is said to be cold: %v", b.byID[a.Server].Server, a.Cold)
+					}
+					b.Handle(now, Outcome{Request: id, Server: a.Server, Result: OK, Took: 50 * time.Millisecond, Report: NoReport})
+				}
+			}
+		}
+	}
+	cold, most := 0, 0
+	for _, s := range all {
+		if s.Started > 0 {
+			cold += got[s.ID]
+			most = max(most, got[s.ID])
+		}
+	}
+	const present = (0.6*coldFrom + 0.4) * servers // what they can do, in warm servers
+	part, want := float64(cold)/(balancers*requests), 0.6*coldFrom*servers/present
+	if part < 0.85*want || part > 1.1*want {
+		t.Errorf("cold servers got %.2f of all requests, want about %.2f", part, want)
+	}
+	if fair := balancers * requests * coldFrom / present; float64(most) > 1.5*fair {
+		t.Errorf("a cold server got %d requests, its part are %.0f", most, fair)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,7 +17,10 @@
 	tie         = 0.01 // loads so near each other, relatively, count as equal
 	nearTimes   = 60   // an idle server in the own zone counts as larger by this times the price of crossing
 	warmTimes   = 2    // a server that is home to a request's key counts as larger by it
-	coldPart    = 0.5  // a cold server's part of all sends, in the multiple of its capacity that topples it
+	coldMost    = 0.5  // of the multiple of its capacity that topples it, what a cold server may get
+	coldSlack   = 1.25 // times the usual rate up to which requests go to cold servers
+	coldBurst   = 3    // such requests that may come together
+	usualFor    = 100  // horizons for which the best rate of late counts
 	subsetLeast = 6    // servers that a balancer spreads its requests over, at least
 	subsetFull  = 2    // own attempts in flight for each server of the subset, from which it grows
 	coverLeast  = 20   // balancers that have the same server in their subset, at least
@@ -173,32 +176,28 @@
 		s.trial, s.heard = true, b.now
 		return s
 	}
-	if b.drawAll(r) {
+	turn := b.rng.Float64()
+	if b.home = nil; b.drawAll(r, turn) || b.drawListed(r, turn) {
 		return b.lowest()
 	}
-	ok, total, cold := b.candidates(r)
-	if len(ok) == 0 {
-		return cold
-	}
-	for i := range b.drawn {
-		b.drawn[i] = b.drawFrom(ok, total)
-	}
-	if !b.first(cold) && b.keyed(r) {
-		b.warmest(weighted.Among(b.race, ok, b.mean).Of)
-	}
-	return b.lowest()
+	return nil
 }
 
 // drawAll draws from the pools. It reports false where that finds no server that the request may go to: the
 // candidates are then to be listed one by one, as they are for requests that are bound to few servers.
-func (b *Balancer) drawAll(r *request) bool {
+func (b *Balancer) drawAll(r *request, turn float64) bool {
 	if r.Among != nil || r.inCell() != nil {
 		return false
 	}
-	d, misses := b.warm.At(b.mean), 0
+	cold := b.coldTurn(b.view, turn)
+	d := b.warm.At(b.mean)
+	if cold {
+		d = b.cold.At(b.mean)
+	}
 	if !d.Fill(b.rng, b.drawn[:]) {
 		return false
 	}
+	misses := 0
 	for i := range b.drawn {
 		for !b.maySendAgain(r, b.drawn[i]) {
 			if misses++; misses > redraws {
@@ -207,7 +206,7 @@
 			b.drawn[i], _ = d.Draw(b.rng)
 		}
 	}
-	if !b.first(b.coldDraw(r)) && b.keyed(r) {
+	if !cold && b.keyed(r) {
 		if s, ok := d.Home(b.race); ok && b.maySendAgain(r, s) {
 			b.warmest(s)
 		}
@@ -215,19 +214,30 @@
 	return true
 }
 
+// drawListed draws from the candidates, listed one by one.
+func (b *Balancer) drawListed(r *request, turn float64) bool {
+	cold := b.coldTurn(b.candidates(r), turn)
+	from := b.ok[0]
+	if cold {
+		from = b.ok[1]
+	}
+	if len(from) == 0 {
+		return false
+	}
+	for i := range b.drawn {
+		b.drawn[i] = b.drawFrom(from)
+	}
+	if !cold && b.keyed(r) {
+		b.warmest(weighted.Among(b.race, from, b.mean).Of)
+	}
+	return true
+}
+
 // maySendAgain reports whether a server that may be drawn may be drawn for this request.
 func (b *Balancer) maySendAgain(r *request, s *server) bool {
 	return len(r.attempts) == 0 && !r.Before.May || !r.tried(s) && b.maySend(r, s)
 }
 
-// first puts a cold server, if there is one, in the place of the first draw.
-func (b *Balancer) first(cold *server) bool {
-	if b.home = nil; cold != nil {
-		b.drawn[0] = cold
-	}
-	return cold != nil
-}
-
 // keyed starts the race for the request's key, if it has one that counts.
 func (b *Balancer) keyed(r *request) bool {
 	if !b.set.WarmKeys || r.Key == "" {
@@ -240,35 +250,40 @@
 // warmest puts the home of the request's key in the place of the first draw.
 func (b *Balancer) warmest(s *server) { b.drawn[0], b.home = s, s }
 
-// coldDraw returns a cold server as often as the first draw may fall on one. In a jam the counts of cold ones
-// are the lowest of all and they would draw everything, and after a release of many servers the warm ones are
-// too few to share with: so a cold server comes in by its weight at present in the warm capacity of all, as
-// the first draw alone.
-func (b *Balancer) coldDraw(r *request) *server {
-	d := b.cold.At(b.mean)
-	if d.Bound() == 0 {
-		return nil
-	}
-	for trials := min(d.Bound()/b.coldMost(), draws); b.rng.Float64() < trials; trials-- {
-		if s, ok := d.Once(b.rng); ok && b.rng.Float64() < s.coldShare(b) {
-			if b.maySendAgain(r, s) {
-				return s
-			}
-			return nil
-		}
-	}
-	return nil
-}
-
-// coldMost is the capacity of which cold servers get their part by their own: that of the whole fleet, beside
-// which the few cold ones in a view get little. Where all are cold nearly all is refused then, which is as
-// well where nothing else limits what many balancers send together; where something does, it is the view's.
-func (b *Balancer) coldMost() float64 {
-	most := b.sums.whole.At(b.mean) / max(1, b.set.Overload*coldPart)
-	if b.set.Limited && len(b.servers) > 0 {
-		most *= float64(b.edge) / float64(len(b.servers))
-	}
-	return most
+// coldTurn says whether a request is drawn for among cold servers alone: so that these get what they can do
+// at present, of what all that may be drawn can. In a jam their counts are the lowest of all and they would
+// draw everything; in calm they would lose to any warm one with nothing in flight, and the few that a
+// release has left warm would get the work of all.
+//
+// Why the sum over all balancers topples none: views hold about the same capacity at present each (see
+// adjust), and every server is in about as many, so that it gets of all requests its own capacity at present
+// over that of the fleet, as from one balancer that sees all. Where the fleet is asked for more than it can
+// do just now, the most is coldMost of the multiple that topples it, times its capacity at present, times
+// what is asked for over what the fleet can do when warm. That is 1 at most while clients ask as they do, but
+// after an outage they all ask again: so a balancer counts as asked for no more than what it was served at
+// best of late, or half of its even part of the fleet. Of the former the sum over all is what the fleet has
+// done, so that with coldSlack it comes to coldMost * (1 + 1/2) * 1.25, under 1, of what topples.
+func (b *Balancer) coldTurn(of view, turn float64) bool {
+	now, warm := of.cold.At(b.mean), of.warm.At(b.mean)
+	if !(b.set.Overload > 0) {
+		return turn < now/(now+warm)
+	}
+	most := b.set.Overload * coldMost * now / (warm + of.whole.At(b.mean))
+	return turn < min(most, now/(now+warm)) && b.mayWarm(most)
+}
+
+// mayWarm takes one request for a cold server from what these may get of the usual. A balancer that has just
+// started knows of no usual, and goes by what it is asked.
+func (b *Balancer) mayWarm(part float64) bool {
+	usual := max(b.usually, b.sums.whole.At(b.mean)/float64(2*b.set.Balancers))
+	rate := part * usual * coldSlack
+	b.warmth = min(b.warmth+(b.now-b.warmed).Seconds()*rate, coldBurst+rate)
+	b.warmed = b.now
+	if b.warmth < 1 {
+		return b.span < shareTime/2*b.horizon.Seconds()
+	}
+	b.warmth--
+	return true
 }
 
 // weight is what a server counts for at present.
@@ -310,25 +325,29 @@
 	return b.drawn[best]
 }
 
-func (b *Balancer) drawFrom(from []*weighted.Member[*server], total float64) *server {
+// drawFrom draws one of a list by what they count for at present.
+func (b *Balancer) drawFrom(from []*weighted.Member[*server]) *server {
+	total := 0.0
+	for _, m := range from {
+		total += b.weight(m.Of)
+	}
 	x := b.rng.Float64() * total
 	for _, m := range from {
-		if x -= m.Share.At(b.mean); x < 0 {
+		if x -= b.weight(m.Of); x < 0 {
 			return m.Of
 		}
 	}
 	return from[len(from)-1].Of
 }
 
-// candidates lists the warm servers that may get the request, and their total weight: those that are well and
-// were not tried yet, or else any that the rules allow. Cold ones come in as in coldDraw. It goes through the
+// candidates lists the servers that may get the request, warm and cold ones apart, and sums up what they can
+// do: those that are well and were not tried yet, or else any that the rules allow. It goes through the
 // servers that a request is bound to, and through all only where hardly any is left to go to.
-func (b *Balancer) candidates(r *request) (ok []*weighted.Member[*server], total float64, cold *server) {
+func (b *Balancer) candidates(r *request) (of view) {
 	from := b.bound(r)
-	drawn := b.rng.Float64() * b.coldMost()
 	for _, strict := range []bool{true, false} {
-		x, n := drawn, 0
-		ok, total = b.ok[:0], 0
+		n := 0
+		b.ok[0], b.ok[1], of = b.ok[0][:0], b.ok[1][:0], view{}
 		for _, s := range from {
 			if n >= max(b.subset, b.crowd) {
 				break
@@ -337,18 +356,17 @@
 				continue
 			}
 			n++
-			if warm := s.coldShare(b); warm == 1 {
-				ok, total = append(ok, &s.Member), total+s.Share.At(b.mean)
-			} else if x -= b.weight(s); x < 0 && cold == nil {
-				cold = s
+			part, i := b.partOf(s), 0
+			if of.add(part, 1); s.coldShare(b) < 1 {
+				i = 1
 			}
+			b.ok[i] = append(b.ok[i], &s.Member)
 		}
-		b.ok = ok
-		if len(ok) > 0 || cold != nil {
+		if n > 0 {
 			break
 		}
 	}
-	return ok, total, cold
+	return of
 }
 
 // bound lists the servers that a request has to keep to, in the balancer's order.
@@ -391,6 +409,7 @@
 	case OK:
 		b.usual[a.req.Class] += learn * (float64(o.Took) - b.usual[a.req.Class])
 		s.heard = b.now
+		b.served++
 		b.ownRate(s, o.Took)
 		b.lateness(float64(o.Took) / float64(a.req.class.Aim))
 	case TimedOut:
@@ -689,7 +708,10 @@
 	b.adjust()
 	keep := math.Exp(-1.0 / ticks / shareTime)
 	b.sent, b.span, b.late = keep*b.sent, keep*b.span+b.horizon.Seconds()/ticks, keep*b.late
-	b.askedAll *= keep
+	b.askedAll, b.served = keep*b.askedAll, keep*b.served
+	if b.usually *= math.Exp(-1.0 / ticks / usualFor); b.span > shareTime/4*b.horizon.Seconds() {
+		b.usually = max(b.usually, b.served/b.span)
+	}
 	for i := range b.asked {
 		b.asked[i] *= keep
 	}
--- a/logic/members.go
+++ b/logic/members.go
@@ -36,6 +36,35 @@
 	t.tellers += sign * u.tellers
 }
 
+// view is what the servers of a view can do that may be drawn.
+type view struct {
+	warm  weighted.Part // of those that are warm
+	cold  weighted.Part // of the others at present
+	whole weighted.Part // and when they will be warm
+	size  int           // warm ones by coldUnits, cold ones by what of their capacity they have
+}
+
+// coldUnits are those in which views measure what servers have of their capacity.
+const coldUnits = 64
+
+func (v *view) add(u view, sign int) {
+	v.warm.Add(u.warm, float64(sign))
+	v.cold.Add(u.cold, float64(sign))
+	v.whole.Add(u.whole, float64(sign))
+	if v.size += sign * u.size; v.size == 0 { // what is left of the sums are errors of rounding
+		*v = view{}
+	}
+}
+
+// partOf is what a server adds to the view.
+func (b *Balancer) partOf(s *server) view {
+	warm := s.coldShare(b)
+	if warm == 1 {
+		return view{warm: s.Share, size: coldUnits}
+	}
+	return view{cold: s.Share.Times(warm), whole: s.Share, size: max(1, int(coldUnits*warm))}
+}
+
 // recountAfter is how many changes a server the sums may see before they are added up anew, as errors of
 // rounding stay.
 const recountAfter = 64
@@ -136,7 +165,8 @@
 	b.sums.add(&s.sums, -1)
 	s.sums = sums{}
 	b.readmit(s)
-	b.count(s, false)
+	b.view.add(s.part, -1)
+	s.part = view{}
 	b.move(s, nil)
 }
 
@@ -273,9 +303,10 @@
 }
 
 func (b *Balancer) recount() {
-	b.changes, b.sums = 0, sums{}
+	b.changes, b.sums, b.view = 0, sums{}, view{}
 	for _, s := range b.servers {
 		b.sums.add(&s.sums, 1)
+		b.view.add(s.part, 1)
 	}
 }
 
@@ -291,7 +322,11 @@
 // place puts a server into the pool that it is drawn from, if any.
 func (b *Balancer) place(s *server) {
 	in := s.seen && s.State == Ready && !b.ejected(s)
-	b.count(s, in)
+	b.view.add(s.part, -1)
+	if s.part = (view{}); in {
+		s.part = b.partOf(s)
+		b.view.add(s.part, 1)
+	}
 	switch {
 	case !in:
 		b.move(s, nil)
@@ -302,16 +337,6 @@
 	}
 }
 
-func (b *Balancer) count(s *server, in bool) {
-	if in != s.counted {
-		if s.counted = in; in {
-			b.inView++
-		} else {
-			b.inView--
-		}
-	}
-}
-
 func (b *Balancer) move(s *server, to *pool) {
 	if s.pool != nil && s.pool != to {
 		s.pool.Remove(&s.Member)
@@ -321,18 +346,23 @@
 	}
 }
 
-// adjust moves the edge of the view until it holds as many servers that may be drawn as are wanted.
+// adjust moves the edge of the view until what it holds that may be drawn comes up to as many warm servers
+// as are wanted. So views of many cold ones are wider, and no server's share of requests hangs on whose view
+// it is in.
 func (b *Balancer) adjust() {
-	want := max(b.subset, b.crowd)
-	for b.inView < want && b.edge < len(b.servers) {
+	want := coldUnits * max(b.subset, b.crowd)
+	for b.view.size < want && b.edge < len(b.servers) {
 		s := b.servers[b.edge]
 		b.edge++
 		s.seen = true
 		b.place(s)
 	}
-	for b.inView > want {
+	for b.edge > 0 {
+		s := b.servers[b.edge-1]
+		if b.view.size-s.part.size < want {
+			break
+		}
 		b.edge--
-		s := b.servers[b.edge]
 		s.seen = false
 		b.place(s)
 	}
--- a/logic/members_test.go
+++ b/logic/members_test.go
@@ -12,7 +12,7 @@
 // nothing does. The rules' random events ask it after each.
 func (b *Balancer) inconsistent() string {
 	var all sums
-	inView := 0
+	var inView view
 	for i, s := range b.servers {
 		all.add(&s.sums, 1)
 		eligible := s.State == Ready && !b.ejected(s)
@@ -23,8 +23,8 @@
 			return fmt.Sprintf("%s is no server of the list", s.ID)
 		case s.seen != (i < b.edge):
 			return fmt.Sprintf("%s at %d of a view of %d is seen: %v", s.ID, i, b.edge, s.seen)
-		case s.counted != (s.seen && eligible) || (s.pool != nil) != s.counted:
-			return fmt.Sprintf("%s is counted: %v, seen: %v, to be drawn: %v, in a pool: %v", s.ID, s.counted, s.seen, eligible, s.pool != nil)
+		case (s.part.size > 0) != (s.seen && eligible) || (s.pool != nil) != (s.part.size > 0):
+			return fmt.Sprintf("%s counts as %d, seen: %v, to be drawn: %v, in a pool: %v", s.ID, s.part.size, s.seen, eligible, s.pool != nil)
 		case s.pool == b.warm && s.coldShare(b) < 1:
 			return s.ID + " is cold and drawn as if it was warm"
 		case (s.until > 0) != slices.Contains(b.ill, s):
@@ -36,19 +36,23 @@
 		case b.cells != nil && !slices.Contains(b.cells[s.Cell], s):
 			return s.ID + " is missing from its cell"
 		}
-		if s.counted {
-			inView++
-		}
+		inView.add(s.part, 1)
+	}
+	want := coldUnits * max(b.subset, b.crowd)
+	spare := 0
+	if b.edge > 0 {
+		spare = b.servers[b.edge-1].part.size
 	}
-	want := max(b.subset, b.crowd)
 	switch {
 	case len(b.byID) != len(b.servers):
 		return fmt.Sprintf("%d servers by id, %d in order", len(b.byID), len(b.servers))
-	case inView != b.inView || inView > want || inView < want && b.edge < len(b.servers):
-		return fmt.Sprintf("%d servers to be drawn, counted as %d, with %d wanted and an edge at %d of %d", inView, b.inView,
+	case inView.size != b.view.size || inView.size-spare >= want && b.edge > 0 || inView.size < want && b.edge < len(b.servers):
+		return fmt.Sprintf("%d to be drawn, counted as %d, with %d wanted and an edge at %d of %d", inView.size, b.view.size,
 			want, b.edge, len(b.servers))
-	case math.Abs(all.total.At(b.mean)-b.sums.total.At(b.mean)) > 1e-6*all.whole.At(b.mean),
-		math.Abs(all.told.At(b.mean)-b.sums.told.At(b.mean)) > 1e-6*all.whole.At(b.mean), all.tellers != b.sums.tellers:
+	case math.Abs(inView.cold.At(b.mean)-b.view.cold.At(b.mean))+math.Abs(inView.warm.At(b.mean)-b.view.warm.At(b.mean)) > 1e-6*all.whole.At(b.mean)+1e-9:
+		return fmt.Sprintf("the view can do %v, kept as %v", inView, b.view)
+	case math.Abs(all.total.At(b.mean)-b.sums.total.At(b.mean)) > 1e-6*all.whole.At(b.mean)+1e-9,
+		math.Abs(all.told.At(b.mean)-b.sums.told.At(b.mean)) > 1e-6*all.whole.At(b.mean)+1e-9, all.tellers != b.sums.tellers:
 		return fmt.Sprintf("sums are %v, kept as %v", all, b.sums)
 	}
 	return ""
@@ -97,8 +101,8 @@
 		all[i].State = Draining
 	}
 	tell(false, all[:2999]...)
-	if check("all but one drain", 3000); h.inView != 1 {
-		t.Errorf("%d servers are to be drawn, want the last one", h.inView)
+	if check("all but one drain", 3000); h.view.size == 0 || h.view.size != h.byID[all[2999].ID].part.size {
+		t.Errorf("%d are to be drawn, want the last one", h.view.size)
 	}
 	tell(true)
 	if check("nothing left", 0); len(h.Handle(at, Request{ID: "r", Deadline: at + 1e9})) == 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -24,7 +24,7 @@
 	byID     map[string]*server
 	cells    map[int][]*server // the same, by cell; nil where none of the classes asks for that
 	edge     int               // how many of them, from the first on, are in the view
-	inView   int               // how many of those may be drawn
+	view     view              // what those of them that may be drawn can do
 	warm     *pool             // those
 	cold     *pool             // and those that are not warm yet
 	sums     sums              // over all servers
@@ -40,8 +40,8 @@
 	drawn    [draws]*server    // for the request at hand
 	home     *server           // the one of them that is home to its key
 	race     *race
-	over     []*request                  // to be used again
-	ok       []*weighted.Member[*server] // room for lists, as are those that follow
+	over     []*request                     // to be used again
+	ok       [2][]*weighted.Member[*server] // room for lists, as are those that follow
 	few      []*server
 	added    []*server
 	gone     []*server
@@ -59,6 +59,10 @@
 	late     float64       // mean time taken over aim
 	sent     float64       // own sends of the last shareTime horizons
 	span     float64       // and the seconds that they took
+	served   float64       // answers in that time
+	usually  float64       // the most of them a second, of late
+	warmth   float64       // requests that may go to cold servers now
+	warmed   time.Duration // when that was so
 	asked    []float64     // requests lately, a tenant each
 	askedAll float64
 	reports  bool    // some server has reported its load
@@ -95,7 +99,7 @@
 	listed   bool // in the list
 	celled   bool // in the lists by cell
 	seen     bool // in the view
-	counted  bool // and to be drawn
+	part     view // its part in what the view can do
 	isActive bool // in the list of that name, as are the others
 	isFresh  bool
 	isYoung  bool
