An asked list is watched from the version held, and asked again by the number of agents

Cause: platform.go asked for the whole list after each failure, gave calls up after 1.5 s while discovery still worked through them, and let an asked watch wait 1 s, so that 80 agents made 80 calls a second with nothing to say; resubscribe in logic.go spread 80 agents as if they were four.

Change: an asked list is watched from the version that is held or known, for 15 to 20 s; the whole list is asked for only where nothing is held, the count of versions is another's, or two answers in a row can't be read. Who asks again waits by the number of agents, at random, up to 25 horizons of the rule's time.

Broken once on purpose (whole list each time): eight of eight cases fail.

--- /dev/null
+++ b/internal/membership/platform/asked_test.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"appleledge/internal/membership/listing"
+	"appleledge/internal/testbed"
+)
+
+// scripted is a discovery that answers call after call as a script says, the last way for good.
+type scripted struct {
+	mu      sync.Mutex
+	answers []string // "503" is one
+	calls   []string // "whole", or the version that a watch is from
+}
+
+func (s *scripted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call := "whole"
+	if since := r.URL.Query().Get("since"); since != "" {
+		call = since
+	}
+	s.calls = append(s.calls, call)
+	answer := s.answers[0]
+	if len(s.answers) > 1 {
+		s.answers = s.answers[1:]
+	}
+	if answer == "503" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, answer)
+}
+
+func (s *scripted) called() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
+// A list that is asked for is one service's work for all agents: an agent asks for no more than it needs. What it holds
+// stands until something newer can be read.
+func TestWhatIsAskedFor(t *testing.T) {
+	ready := func(id string) string { return testbed.EntryText(id, "127.0.0.1:1", "Ready", 0) }
+	gone := testbed.EntryText("s-old", "", "Gone", 0)
+	for name, tt := range map[string]struct {
+		answers []string
+		calls   []string // the first ones
+		ids     []string // of what is told after the known list, update by update
+	}{
+		"changes since the known list":         {[]string{testbed.ListText(43, false, ready("s-a"))}, []string{"41", "43"}, []string{"s-a"}},
+		"nothing has changed":                  {[]string{testbed.ListText(41, false), testbed.ListText(42, false, gone)}, []string{"41", "41", "42"}, []string{"s-old"}},
+		"too much has changed":                 {[]string{testbed.ListText(90, true, ready("s-b"))}, []string{"41", "90"}, []string{"s-b"}},
+		"turned away":                          {[]string{"503", "503", testbed.ListText(42, false, ready("s-a"))}, []string{"41", "41", "41", "42"}, []string{"s-a"}},
+		"another discovery, which counts anew": {[]string{testbed.ListText(5, false), testbed.ListText(5, true, ready("s-c"))}, []string{"41", "whole", "5"}, []string{"s-c"}},
+		"broken off once":                      {[]string{`{"version":43,"full":false,"serv`, testbed.ListText(43, false, ready("s-a"))}, []string{"41", "41", "43"}, []string{"s-a"}},
+		"can't be read again and again":        {[]string{"<html>", "<html>", testbed.ListText(44, true, ready("s-b"))}, []string{"41", "41", "whole", "44"}, []string{"s-b"}},
+		"an older version than was seen": {[]string{testbed.ListText(44, false, ready("s-a")), testbed.ListText(42, false, gone), testbed.ListText(45, false, ready("s-d"))},
+			[]string{"41", "44", "44", "45"}, []string{"s-a", "s-d"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &scripted{answers: tt.answers}
+			l := testbed.Listen(t)
+			srv := &http.Server{Handler: s}
+			go srv.Serve(l)
+			t.Cleanup(func() { srv.Close() })
+			var log testbed.LockedBuffer
+			d, events := follower(t, l.Addr().String(), &log)
+			d.asked = true
+			var err error
+			if d.known, err = listing.Parse([]byte(testbed.ListText(41, true, ready("s-old")))); err != nil {
+				t.Fatal(err)
+			}
+			d.Ask()
+			follow(t, d, events)
+			ended := make(chan struct{})
+			defer close(ended)
+			go func() {
+				for {
+					select {
+					case <-events.Losses: // the module's part
+						d.Ask()
+					case <-ended:
+						return
+					}
+				}
+			}()
+			if u := next(t, events); !u.Full || u.Members[0].ID != "s-old" {
+				t.Fatalf("first %+v, want the known list", u)
+			}
+			for _, want := range tt.ids {
+				if u := next(t, events); len(u.Members) != 1 || u.Members[0].ID != want {
+					t.Fatalf("told %+v, want %s", u, want)
+				}
+			}
+			testbed.Eventually(t, fmt.Sprint("the calls are ", tt.calls), func() bool {
+				calls := s.called()
+				return len(calls) >= len(tt.calls) && slices.Equal(calls[:len(tt.calls)], tt.calls)
+			})
+			if n := log.Count("out of reach"); n > 2 {
+				t.Errorf("%d lines in the log", n)
+			}
+		})
+	}
+}
+
+// Watches of an asked list are long, and those that begin together end apart.
+func TestAskedWatchesEndApart(t *testing.T) {
+	d := &Discovery{asked: true, version: 3}
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		wait := d.wait()
+		if seen[wait] = true; wait < askedWait*3/4 || wait > askedWait {
+			t.Fatal(wait)
+		}
+	}
+	if len(seen) < 50 {
+		t.Errorf("%d of 100 watches wait differently", len(seen))
+	}
+}
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -20,9 +21,17 @@
 
 // Times of the calls to discovery. A change counts as told 2 s after the wait of a watch is over, so silence
 // must be noticed before that; and a watch is a new one when the next call comes 200 ms late.
+//
+// A list that is pushed is had from the agent's own machine, where calls cost nothing. One that is asked for comes from
+// one service for all agents, which works through calls in turn: there watches are long, and a call that waits in turn is
+// not given up and made again while the service still works for it.
 const (
 	watchWait   = time.Second             // how long a watch may wait for news
 	callTimeout = 1500 * time.Millisecond // for an answer, past that wait
+	askedWait   = 20 * time.Second        // the same where the list is asked for, drawn from three quarters of it on
+	probeWait   = 3 * time.Second         // the same of the first watch from a version of an earlier life
+	askedTime   = 2300 * time.Millisecond // the same as callTimeout
+	mostMisread = 2                       // answers in a row that can't be read, after which the whole list is asked for
 	retryPause  = 250 * time.Millisecond  // after a call that failed
 	firstWait   = 500 * time.Millisecond  // for the first list, before one from an earlier life is used
 	earlyPause  = 100 * time.Millisecond  // after a watch that came back early with no news
@@ -47,7 +56,9 @@
 
 	// Those of the goroutine that runs:
 	at      string // the address that is followed
-	version int64
+	version int64  // of the list that is held; -1: any is newer
+	since   int64  // the version to watch from; -1: the whole list is wanted
+	misread int    // answers in a row that could not be read
 	badOnce bool
 	down    bool
 }
@@ -73,6 +84,7 @@
 		subscribe: make(chan struct{}, 1),
 		log:       log,
 		version:   -1,
+		since:     -1,
 	}
 }
 
@@ -93,11 +105,14 @@
 }
 
 // restore starts from the list that an earlier life of the agent had. Whatever discovery says next is newer, also
-// where it counts from a lower version by then.
+// where it counts from a lower version by then. Where it is asked, the changes since are enough.
 func (d *Discovery) restore() {
 	l := d.known
 	l.Full = true
 	d.to.Update(d.update(l))
+	if d.asked {
+		d.since = l.Version
+	}
 }
 
 // first gets the first list. The known one may name backends that have gone or drain since, and the agent is ready as
@@ -144,7 +159,7 @@
 	session, end := context.WithCancel(ctx)
 	d.drop = end
 	if d.at != d.addr {
-		d.at, d.version, d.down = d.addr, -1, false
+		d.at, d.version, d.since, d.down = d.addr, -1, -1, false
 		d.client.CloseIdleConnections()
 		d.Ask() // the module's subscription was with the old one
 	}
@@ -178,24 +193,38 @@
 	}
 }
 
-// follow fetches the whole list, then watches for changes until a call fails or a change was missed.
+// follow fetches the whole list, unless changes of what is held are to be had for less, then watches for changes until a
+// call fails or a change was missed.
 func (d *Discovery) follow(ctx context.Context) error {
-	if err := d.call(ctx, "", 0); err != nil {
-		return err
+	if !d.asked || d.since < 0 {
+		if err := d.call(ctx, "", 0); err != nil {
+			return err
+		}
 	}
 	for {
-		before, began := d.version, time.Now()
-		query := fmt.Sprintf("?since=%d&timeout_ms=%d", d.version, watchWait.Milliseconds())
-		if err := d.call(ctx, query, watchWait); err != nil {
+		before, began, wait := d.since, time.Now(), d.wait()
+		query := fmt.Sprintf("?since=%d&timeout_ms=%d", d.since, wait.Milliseconds())
+		if err := d.call(ctx, query, wait); err != nil {
 			return err
 		}
 		// A watch that does not wait must not be called again in a tight loop.
-		if d.version == before && time.Since(began) < watchWait/2 {
+		if d.since == before && time.Since(began) < wait/2 {
 			membership.Sleep(ctx, earlyPause)
 		}
 	}
 }
 
+// wait is how long the next watch may wait for news. Watches that began together must not end so.
+func (d *Discovery) wait() time.Duration {
+	switch {
+	case !d.asked:
+		return watchWait
+	case d.version < 0: // the version may be of another discovery's count, on which no news would ever come
+		return probeWait
+	}
+	return askedWait*3/4 + rand.N(askedWait/4)
+}
+
 // call makes one call and takes in what it brings.
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) error {
 	if query == "" {
@@ -211,7 +240,11 @@
 }
 
 func (d *Discovery) ask(ctx context.Context, query string, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	patience := callTimeout
+	if d.asked {
+		patience = askedTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at+"/v1/endpoints"+query, nil)
 	if err != nil {
@@ -232,8 +265,12 @@
 	l, err := listing.Parse(body)
 	if err != nil {
 		d.unreadable.Add(1)
+		if d.misread++; d.misread >= mostMisread {
+			d.since = -1
+		}
 		return fmt.Errorf("discovery's list: %w", err)
 	}
+	d.misread = 0
 	return d.take(l, query == "")
 }
 
@@ -242,6 +279,10 @@
 	if whole && !l.Full {
 		return errors.New("discovery answered a call for the whole list with changes")
 	}
+	if !whole && !l.Full && d.version < 0 && l.Version < d.since {
+		d.since = -1
+		return fmt.Errorf("discovery counts from version %d, the known list is of %d", l.Version, d.known.Version)
+	}
 	if l.Version < d.version && !l.Full {
 		return fmt.Errorf("discovery went back from version %d to %d", d.version, l.Version)
 	}
@@ -252,6 +293,10 @@
 	if l.Version < d.version || l.Version == d.version && !l.Full {
 		return nil // what is held is newer
 	}
+	if d.since = l.Version; d.version < 0 && !l.Full && len(l.Servers) == 0 {
+		d.version = l.Version // the known list holds
+		return nil
+	}
 	u := d.update(l)
 	if l.Version != d.version { // a discovery that says the same over and over must not fill the log
 		d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -73,11 +73,16 @@
 	Losses  chan error // the first one that nobody has read yet
 }
 
-// NewSink returns a sink that holds up to a hundred updates.
+// NewSink returns a sink that holds up to a hundred updates; what comes then is lost, as a test that fails must end.
 func NewSink() Sink { return Sink{make(chan membership.Update, 100), make(chan error, 1)} }
 
-// Update keeps an update.
-func (s Sink) Update(u membership.Update) { s.Updates <- u }
+// Update keeps an update, where there is room.
+func (s Sink) Update(u membership.Update) {
+	select {
+	case s.Updates <- u:
+	default:
+	}
+}
 
 // Lost keeps the reason, unless an earlier one is there.
 func (s Sink) Lost(err error) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	missedMost  = 16   // answers that a server may owe, by the usual time to one, before it is ejected
 	failWeight  = 0.3  // weight of a new sample in a server's share of failures
 	failEject   = 0.6  // ejected above it: three failures in a row, from nothing
+	askedAtOnce = 5    // balancers that may ask for the list again in the same horizon
 	mostWaits   = 4    // doublings of the wait before the list is asked again
 	healthyPart = 0.5  // ejections count while this share of the capacity is not ejected
 	retryShare  = 0.2  // further attempts as a share of first ones
@@ -113,11 +114,13 @@
 		return
 	}
 	b.asking = true // one timer is enough, however many calls have failed
-	wait := float64(b.horizon) * math.Exp2(float64(min(b.tries, mostWaits))) * (0.5 + b.rng.Float64()) / 2
-	if b.tries++; b.set.MustAskIn > 0 { // who does not ask for longer is held to know what was listed
-		wait = min(wait, float64(b.set.MustAskIn)/2)
+	spread := max(1, float64(b.set.Balancers)/askedAtOnce)
+	wait := min(spread*math.Exp2(float64(b.tries)), max(math.Exp2(mostWaits), 2*spread))
+	wait *= float64(b.horizon)
+	if b.tries++; b.set.MustAskIn > 0 { // after four times that one is held to know what was listed
+		wait = min(wait, 2.5*float64(b.set.MustAskIn))
 	}
-	b.timer(subscribeToken, time.Duration(wait))
+	b.timer(subscribeToken, time.Duration(wait*(0.5+b.rng.Float64())/2))
 }
 
 // Capacity estimate.
