Rehearsals of many agents: zone back cold, most replaced, agents killed in a release

Change: three scripts with 80 agents and 60 servers, played in simulated time by the tests; agent_kill and agent_sigterm take a share of all agents.

--- a/internal/rehearsal/events.go
+++ b/internal/rehearsal/events.go
@@ -57,9 +57,13 @@
 			return 1 + (e.To-1)*(1-math.Cos(2*math.Pi*float64(at)/float64(over)))/2
 		})
 	case "agent_sigterm":
-		st.in.endAgent(e.Agent - 1)
+		for _, number := range st.chooseAgents(e) {
+			st.in.endAgent(number)
+		}
 	case "agent_kill":
-		st.in.killAgent(e.Agent - 1)
+		for _, number := range st.chooseAgents(e) {
+			st.in.killAgent(number)
+		}
 	case "rolling_deploy":
 		st.deploy(e)
 	case "kill":
@@ -135,6 +139,15 @@
 	}
 }
 
+// chooseAgents returns the numbers of the agents that an event concerns.
+func (st *stage) chooseAgents(e Event) []int {
+	if e.Agent > 0 {
+		return []int{e.Agent - 1}
+	}
+	agents := st.script.Fleet.Agents
+	return st.random.Perm(agents)[:int(math.Ceil(e.Agents*float64(agents)-1e-9))]
+}
+
 // choose returns the servers that an event concerns, of those that are ready.
 func (st *stage) choose(e Event) (chosen []*member) {
 	var ready []*member
--- a/internal/rehearsal/script.go
+++ b/internal/rehearsal/script.go
@@ -63,7 +63,8 @@
 	To      float64  `toml:"to"`      // what is left, or what it becomes
 	Repeat  int      `toml:"repeat"`  // so often in all
 	Every   Span     `toml:"every"`   // after that time again
-	Agent   int      `toml:"agent"`   // its number, from 1
+	Agent   int      `toml:"agent"`   // its number, from 1; or
+	Agents  float64  `toml:"agents"`  // so much of all agents, drawn
 }
 
 // Assert is what must hold: a least service, a recovery, or the most that a server holds. The four rules always must.
@@ -275,8 +276,10 @@
 		return fmt.Errorf("to: %s", need(v.to, e.Do))
 	case v.to && !v.loads() && e.To > 1:
 		return errors.New("to: a share, at most 1")
-	case v.agent != (e.Agent > 0) || e.Agent > s.Fleet.Agents:
-		return fmt.Errorf("agent: %s; there are %d", need(v.agent, e.Do), s.Fleet.Agents)
+	case v.agent != (e.Agent > 0 || e.Agents > 0) || e.Agent > s.Fleet.Agents:
+		return fmt.Errorf("agent: %s, or agents, a share; there are %d", need(v.agent, e.Do), s.Fleet.Agents)
+	case e.Agents < 0 || e.Agents > 1 || e.Agent > 0 && e.Agents > 0:
+		return errors.New("agents: a share from 0 to 1, in place of agent")
 	case e.Repeat > 1 && e.Every.From <= 0:
 		return errors.New("every: what is repeated needs the time after which")
 	case e.Repeat < 0 || e.Repeat > mostEvents:
--- a/internal/rehearsal/simulate_test.go
+++ b/internal/rehearsal/simulate_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// The rehearsals of the repository can be read, and three of them run here, keep the rules and hold what they assert.
+// The rehearsals of the repository can be read, and some of them run here, the days of many agents among them, keep the rules and hold what they assert.
 func TestRehearsals(t *testing.T) {
 	files, err := filepath.Glob("../../rehearsals/*.toml")
 	if err != nil || len(files) < 12 {
@@ -171,7 +171,7 @@
 			continue
 		}
 		switch name := filepath.Base(file); name[:2] {
-		case "01", "03", "08":
+		case "01", "03", "08", "15", "16", "17":
 			if d := Simulate(s, 1); !d.Held() {
 				t.Errorf("%s: %v %v", name, d.Broken, d.Failing)
 			}
