One locked log for tests; the help of figures names rows and columns rightly

Seen at a second reading: the test of figures in the log had a copy of testbed.LockedBuffer, and the help of appleledgectl figures called its columns rows.

--- a/cmd/appleledgectl/figures.go
+++ b/cmd/appleledgectl/figures.go
@@ -16,8 +16,8 @@
 	cmd := &cobra.Command{
 		Use:   "figures LOG...",
 		Short: "Add up over agents what they counted, by time",
-		Long: `Reads the logs of agents whose settings have a section [figures] and adds up what they counted, a row for each second (or
---step). Names that begin with held_ are what was held then. What is 0 everywhere has no row. Lines that are none of
+		Long: `Reads the logs of agents whose settings have a section [figures] and adds up what they counted, a column for each second (or
+--step) and a row for each figure. Names that begin with held_ are what was held then. What is 0 everywhere has no row. Lines that are none of
 figures are passed over, and so is what stands before "time=" on a line. No agent has to run.`,
 		Example: "  appleledgectl figures logs/*.log\n  appleledgectl figures --step 1m /var/log/appleledge/*.log",
 		Args:    cobra.MinimumNArgs(1),
--- a/internal/agent/figures_test.go
+++ b/internal/agent/figures_test.go
@@ -4,36 +4,18 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"appleledge/internal/figures"
+	"appleledge/internal/testbed"
 )
 
-// lines is a log that can be read while it is written.
-type lines struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *lines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // What an agent counts stands in its log, and adds up to what was done.
 func TestFiguresInTheLog(t *testing.T) {
 	b := newBackend(t, says(served))
 	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
-	log := &lines{}
+	log := &testbed.LockedBuffer{}
 	a := startOn(t, d, 0, func(*Config) {}, Extras{Figures: 20 * time.Millisecond}, slog.New(slog.NewTextHandler(log, nil)))
 	const requests = 3
 	for range requests {
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -284,6 +284,13 @@
 	buf bytes.Buffer
 }
 
+// String is what was written so far.
+func (b *LockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 func (b *LockedBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
