Operators' calls: readiness, figures from one place, and bans beside the list

Where the platform's configuration names an operator address the agent answers GET /ops/readiness and /ops/stats and PUT /ops/backends/down|up/ID there, from places of their own. The tally of the engine has a lock and is read as one moment; it counts calls refused at the client's door and attempts written whole. Bans lie over every list as drains, outlast what the list says, and a server taken back with no known start since is cold.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -132,7 +132,7 @@
 	defer parts.Wait()
 	defer stop()
 
-	toBackends, fromClients := shareSockets(cfg.Sockets - with.sockets())
+	toBackends, fromClients := shareSockets(cfg.Sockets - with.sockets() - cfg.operatorSockets())
 	clk := engine.NewClock()
 	conns := pool.New(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, toBackends)
 	core := engine.New(balancer, clk, conns, log)
@@ -170,6 +170,13 @@
 		core.Guard(newStorm(cfg, *with.Storm))
 		parts.Go(func() { logStorms(inner, core, clk, cfg.Site.Logic.Classes, with.Storm.LogEvery, log) })
 	}
+	core.Name(cfg.Site.Logic.Classes)
+	var counts reloadCounts
+	ready := func() bool { return core.Ready() && ctx.Err() == nil }
+	operators, err := openToOperators(cfg, operating{core: core, reloads: &counts, ready: ready}, log)
+	if err != nil {
+		return err
+	}
 	if with.Figures > 0 {
 		core.Count(cfg.Site.Logic.Classes)
 		look := counters{core, conns, disco}
@@ -184,7 +191,14 @@
 	for i, source := range sources {
 		parts.Go(func() { source.Run(inner, hub.Sink(i)) })
 	}
-	parts.Go(func() { reloads.follow(inner, cfg, disco, log) })
+	parts.Go(func() { reloads.follow(inner, cfg, disco, &counts, log) })
+	if operators != nil {
+		parts.Go(func() {
+			if err := operators(inner); err != nil { // clients are served all the same
+				log.Error("operators can't call any more", "error", err)
+			}
+		})
+	}
 
 	var badReport sync.Once
 	front := httpfront.New(httpfront.Options{
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"appleledge/internal/membership/listing"
+	"appleledge/internal/operator"
 	"appleledge/internal/wire"
 )
 
@@ -18,6 +19,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // host and port
+	Operator  string // where operators call; empty: nowhere
 	Seed      uint64 // for random numbers
 	Cores     float64
 	MemoryMB  int
@@ -30,8 +32,8 @@
 
 // configFile is the form of the file that PROXY_CONFIG names.
 type configFile struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
+	Name, Listen, Discovery, Operator, Seed string
+	Limits                                  struct {
 		Cores    float64
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int
@@ -87,7 +89,7 @@
 		return text
 	}
 	cfg = Config{Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
-		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Operator: prefer("PROXY_OPERATOR", f.Operator), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, acceptFor: acceptOn}
 	if cfg.Sockets <= 0 {
 		cfg.Sockets = defaultSockets
@@ -101,6 +103,9 @@
 	if _, _, err := net.SplitHostPort(cfg.Discovery); err != nil {
 		return cfg, fmt.Errorf("discovery: %w", err)
 	}
+	if _, _, err := net.SplitHostPort(cfg.Operator); err != nil && cfg.Operator != "" {
+		return cfg, fmt.Errorf("operator: %w", err)
+	}
 	if cfg.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return cfg, fmt.Errorf("seed: %w", err)
 	}
@@ -131,3 +136,11 @@
 	site.Logic.MaxRetryAfter = site.MaxRetryAfter
 	return site, nil
 }
+
+// operatorSockets are the descriptors that operators' calls need.
+func (c Config) operatorSockets() int {
+	if c.Operator == "" {
+		return 0
+	}
+	return operator.Sockets
+}
--- /dev/null
+++ b/internal/agent/operator.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"appleledge/internal/bans"
+	"appleledge/internal/engine"
+	"appleledge/internal/operator"
+)
+
+// mostBans is how many servers operators may hold out, and how many that are gone are remembered by their ids.
+const mostBans = 4096
+
+// reloadCounts are configurations taken and turned down at SIGHUP.
+type reloadCounts struct{ taken, refused atomic.Uint64 }
+
+// operating is the agent as operators see it.
+type operating struct {
+	core    *engine.Engine
+	reloads *reloadCounts
+	ready   func() bool
+}
+
+func (o operating) Ready() bool { return o.ready() }
+
+func (o operating) Figures(ctx context.Context) (f operator.Figures, err error) {
+	if f.Fleet, err = o.core.Fleet(ctx); err != nil {
+		return f, err
+	}
+	f.Tally, f.Reloads, f.ReloadErrors = o.core.Tally(), o.reloads.taken.Load(), o.reloads.refused.Load()
+	return f, nil
+}
+
+func (o operating) Ban(ctx context.Context, do func(time.Duration, *bans.Set) error) error {
+	return o.core.Bans(ctx, do)
+}
+
+// openToOperators opens the operators' listener where the configuration names one. What it returns serves until the context ends; it
+// is nil where there is none.
+func openToOperators(cfg Config, o operating, log *slog.Logger) (serve func(context.Context) error, err error) {
+	if cfg.Operator == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", cfg.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("listening for operators: %w", err)
+	}
+	o.core.Hold(bans.New(mostBans))
+	s := &operator.Server{Agent: o, Log: log}
+	return func(ctx context.Context) error { return s.Serve(ctx, l) }, nil
+}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -109,7 +109,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	r := Reloads{Load: func() (Config, error) { return Config{}, errors.New("never asked for") }}
-	go func() { r.follow(ctx, Config{}, nil, slog.New(slog.DiscardHandler)); close(done) }()
+	go func() { r.follow(ctx, Config{}, nil, &reloadCounts{}, slog.New(slog.DiscardHandler)); close(done) }()
 	stop()
 	select {
 	case <-done:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -55,6 +55,7 @@
 	member     *join.Member[*Call]
 	pass       *storm.Pass   // of one that a door let in
 	began      time.Duration // when the engine was told of it
+	counted    bool          // the tally has it as open
 	flies      bool          // it is a flight of joined calls, and nobody's own
 	bound      generation.Bound
 	key        affinity.Key // of a keyed call, where ties are kept
@@ -121,6 +122,14 @@
 	over   bool        // its outcome is known
 	tied   bool        // the table of ties counts it
 	expiry *time.Timer // of a chooser's: tells that Until has come
+	tally  *tally
+}
+
+// Wrote says that the attempt was written whole. It may be called from any goroutine, once.
+func (a *Attempt) Wrote() {
+	if a.tally != nil {
+		a.tally.wrote()
+	}
 }
 
 // Outcome is how an attempt ended. Every attempt gets exactly one.
@@ -180,9 +189,9 @@
 	}
 	// ListUnavailable says that a subscription ended or could not be had.
 	ListUnavailable struct{}
-	// commanded asks or changes the configuration in force.
+	// commanded is work for the engine's goroutine.
 	commanded struct {
-		do   func(time.Duration, *generation.Manager)
+		do   func(time.Duration)
 		done chan<- struct{}
 	}
 )
@@ -218,9 +227,10 @@
 	keep     time.Duration             // for how long they are remembered
 	joins    *joins                    // nil where nothing is joined
 	door     Door                      // nil where all are let in
-	tally    *tally                    // nil where nothing is counted
+	tally    *tally                    // what is counted
 	governed *governed                 // nil where no configuration is in force
 	ties     *ties                     // nil where none are kept
+	held     *held                     // nil where operators hold out nothing
 }
 
 const eventQueue = 1024
@@ -228,7 +238,7 @@
 // New returns an engine round the module. It does nothing before Run.
 func New(b *logic.Balancer, c Clock, f Fleet, log *slog.Logger) *Engine {
 	return &Engine{balancer: b, clock: c, fleet: f, log: log, subscribe: func() {},
-		events: make(chan Event, eventQueue), done: make(chan struct{}), calls: map[string]*Call{}}
+		events: make(chan Event, eventQueue), done: make(chan struct{}), calls: map[string]*Call{}, tally: &tally{}}
 }
 
 // OnSubscribe sets what asks for the list of servers when the module wants it. It is called before Run, if at all.
@@ -280,9 +290,7 @@
 	if e.door != nil {
 		l.Door = e.door.Counts()
 	}
-	if e.tally != nil {
-		l.Tally = e.tally.view()
-	}
+	l.Tally = e.tally.view()
 	if e.joins != nil {
 		l.Joins = e.joins.table.Counts()
 	}
@@ -397,7 +405,8 @@
 	case ListUnavailable:
 		e.decide(logic.ListUnavailable{})
 	case commanded:
-		e.command(ev)
+		ev.do(e.clock.Now())
+		close(ev.done)
 	case Restored:
 		e.ties.table.Restore(e.clock.Now(), ev.Records)
 	case undurable:
@@ -416,6 +425,7 @@
 	if c.chooser, _ = c.Caller.(Chooser); c.chooser != nil && e.resume(c) {
 		return
 	}
+	e.tally.arrived(c)
 	if e.calls[c.ID] != nil {
 		e.reject(c, Answer{Kind: Conflict})
 		return
@@ -506,6 +516,9 @@
 
 // update brings the list of servers to the fleet and to the module.
 func (e *Engine) update(l Listed) {
+	if e.held != nil {
+		l = e.held.listed(l)
+	}
 	if e.ties != nil {
 		e.ties.listed(l)
 	}
@@ -545,7 +558,7 @@
 	c := e.calls[act.Request]
 	e.tally.sent(c, act.Cold)
 	a := c.attempt(act, e.clock.Now())
-	a.Life = e.fleet.Life(act.Server)
+	a.Life, a.tally = e.fleet.Life(act.Server), e.tally
 	var tie TieCommit
 	if e.ties != nil {
 		tie = e.ties.begin(e.clock.Now(), c, a)
@@ -612,6 +625,7 @@
 func (e *Engine) forget(c *Call) {
 	if c.closed.Load() && c.out == 0 && e.calls[c.ID] == c {
 		e.unbind(c, generation.Left) // one that was closed from outside has told nobody
+		e.tally.forgotten(c)
 		delete(e.calls, c.ID)
 		c.release()
 	}
--- a/internal/engine/governed.go
+++ b/internal/engine/governed.go
@@ -32,6 +32,14 @@
 
 // Command runs do on the engine's goroutine, with the manager of the configuration in force. It waits until that is done.
 func (e *Engine) Command(ctx context.Context, do func(now time.Duration, m *generation.Manager)) error {
+	return e.command(ctx, func(now time.Duration) {
+		do(now, e.governed.manager)
+		e.tellMoved()
+	})
+}
+
+// command runs do on the engine's goroutine and waits until that is done.
+func (e *Engine) command(ctx context.Context, do func(now time.Duration)) error {
 	done := make(chan struct{})
 	select {
 	case e.events <- commanded{do, done}:
@@ -48,12 +56,6 @@
 	}
 }
 
-func (e *Engine) command(ev commanded) {
-	ev.do(e.clock.Now(), e.governed.manager)
-	e.tellMoved()
-	close(ev.done)
-}
-
 // bind ties a new call to the configuration in force, or answers it where a limit turns it away. Nothing of the call was
 // sent, and a chooser's call comes here only as a new request, so that trying again is harmless.
 func (e *Engine) bind(c *Call) bool {
--- /dev/null
+++ b/internal/engine/held.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"appleledge/internal/bans"
+	"appleledge/logic"
+)
+
+// held is what the engine keeps of servers that operators hold out: the set, and the list as it was told, since bans lie
+// over it and are taken off again.
+type held struct {
+	set  *bans.Set
+	told map[string]Member
+	drop float64 // as the list said last
+}
+
+// Hold lets operators hold servers out. It is called before Run.
+func (e *Engine) Hold(set *bans.Set) { e.held = &held{set: set, told: map[string]Member{}} }
+
+// Bans runs do with the set on the engine's goroutine and waits until what it has changed holds: by then a server that is
+// held out gets nothing new.
+func (e *Engine) Bans(ctx context.Context, do func(now time.Duration, s *bans.Set) error) error {
+	var told error
+	err := e.command(ctx, func(now time.Duration) {
+		before := e.held.overlaid()
+		told = do(now, e.held.set)
+		e.tellHeld(before)
+	})
+	if err != nil {
+		return err
+	}
+	return told
+}
+
+// listed takes a list over and returns it with the bans.
+func (h *held) listed(l Listed) Listed {
+	if l.Full {
+		for id := range h.told {
+			h.set.Unlisted(id)
+		}
+		clear(h.told)
+	}
+	h.drop = l.Drop
+	out := Listed{Full: l.Full, Drop: l.Drop, Members: make([]Member, 0, len(l.Members))}
+	for _, m := range l.Members {
+		if m.State == logic.Gone {
+			delete(h.told, m.ID)
+			h.set.Unlisted(m.ID)
+		} else {
+			h.told[m.ID] = m
+			h.set.Listed(m.ID, m.Started)
+		}
+		out.Members = append(out.Members, h.overlay(m))
+	}
+	return out
+}
+
+// overlay is a member as the fleet and the module are to see it.
+func (h *held) overlay(m Member) Member {
+	m.Started = h.set.Started(m.ID, m.Started)
+	if m.State == logic.Ready && h.set.Out(m.ID) {
+		m.State = logic.Draining
+	}
+	return m
+}
+
+// overlaid are the members that differ from what the list says.
+func (h *held) overlaid() map[string]Member {
+	out := map[string]Member{}
+	for id, m := range h.told {
+		if o := h.overlay(m); o != m {
+			out[id] = o
+		}
+	}
+	return out
+}
+
+// tellHeld tells the fleet and the module of servers that are seen otherwise than before.
+func (e *Engine) tellHeld(before map[string]Member) {
+	l := Listed{Drop: e.held.drop}
+	for id, m := range e.held.told {
+		was, overlaid := before[id]
+		if !overlaid {
+			was = m
+		}
+		if now := e.held.overlay(m); now != was {
+			l.Members = append(l.Members, m)
+		}
+	}
+	if len(l.Members) > 0 {
+		e.update(l)
+	}
+}
+
+// FleetCounts say what an engine's list holds.
+type FleetCounts struct {
+	Listed  int // servers of the list
+	Avoided int // of which the agent keeps away now, held out by hand or ejected by the module
+}
+
+// Fleet counts the servers of the list. It waits for the engine.
+func (e *Engine) Fleet(ctx context.Context) (n FleetCounts, err error) {
+	err = e.command(ctx, func(time.Duration) {
+		n.Listed = len(e.held.told)
+		ill := e.balancer.Ejected()
+		for id := range e.held.told {
+			if e.held.set.Out(id) || ill[id] {
+				n.Avoided++
+			}
+		}
+	})
+	return n, err
+}
--- a/internal/engine/tally.go
+++ b/internal/engine/tally.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"appleledge/internal/latency"
@@ -19,15 +21,18 @@
 	AnswerKinds = [...]string{Served: "served", Refused: "refused", Failed: "failed", Conflict: "conflict"}
 )
 
-// Tally is what became of calls and attempts since the engine was made.
+// Tally is what became of calls and attempts since the engine was made, at one moment.
 type Tally struct {
+	Classes  []string                   // names, by number
 	Answers  [][4]uint64                // by class and AnswerKind; calls that are joined count one by one
 	Left     []uint64                   // by class: calls whose client left first
+	Open     int                        // calls that have not ended
+	Written  uint64                     // attempts that were written whole to a server
 	Attempts [len(logic.Results)]uint64 // by logic.Result
 	Sends    [len(SendKinds)]uint64     // by kind
 	Cold     uint64                     // of all these, to servers that had started lately
 	GivenUp  [len(logic.Reasons)]uint64
-	Times    []Times // of served calls, by class
+	Times    []Times // of served calls, by class, where they are kept
 }
 
 // Times are how long calls took of late, from when the engine was told of them.
@@ -37,30 +42,93 @@
 	Quantiles map[float64]time.Duration // by share; of the last 30 s to a minute
 }
 
-// tally counts for a Tally.
+// tally is the one place that counts. Its lock makes a reading one moment, which does not wait for the engine's queue.
 type tally struct {
+	mu      sync.Mutex
 	counts  Tally
-	windows []*latency.Window
+	windows []*latency.Window // none where no times are kept
 }
 
-// Count makes the engine count what becomes of calls of so many classes, for Load. It is called before Run.
+// Name states the classes by number, as they come and go; what was counted of an earlier one stands.
+func (e *Engine) Name(classes []logic.Class) {
+	t := e.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Classes = nil
+	for i, c := range classes {
+		t.counts.Classes = append(t.counts.Classes, c.Name)
+		t.room(i)
+	}
+}
+
+// Count makes the engine keep the times of calls of these classes, for Load. It is called before Run.
 func (e *Engine) Count(classes []logic.Class) {
-	if e.tally != nil {
+	e.Name(classes)
+	if len(e.tally.windows) > 0 {
 		return
 	}
-	t := &tally{counts: Tally{Answers: make([][4]uint64, len(classes)), Left: make([]uint64, len(classes)), Times: make([]Times, len(classes))}}
 	for _, c := range classes {
-		t.windows = append(t.windows, latency.New(c.Deadline, tallyTurn, 0))
+		e.tally.windows = append(e.tally.windows, latency.New(c.Deadline, tallyTurn, 0))
 	}
-	e.tally = t
 }
 
-func (t *tally) answered(now time.Duration, c *Call, kind AnswerKind) {
-	if t == nil {
-		return
+// Tally returns what is counted. It waits for nothing that the engine does.
+func (e *Engine) Tally() Tally { return e.tally.view() }
+
+// TurnedAway counts a call that its front has refused, which the engine has not seen.
+func (e *Engine) TurnedAway(c *Call) {
+	e.tally.arrived(c)
+	e.tally.answered(e.clock.Now(), c, Refused)
+}
+
+// room makes room for a class.
+func (t *tally) room(class int) {
+	for len(t.counts.Answers) <= class {
+		t.counts.Answers = append(t.counts.Answers, [4]uint64{})
+		t.counts.Left = append(t.counts.Left, 0)
 	}
+}
+
+// arrived counts a call as open.
+func (t *tally) arrived(c *Call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.counted = true
+	t.counts.Open++
+}
+
+// over counts a call as open no more, if it was; the lock is held.
+func (t *tally) over(c *Call) {
+	if c.counted {
+		c.counted = false
+		t.counts.Open--
+	}
+}
+
+// forgotten counts a call as over that was closed from outside.
+func (t *tally) forgotten(c *Call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.over(c)
+}
+
+// wrote counts an attempt that was written whole; it is called from any goroutine.
+func (t *tally) wrote() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Written++
+}
+
+func (t *tally) answered(now time.Duration, c *Call, kind AnswerKind) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.room(c.Class)
 	t.counts.Answers[c.Class][kind]++
-	if kind == Served {
+	t.over(c)
+	if kind == Served && c.Class < len(t.windows) {
+		for len(t.counts.Times) <= c.Class {
+			t.counts.Times = append(t.counts.Times, Times{})
+		}
 		took := now - c.began
 		t.counts.Times[c.Class].Count++
 		t.counts.Times[c.Class].Sum += took
@@ -69,16 +137,17 @@
 }
 
 func (t *tally) left(c *Call) {
-	if t != nil {
-		t.counts.Left[c.Class]++
-	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.room(c.Class)
+	t.counts.Left[c.Class]++
+	t.over(c)
 }
 
 // sent counts an attempt, before it counts as one of the call's.
 func (t *tally) sent(c *Call, cold bool) {
-	if t == nil {
-		return
-	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	switch {
 	case c.sends == 0:
 		t.counts.Sends[0]++
@@ -93,26 +162,31 @@
 }
 
 func (t *tally) givenUp(why logic.Reason) {
-	if t != nil {
-		t.counts.GivenUp[why]++
-	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.GivenUp[why]++
 }
 
 func (t *tally) attempt(r logic.Result) {
-	if t != nil {
-		t.counts.Attempts[r]++
-	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Attempts[r]++
 }
 
 // view is a copy of what is counted.
 func (t *tally) view() Tally {
-	v := Tally{Attempts: t.counts.Attempts, Sends: t.counts.Sends, Cold: t.counts.Cold, GivenUp: t.counts.GivenUp}
-	v.Answers = append(v.Answers, t.counts.Answers...)
-	v.Left = append(v.Left, t.counts.Left...)
-	for i, x := range t.counts.Times {
-		x.Quantiles = map[float64]time.Duration{}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.counts
+	v.Classes, v.Answers, v.Left = slices.Clone(v.Classes), slices.Clone(v.Answers), slices.Clone(v.Left)
+	v.Times = nil
+	for i, w := range t.windows {
+		x := Times{Quantiles: map[float64]time.Duration{}}
+		if i < len(t.counts.Times) {
+			x.Count, x.Sum = t.counts.Times[i].Count, t.counts.Times[i].Sum
+		}
 		for _, q := range quantilesOf {
-			x.Quantiles[q] = t.windows[i].Quantile(q)
+			x.Quantiles[q] = w.Quantile(q)
 		}
 		v.Times = append(v.Times, x)
 	}
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -100,6 +100,7 @@
 		out.Result = logic.ConnectFailed // the backend begins a request when its last byte has come
 		return false
 	}
+	a.Wrote()
 	resp, body, err := s.readAnswer(c, req, a)
 	if err != nil {
 		out.Result = broken(err)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -17,6 +17,7 @@
 	"appleledge/internal/httpcarrier"
 	"appleledge/internal/intake"
 	"appleledge/internal/join"
+	"appleledge/internal/places"
 )
 
 const (
@@ -70,8 +71,8 @@
 // Serve answers clients until the context ends and what was taken by then is answered. That takes for as long as it
 // accepts and longest more, at most.
 func (s *Server) Serve(ctx context.Context, l net.Listener, longest time.Duration) error {
-	clients := newClientConns(l, s.Most)
-	s.crowded = clients.crowded
+	clients := places.New(l, s.Most, 0)
+	s.crowded = clients.Crowded
 	srv := s.httpServer()
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(clients) }()
@@ -103,8 +104,8 @@
 		IdleTimeout:       clientIdle,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelWarn),
-		ConnState:         connState,
-		ConnContext:       connContext,
+		ConnState:         places.ConnState,
+		ConnContext:       places.ConnContext,
 	}
 }
 
@@ -132,9 +133,10 @@
 		turnAway(w, err)
 		return
 	}
-	hold(r.Context())
+	places.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
+		s.Engine.TurnedAway(c)
 		write(w, engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry})
 		return
 	}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,165 @@
+// Package operator answers the calls of operators. It is a front that decides nothing: it reads what the engine publishes and
+// tells it what it is told.
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"appleledge/internal/bans"
+	"appleledge/internal/engine"
+	"appleledge/internal/places"
+)
+
+const (
+	mostAtOnce  = 24                     // connections; the oldest silent one makes room
+	settled     = 50 * time.Millisecond  // for which a connection may be silent though others wait
+	patience    = 5 * time.Second        // for a call to come, whoever else wants its place
+	answerIn    = 700 * time.Millisecond // a call is owed its answer in a second
+	mostHead    = 8 << 10                // bytes
+	mostBody    = 4 << 10                // no call needs one
+	longestID   = 256                    // bytes of a server's id
+	endPatience = 500 * time.Millisecond // for calls that are open at the end
+)
+
+// Sockets is how many descriptors a Server needs at the most.
+const Sockets = mostAtOnce + 2
+
+// Agent is what the calls are about.
+type Agent interface {
+	// Ready reports whether this process is ready to serve.
+	Ready() bool
+	// Figures returns what it has counted, and the state of its list.
+	Figures(ctx context.Context) (Figures, error)
+	// Ban runs do with the set of bans and returns when what it has changed holds.
+	Ban(ctx context.Context, do func(now time.Duration, s *bans.Set) error) error
+}
+
+// Figures are what operators read.
+type Figures struct {
+	Tally                 engine.Tally
+	Fleet                 engine.FleetCounts
+	Reloads, ReloadErrors uint64 // configurations taken and turned down
+}
+
+// Server answers the calls.
+type Server struct {
+	Agent Agent
+	Log   *slog.Logger
+}
+
+// Serve answers calls until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{Handler: s.Handler(), ReadTimeout: patience, WriteTimeout: patience + answerIn, IdleTimeout: patience,
+		MaxHeaderBytes: mostHead, ConnState: places.ConnState, ConnContext: places.ConnContext,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelWarn)} // a rude peer must not flood the log
+	srv.SetKeepAlivesEnabled(false) // one call to a connection
+	defer context.AfterFunc(ctx, func() {
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), endPatience)
+		defer cancel()
+		if srv.Shutdown(last) != nil {
+			srv.Close()
+		}
+	})()
+	s.Log.Info("listening for operators", "addr", l.Addr().String())
+	if err := srv.Serve(places.New(l, mostAtOnce, settled)); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving operators: %w", err)
+	}
+	return nil
+}
+
+// Handler answers a call.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ops/readiness", s.readiness)
+	mux.HandleFunc("GET /ops/stats", s.stats)
+	mux.HandleFunc("PUT /ops/backends/down/{id}", s.ban("out", (*bans.Set).Down))
+	mux.HandleFunc("PUT /ops/backends/up/{id}", s.ban("back", (*bans.Set).Up))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		places.Hold(r.Context())
+		if r.ContentLength > mostBody {
+			http.Error(w, "no call has a body that long", http.StatusRequestEntityTooLarge)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, mostBody)
+		ctx, cancel := context.WithTimeout(r.Context(), answerIn)
+		defer cancel()
+		mux.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !s.Agent.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+func (s *Server) stats(w http.ResponseWriter, r *http.Request) {
+	f, err := s.Agent.Figures(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	io.WriteString(w, f.String())
+}
+
+// ban takes a server out or back.
+func (s *Server) ban(done string, do func(*bans.Set, time.Duration, string) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.PathValue("id")
+		if id == "" || len(id) > longestID {
+			http.Error(w, "the id of a server is missing or too long", http.StatusBadRequest)
+			return
+		}
+		err := s.Agent.Ban(r.Context(), func(now time.Duration, set *bans.Set) error { return do(set, now, id) })
+		switch {
+		case errors.Is(err, bans.ErrUnknown):
+			http.Error(w, err.Error(), http.StatusNotFound)
+		case errors.Is(err, bans.ErrFull):
+			http.Error(w, err.Error(), http.StatusConflict)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		default:
+			s.Log.Info("server taken "+done+" by an operator", "server", id)
+			fmt.Fprintf(w, "%s\n", done)
+		}
+	}
+}
+
+// outcomes are the names that operators have for the kinds of answers. A conflict ends as a failure for its client.
+var outcomes = [...]struct {
+	name  string
+	kinds []engine.AnswerKind
+}{
+	{"completed", []engine.AnswerKind{engine.Served}},
+	{"rejected", []engine.AnswerKind{engine.Refused}},
+	{"failed", []engine.AnswerKind{engine.Failed, engine.Conflict}},
+}
+
+// String writes the figures, a line each.
+func (f Figures) String() string {
+	var b strings.Builder
+	for class, name := range f.Tally.Classes {
+		for _, o := range outcomes {
+			var n uint64
+			for _, kind := range o.kinds {
+				n += f.Tally.Answers[class][kind]
+			}
+			fmt.Fprintf(&b, "svc.downstream_requests.%s.%s=%d\n", name, o.name, n)
+		}
+	}
+	fmt.Fprintf(&b, "svc.upstream_requests=%d\nsvc.pending=%d\nsvc.members=%d\nsvc.members_unavailable=%d\n"+
+		"svc.config_reloads=%d\nsvc.config_reload_errors=%d\n", f.Tally.Written, f.Tally.Open, f.Fleet.Listed, f.Fleet.Avoided,
+		f.Reloads, f.ReloadErrors)
+	return b.String()
+}
--- a/internal/httpfront/clients.go
+++ b/internal/places/places.go
@@ -1,4 +1,6 @@
-package httpfront
+// Package places bounds the connections that a listener holds. When it is full it makes room by closing what has been
+// without a request for longest: those who connect and say nothing, or ask once and stay, must not keep out the others.
+package places
 
 import (
 	"context"
@@ -9,23 +11,22 @@
 	"time"
 )
 
-// clientConns is a listener that holds at most so many connections. When it is full it makes room by closing what has
-// been without a request for longest: those who connect and say nothing, or ask once and stay, must not keep out the
-// others.
-type clientConns struct {
+// Listener is a listener that holds at most so many connections.
+type Listener struct {
 	net.Listener
-	most int
+	settled time.Duration // a connection that is younger is not closed to make room
+	most    int
 
 	mu     sync.Mutex
 	room   *sync.Cond
 	closed bool
-	open   map[*clientConn]struct{}
+	open   map[*conn]struct{}
 }
 
-// clientConn is one of them; the table's lock guards its state.
-type clientConn struct {
+// conn is one of them; the table's lock guards its state.
+type conn struct {
 	net.Conn
-	table  *clientConns
+	table  *Listener
 	use    connUse
 	served bool // has brought a request that was in order
 	since  time.Time
@@ -40,14 +41,16 @@
 	inUse                  // one that is in order is open: never closed
 )
 
-func newClientConns(l net.Listener, most int) *clientConns {
-	t := &clientConns{Listener: l, most: most, open: map[*clientConn]struct{}{}}
+// New returns a listener of at most so many connections. One that is younger than settled is not closed to make room: what it
+// has to say may be on its way.
+func New(l net.Listener, most int, settled time.Duration) *Listener {
+	t := &Listener{Listener: l, settled: settled, most: most, open: map[*conn]struct{}{}}
 	t.room = sync.NewCond(&t.mu)
 	return t
 }
 
 // Accept makes room for a connection before it takes one, so that the limit on descriptors always holds.
-func (t *clientConns) Accept() (net.Conn, error) {
+func (t *Listener) Accept() (net.Conn, error) {
 	t.makeRoom()
 	raw, err := t.Listener.Accept()
 	if err != nil {
@@ -55,7 +58,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := &clientConn{Conn: raw, table: t, since: time.Now()}
+	c := &conn{Conn: raw, table: t, since: time.Now()}
 	t.open[c] = struct{}{}
 	return c, nil
 }
@@ -64,13 +67,14 @@
 // for good leave places to others, who could not open any more.
 const crowdedPart = 0.4
 
-func (t *clientConns) crowded() bool {
+// Crowded reports whether answers should close their connections.
+func (t *Listener) Crowded() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return float64(len(t.open)) > crowdedPart*float64(t.most)
 }
 
-func (t *clientConns) makeRoom() {
+func (t *Listener) makeRoom() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for len(t.open) >= t.most && !t.closed {
@@ -79,6 +83,12 @@
 			t.room.Wait()
 			continue
 		}
+		if young := t.settled - time.Since(c.since); young > 0 {
+			t.mu.Unlock()
+			time.Sleep(young)
+			t.mu.Lock()
+			continue
+		}
 		t.mu.Unlock()
 		c.Close()
 		runtime.Gosched() // its reader lets go of the descriptor only when it has run
@@ -88,8 +98,8 @@
 
 // leastUseful is the connection to close first: one that never brought a request in order, then one between
 // requests, then one that is being read; among like ones the oldest.
-func (t *clientConns) leastUseful() (least *clientConn) {
-	rank := func(c *clientConn) int {
+func (t *Listener) leastUseful() (least *conn) {
+	rank := func(c *conn) int {
 		if c.use == unused && c.served {
 			return 1
 		}
@@ -107,7 +117,7 @@
 }
 
 // Close closes the listener, not the connections.
-func (t *clientConns) Close() error {
+func (t *Listener) Close() error {
 	t.mu.Lock()
 	t.closed = true
 	t.room.Broadcast()
@@ -116,7 +126,7 @@
 }
 
 // Close closes the connection and frees its place.
-func (c *clientConn) Close() error {
+func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
@@ -126,14 +136,14 @@
 }
 
 // CloseWrite lets net/http end an answer so that a client which still sends can read it.
-func (c *clientConn) CloseWrite() error {
+func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
 }
 
-func (c *clientConn) now(use connUse) {
+func (c *conn) now(use connUse) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.use, c.since = use, time.Now()
@@ -143,9 +153,9 @@
 	}
 }
 
-// connState is told by net/http what happens on a connection.
-func connState(raw net.Conn, state http.ConnState) {
-	c, ok := raw.(*clientConn)
+// ConnState is for http.Server: it is told what happens on a connection.
+func ConnState(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
 	if !ok {
 		return
 	}
@@ -159,14 +169,14 @@
 
 type connKey struct{}
 
-// connContext lets handlers find the connection of their request.
-func connContext(ctx context.Context, raw net.Conn) context.Context {
+// ConnContext is for http.Server: it lets handlers find the connection of their request.
+func ConnContext(ctx context.Context, raw net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, raw)
 }
 
-// hold marks the connection of a request as in use. It is given back when net/http has written the answer.
-func hold(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+// Hold marks the connection of a request as in use. It is given back when net/http has written the answer.
+func Hold(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
 		c.now(inUse)
 	}
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -91,11 +91,14 @@
 
 func (s *Server) tally(p page, t engine.Tally) {
 	for class, counts := range t.Answers {
-		name := s.Classes[class].Name
+		name := t.Classes[class]
 		for kind, n := range counts {
 			p.count("appleledge_answers_total", fmt.Sprintf("class=%q,kind=%q", name, engine.AnswerKinds[kind]), n)
 		}
 		p.count("appleledge_clients_left_total", fmt.Sprintf("class=%q", name), t.Left[class])
+		if class >= len(t.Times) {
+			continue // it came while the agent ran
+		}
 		times := t.Times[class]
 		for _, q := range slices.Sorted(maps.Keys(times.Quantiles)) {
 			p.gauge("appleledge_served_seconds", fmt.Sprintf(`class=%q,quantile="%v"`, name, q), times.Quantiles[q].Seconds())
--- a/logic/api.go
+++ b/logic/api.go
@@ -340,6 +340,17 @@
 		Requests: b.usually}
 }
 
+// Ejected are the ids of servers that the balancer keeps out as ill.
+func (b *Balancer) Ejected() map[string]bool {
+	out := map[string]bool{}
+	for _, s := range b.ill {
+		if b.ejected(s) {
+			out[s.ID] = true
+		}
+	}
+	return out
+}
+
 func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
 
 func (b *Balancer) timer(token uint64, after time.Duration) {
