Settings of the platform change in force at SIGHUP; a broken file changes nothing

Ruled out: the release itself (without the move the same drains are heard in time). Change: the whole file is checked, with a key that the file in force has and it lacks; classes keep a number by name, the module is told of the change before the first request comes under it, and requests keep what they came under.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"appleledge/internal/membership"
 	"appleledge/internal/membership/platform"
 	"appleledge/internal/pool"
+	"appleledge/internal/terms"
 	"appleledge/internal/wire"
 	"appleledge/logic"
 )
@@ -40,7 +41,7 @@
 type Core struct {
 	Engine  *engine.Engine
 	Clock   engine.Clock
-	Rules   intake.Rules
+	Rules   intake.Checker
 	Pool    *pool.Pool
 	Site    wire.Site
 	Longest time.Duration // that any client waits
@@ -141,9 +142,10 @@
 	core.OnSubscribe(disco.Ask)
 	sources, names := with.open(disco, clk, cfg.Site, log)
 	hub := membership.NewHub(with.Membership, names, clk, core.Tell, log)
-	rules := intake.Rules{Classes: cfg.Site.Logic.Classes, Tenants: cfg.Site.Tenants}
+	settled, rules := terms.New(cfg.Site), &intake.InForce{}
+	rules.Put(settled.Rules())
 	beside, err := open(with.Fronts, Core{Engine: core, Clock: clk, Rules: rules, Pool: conns, Site: cfg.Site,
-		Longest: longestDeadline(cfg), Log: log})
+		Longest: rules.Longest(), Log: log})
 	if err != nil {
 		return err
 	}
@@ -171,9 +173,9 @@
 		parts.Go(func() { logStorms(inner, core, clk, cfg.Site.Logic.Classes, with.Storm.LogEvery, log) })
 	}
 	core.Name(cfg.Site.Logic.Classes)
-	var counts reloadCounts
+	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, log: log}
 	ready := func() bool { return core.Ready() && ctx.Err() == nil }
-	operators, err := openToOperators(cfg, operating{core: core, reloads: &counts, ready: ready}, log)
+	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, ready: ready}, log)
 	if err != nil {
 		return err
 	}
@@ -191,7 +193,7 @@
 	for i, source := range sources {
 		parts.Go(func() { source.Run(inner, hub.Sink(i)) })
 	}
-	parts.Go(func() { reloads.follow(inner, cfg, disco, &counts, log) })
+	parts.Go(func() { reloads.follow(inner, &reloading) })
 	if operators != nil {
 		parts.Go(func() {
 			if err := operators(inner); err != nil { // clients are served all the same
@@ -223,7 +225,7 @@
 			}
 		})
 	}
-	return front.Serve(ctx, listener, longestDeadline(cfg)+drainMost)
+	return front.Serve(ctx, listener, func() time.Duration { return rules.Longest() + drainMost })
 }
 
 // open opens the sources of members, the platform's list among them.
@@ -253,14 +255,6 @@
 	return serves, nil
 }
 
-// longestDeadline is the longest that any client waits.
-func longestDeadline(cfg Config) (longest time.Duration) {
-	for _, c := range cfg.Site.Logic.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	return longest
-}
-
 // shareSockets says how many connections to backends and from clients there may be, within a limit on descriptors.
 func shareSockets(limit int) (toBackends, fromClients int) {
 	room := min(max(limit, leastSockets), mostSockets) - spareSockets
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -27,6 +27,7 @@
 	Site      wire.Site
 
 	known     listing.List
+	keys      keys // that the file states
 	acceptFor time.Duration
 }
 
@@ -82,13 +83,16 @@
 	if err := json.Unmarshal(data, &f); err != nil {
 		return cfg, err
 	}
+	if cfg.keys, err = keysOf(data); err != nil {
+		return cfg, err
+	}
 	prefer := func(variable, text string) string {
 		if v := getenv(variable); v != "" {
 			return v
 		}
 		return text
 	}
-	cfg = Config{Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
+	cfg = Config{keys: cfg.keys, Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
 		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Operator: prefer("PROXY_OPERATOR", f.Operator), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, acceptFor: acceptOn}
 	if cfg.Sockets <= 0 {
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -4,9 +4,12 @@
 	"context"
 	"log/slog"
 	"os"
-	"reflect"
+	"strings"
 
+	"appleledge/internal/engine"
+	"appleledge/internal/intake"
 	"appleledge/internal/membership/platform"
+	"appleledge/internal/terms"
 )
 
 // Reloads says when the configuration is to be read again, and how.
@@ -15,9 +18,21 @@
 	Load    func() (Config, error)
 }
 
-// follow reads the configuration again at each signal and points discovery to where it says. A file that can't be
-// used changes nothing: the agent goes on with what it has.
-func (r Reloads) follow(ctx context.Context, cfg Config, d *platform.Discovery, counts *reloadCounts, log *slog.Logger) {
+// reload is what a new configuration changes in a running agent.
+type reload struct {
+	clock  engine.Clock
+	core   *engine.Engine
+	disco  *platform.Discovery
+	terms  *terms.Terms
+	rules  *intake.InForce
+	keys   keys // of the file in force
+	counts reloadCounts
+	log    *slog.Logger
+}
+
+// follow reads the configuration again at each signal and puts it in force. A file that can't be used changes nothing: the
+// agent goes on with what it has.
+func (r Reloads) follow(ctx context.Context, to *reload) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -25,16 +40,43 @@
 		case <-r.Signals:
 		}
 		fresh, err := r.Load()
+		if err == nil {
+			err = to.take(fresh)
+		}
 		if err != nil {
-			counts.refused.Add(1)
-			log.Error("configuration not reloaded, keeping the old one", "error", err)
+			to.counts.refused.Add(1)
+			to.log.Error("configuration not reloaded, keeping the old one", "error", err)
 			continue
 		}
-		counts.taken.Add(1)
-		log.Info("configuration reloaded", "discovery", fresh.Discovery)
-		if !reflect.DeepEqual(fresh.Site, cfg.Site) {
-			log.Warn("settings have changed, which takes effect at the next start only")
+		to.counts.taken.Add(1)
+	}
+}
+
+// take puts a configuration in force. The module hears of it before the first request comes under it.
+func (r *reload) take(c Config) error {
+	if err := c.keys.lacks(r.keys); err != nil {
+		return err
+	}
+	tell, later, err := r.terms.Change(r.clock.Now(), c.Site)
+	if err != nil {
+		return err
+	}
+	r.keys = c.keys
+	rules := r.terms.Rules()
+	r.core.Name(tell.Classes)
+	r.core.Tell(engine.Retuned{Retune: tell, Number: rules.Number})
+	r.rules.Put(rules)
+	r.disco.Move(c.Discovery)
+	var names []string
+	for _, class := range tell.Classes {
+		if !class.Dropped {
+			names = append(names, class.Name)
 		}
-		d.Move(fresh.Discovery)
 	}
+	r.log.Info("configuration reloaded", "discovery", c.Discovery, "settings", rules.Number, "classes", strings.Join(names, " "),
+		"attempts", tell.MaxAttempts)
+	if len(later) > 0 {
+		r.log.Warn("some settings have changed that take effect at the next start only", "settings", strings.Join(later, ", "))
+	}
+	return nil
 }
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -96,20 +97,68 @@
 	b := newBackend(t, says(served))
 	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
 	a := startReloading(t, d.Addr().String())
-	for i, text := range []string{"", "{", strings.Replace(string(configText("127.0.0.1:1", "null")), "by_key", "by_luck", 1)} {
+	moved := string(configText("127.0.0.1:1", "null")) // to take anything from it would lose discovery
+	swap := func(old, new string) string {
+		if !strings.Contains(moved, old) {
+			t.Fatalf("no %s in the configuration", old)
+		}
+		return strings.Replace(moved, old, new, 1)
+	}
+	broken := []string{"", "{", moved[:len(moved)/2], "null", "[]", swap("by_key", "by_luck"), swap(`"DeadlineNs":2000000000`, `"DeadlineNs":-5`),
+		swap(`"DeadlineNs":2000000000,`, ""), swap(`"DeadlineNs":2000000000`, `"DeadlineNs":"long"`), swap(`"MostTries":5`, `"MostTries":0`),
+		swap(`"MostTries":5`, `"MostTries":2.5`), swap(`"MostTries":5,`, ""), swap(`"seed":"8c1f30d27a5be964",`, ""), swap(`"Worth":2`, `"Worth":null`),
+		swap(`"Ceilings"`, `"Cielings"`), swap(`"name":"n0",`, ""), swap(`"Name":"pay"`, `"Name":"form-check"`)}
+	for i, text := range broken {
 		a.reload([]byte(text))
-		eventually(t, "the log tells of it", func() bool { return a.log.Count("not reloaded") == i+1 })
+		eventually(t, "the log tells of "+text, func() bool { return a.log.Count("not reloaded") == i+1 })
 	}
 	a.answers("fine")
 	d.Set(2, true, entryText("s-1", b.Addr().String(), "Ready", 0), entryText("s-2", b.Addr().String(), "Ready", 0))
 	eventually(t, "the old discovery is still heard", func() bool { return a.log.Count("version=2") == 1 })
 }
 
+// Classes come and go while the agent runs; a request that is open meanwhile ends under those that it came under.
+func TestClassesChangeInForce(t *testing.T) {
+	free := make(chan struct{})
+	b := newBackend(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if r.URL.Path == "/refund-record" {
+			<-free
+			return false // a reset: it may have run
+		}
+		return says(served)(c, r, 0)
+	})
+	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
+	a := startReloading(t, d.Addr().String())
+	open := make(chan reply, 1)
+	go func() { open <- send(t, a.newRequest(t, http.MethodPost, "/refund-record", "x")) }()
+	eventually(t, "a request is open", func() bool { return b.Requests() == 1 })
+	text := string(configText(d.Addr().String(), "null"))
+	old := `"Effect":"by_key","Group":"cell","Name":"refund-record","WindowNs":2000000000`
+	if !strings.Contains(text, old) {
+		t.Fatal("the class is not in the configuration")
+	}
+	a.reload([]byte(strings.Replace(text, old, `"Effect":"repeatable","Group":"all","Name":"refund-status"`, 1)))
+	eventually(t, "the log tells of it", func() bool { return a.log.Count(`classes="form-check pay refund-status"`) == 1 })
+	if got := send(t, a.newRequest(t, http.MethodGet, "/refund-status", "")); got.status != http.StatusOK {
+		t.Errorf("the new class: %+v", got)
+	}
+	close(free)
+	if got := <-open; got.status == http.StatusServiceUnavailable || got.status == http.StatusOK {
+		t.Errorf("what may have run, of a class that was dropped meanwhile, is answered %d", got.status)
+	}
+	eventually(t, "the dropped class is unknown", func() bool {
+		return send(t, a.newRequest(t, http.MethodPost, "/refund-record", "x")).status == http.StatusNotFound
+	})
+	if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK {
+		t.Errorf("the class that stayed: %+v", got)
+	}
+}
+
 func TestReloadEndsWithTheAgent(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	r := Reloads{Load: func() (Config, error) { return Config{}, errors.New("never asked for") }}
-	go func() { r.follow(ctx, Config{}, nil, &reloadCounts{}, slog.New(slog.DiscardHandler)); close(done) }()
+	go func() { r.follow(ctx, &reload{}); close(done) }()
 	stop()
 	select {
 	case <-done:
--- a/internal/engine/door.go
+++ b/internal/engine/door.go
@@ -22,7 +22,7 @@
 
 // admit lets a call in, or answers it.
 func (e *Engine) admit(c *Call) bool {
-	if e.door == nil {
+	if e.door == nil || !e.old(c) {
 		return true
 	}
 	a := storm.Ask{Class: c.Class, Tenant: c.Tenant, Key: c.RepeatKey, Again: c.Again, Bound: c.Try > 1 || c.before.May, Deadline: c.Deadline}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,8 @@
 	Effect        logic.Effect  // of its class
 	Window        time.Duration // of a keyed class: how long after the first attempt another may begin; else 0
 	RepeatKey     string        // by which servers tell repeats; may be empty
+	Settings      int           // the number of the settings under which the class is what it is
+	Attempts      int           // that it may have; 0: as many as the module says
 	Payload       any           // what the front took, for the carrier
 	Carrier       Carrier       // of its attempts; nil where the caller is a Chooser
 	Caller        Caller
@@ -189,6 +191,11 @@
 	}
 	// ListUnavailable says that a subscription ended or could not be had.
 	ListUnavailable struct{}
+	// Retuned brings settings that have changed, and their number.
+	Retuned struct {
+		logic.Retune
+		Number int
+	}
 	// commanded is work for the engine's goroutine.
 	commanded struct {
 		do   func(time.Duration)
@@ -202,6 +209,7 @@
 func (clientLeft) event()      {}
 func (counted) event()         {}
 func (commanded) event()       {}
+func (Retuned) event()         {}
 func (Outcome) event()         {}
 func (Listed) event()          {}
 func (ListUnavailable) event() {}
@@ -231,6 +239,8 @@
 	governed *governed                 // nil where no configuration is in force
 	ties     *ties                     // nil where none are kept
 	held     *held                     // nil where operators hold out nothing
+	settings int                       // the number of those in force
+	known    int                       // classes at the start, which joins, doors and configurations know; 0: all that come
 }
 
 const eventQueue = 1024
@@ -404,6 +414,9 @@
 		e.list(ev)
 	case ListUnavailable:
 		e.decide(logic.ListUnavailable{})
+	case Retuned:
+		e.settings = ev.Number
+		e.decide(ev.Retune)
 	case commanded:
 		ev.do(e.clock.Now())
 		close(ev.done)
@@ -462,13 +475,28 @@
 // ask brings a call to the module, past the door.
 func (e *Engine) ask(c *Call) {
 	e.calls[c.ID] = c
+	if c.Settings < e.settings-1 { // what its class was then is not known any more; it was never sent
+		e.finish(c, Answer{Kind: Refused})
+		return
+	}
 	if !e.admit(c) {
 		return
 	}
-	e.decide(logic.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
-		Among: c.among(), OnDemand: c.chooser != nil, Attempts: c.bound.Attempts, Before: c.before})
+	e.decide(logic.Request{Was: c.Settings < e.settings, ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
+		Among: c.among(), OnDemand: c.chooser != nil, Attempts: fewest(c.Attempts, c.bound.Attempts), Before: c.before})
 }
 
+// fewest is the lower of two numbers of which 0 states none.
+func fewest(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// old reports whether a call's class was there at the start.
+func (e *Engine) old(c *Call) bool { return e.known == 0 || c.Class < e.known }
+
 // reject answers a call that the module never sees.
 func (e *Engine) reject(c *Call, a Answer) {
 	c.closed.Store(true)
--- a/internal/engine/tally.go
+++ b/internal/engine/tally.go
@@ -54,6 +54,9 @@
 	t := e.tally
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.counts.Classes == nil {
+		e.known = len(classes)
+	}
 	t.counts.Classes = nil
 	for i, c := range classes {
 		t.counts.Classes = append(t.counts.Classes, c.Name)
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -53,7 +53,7 @@
 	Settings     settings.ExternalProcessor
 	Engine       *engine.Engine
 	Clock        engine.Clock
-	Rules        intake.Rules
+	Rules        intake.Checker
 	Pool         *pool.Pool
 	ReportFields []string      // of load reports
 	Longest      time.Duration // that any client waits: for so long a drain may take
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -32,7 +32,7 @@
 
 // Options are what a Server is made of. All but MostHeld, AcceptFor and Joins must be set.
 type Options struct {
-	Rules     intake.Rules
+	Rules     intake.Checker
 	Engine    *engine.Engine
 	Clock     engine.Clock
 	Carrier   engine.Carrier // of the calls
@@ -69,8 +69,8 @@
 }
 
 // Serve answers clients until the context ends and what was taken by then is answered. That takes for as long as it
-// accepts and longest more, at most.
-func (s *Server) Serve(ctx context.Context, l net.Listener, longest time.Duration) error {
+// accepts and longest more, at most, as it is by then.
+func (s *Server) Serve(ctx context.Context, l net.Listener, longest func() time.Duration) error {
 	clients := places.New(l, s.Most, 0)
 	s.crowded = clients.Crowded
 	srv := s.httpServer()
@@ -83,7 +83,7 @@
 	case <-ctx.Done():
 	}
 	s.Log.Info("draining")
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.AcceptFor+longest)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.AcceptFor+longest())
 	defer cancel()
 	err := s.drain(limited, srv)
 	srv.Close()
@@ -213,7 +213,7 @@
 // like is what a request asks, or nil of one that is not to be joined. All counts that goes on to a backend but for who
 // asks. A client that wants an answer made for itself gets it (RFC 9111, sections 5.2.1.4 and 5.2.1.5).
 func (j *Joins) like(c *engine.Call, r *http.Request, body []byte) *join.Digest {
-	if j == nil || !j.Classes[c.Class] || intake.Directs(r.Header, "no-cache", "no-store") {
+	if j == nil || c.Class >= len(j.Classes) || !j.Classes[c.Class] || intake.Directs(r.Header, "no-cache", "no-store") {
 		return nil
 	}
 	tenant := ""
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"appleledge/internal/engine"
@@ -56,10 +57,43 @@
 
 func (e BadRequest) Error() string { return e.Text }
 
-// Rules are what requests are checked against.
+// Rules are what requests are checked against. They are not changed: settings that change make others.
 type Rules struct {
-	Classes []logic.Class
-	Tenants []string // names, in the order of the module's numbers; empty where there are none
+	Classes  []logic.Class
+	Tenants  []string // names, in the order of the module's numbers; empty where there are none
+	Attempts int      // that a request may have; 0: as many as the module says
+	Number   int      // of the settings that they follow from
+
+	// Before are those that they replaced. Until that time a request whose form fits what its class was then alone is taken
+	// under them, and none has more attempts than either allows.
+	Before      *Rules
+	BeforeUntil time.Duration
+}
+
+// Checker checks requests.
+type Checker interface {
+	Check(h Head, began time.Duration) (*engine.Call, time.Duration, error)
+}
+
+// InForce are rules that may be replaced while requests come. It is safe for concurrent use.
+type InForce struct{ rules atomic.Pointer[Rules] }
+
+// Put puts rules in force.
+func (f *InForce) Put(r Rules) { f.rules.Store(&r) }
+
+// Check checks a request against the rules in force.
+func (f *InForce) Check(h Head, began time.Duration) (*engine.Call, time.Duration, error) {
+	return f.rules.Load().Check(h, began)
+}
+
+// Longest is how long any client waits, under these rules or those before.
+func (f *InForce) Longest() (longest time.Duration) {
+	for r := f.rules.Load(); r != nil; r = r.Before {
+		for _, c := range r.Classes {
+			longest = max(longest, c.Deadline)
+		}
+	}
+	return longest
 }
 
 // Head is a request's head. Header has canonical names.
@@ -73,8 +107,52 @@
 // Check checks a request that began at that time on the engine's clock. It returns the call, without payload, carrier
 // and caller, and how long the client waits. An error is a BadRequest.
 func (rules Rules) Check(h Head, began time.Duration) (*engine.Call, time.Duration, error) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(h.Path, "/"), "/")
-	index := slices.IndexFunc(rules.Classes, func(c logic.Class) bool { return c.Name == name })
+	if rules.Before == nil || began >= rules.BeforeUntil {
+		return rules.check(h, began)
+	}
+	attempts := min(rules.Attempts, rules.Before.Attempts)
+	under, other := &rules, rules.Before
+	if !rules.fits(h) && rules.Before.fits(h) {
+		under, other = other, under
+	}
+	c, timeout, err := under.check(h, began)
+	if err != nil {
+		return nil, 0, err
+	}
+	c.Attempts = attempts
+	if i := c.Class; i < len(other.Classes) { // the client's patience is what either allows
+		if longer, err := ParseTimeout(h.Header.Get(TimeoutHeader), other.Classes[i].Deadline); err == nil && longer > timeout {
+			timeout = longer
+			c.Deadline = began + timeout - min(deadlineMargin, timeout/4)
+		}
+	}
+	return c, timeout, nil
+}
+
+// class is the number of the class that a path names; -1 of none that takes requests.
+func (rules *Rules) class(path string) int {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return slices.IndexFunc(rules.Classes, func(c logic.Class) bool { return c.Name == name && !c.Dropped })
+}
+
+// fits reports whether a request has the form of its class: method and key tell the effect.
+func (rules *Rules) fits(h Head) bool {
+	i := rules.class(h.Path)
+	if i < 0 {
+		return false
+	}
+	form := logic.Unsafe
+	switch {
+	case h.Method == http.MethodGet:
+		form = logic.Safe
+	case h.Header.Get(KeyHeader) != "":
+		form = logic.Keyed
+	}
+	return rules.Classes[i].Effect == form
+}
+
+func (rules *Rules) check(h Head, began time.Duration) (*engine.Call, time.Duration, error) {
+	index := rules.class(h.Path)
 	if index < 0 {
 		return nil, 0, BadRequest{http.StatusNotFound, "unknown class"}
 	}
@@ -92,7 +170,8 @@
 	}
 	c := &engine.Call{ID: h.Header.Get(RequestIDHeader), Class: index, Tenant: tenant, Key: h.Header.Get(routeKeyHeader),
 		Deadline: began + timeout - min(deadlineMargin, timeout/4), Again: h.Header.Get(retriedHeader) == "1",
-		Effect: class.Effect, RepeatKey: h.Header.Get(KeyHeader), Path: h.Path, Header: h.Header}
+		Effect: class.Effect, RepeatKey: h.Header.Get(KeyHeader), Path: h.Path, Header: h.Header,
+		Settings: rules.Number, Attempts: rules.Attempts}
 	if class.Effect == logic.Keyed {
 		c.Window = class.Window
 	}
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,81 @@
+// Package terms says under which settings of the platform requests come, as these change while the agent runs. It does no I/O
+// and reads no clock.
+package terms
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"appleledge/internal/intake"
+	"appleledge/internal/wire"
+	"appleledge/logic"
+)
+
+const (
+	// grace is for how long after a change a request may come in the form that it replaced: clients change 1.2 s after the
+	// signal, and theirs may be the later clock.
+	grace = 2 * time.Second
+	// mostClasses is how many names classes may have had in the life of an agent, as each keeps its number.
+	mostClasses = 256
+)
+
+// Terms are the settings in force. A class has the number that its name got first, for good: what is kept by class elsewhere
+// stays right over any change.
+type Terms struct {
+	rules   intake.Rules
+	present wire.Site
+}
+
+// New returns the settings that an agent starts with, which are generation 0.
+func New(site wire.Site) *Terms {
+	return &Terms{present: site, rules: intake.Rules{Classes: site.Logic.Classes, Tenants: site.Tenants,
+		Attempts: site.Logic.MaxAttempts}}
+}
+
+// Rules are what requests are checked against.
+func (t *Terms) Rules() intake.Rules { return t.rules }
+
+// Change puts other settings in force from now on. It returns what the module is to be told, and the names of what has changed
+// that takes effect at the next start only. After an error all is as it was.
+func (t *Terms) Change(now time.Duration, site wire.Site) (tell logic.Retune, later []string, err error) {
+	if err := site.Logic.Check(); err != nil {
+		return tell, nil, err
+	}
+	classes, err := t.numbered(site.Logic.Classes)
+	if err != nil {
+		return tell, nil, err
+	}
+	before := t.rules
+	before.Before = nil
+	t.rules = intake.Rules{Classes: classes, Tenants: t.rules.Tenants, Attempts: site.Logic.MaxAttempts, Number: before.Number + 1,
+		Before: &before, BeforeUntil: now + grace}
+	later = t.present.Differs(site)
+	t.present.Logic.Classes, t.present.Logic.MaxAttempts = site.Logic.Classes, site.Logic.MaxAttempts
+	t.present.Logic.ParallelCopies = site.Logic.ParallelCopies
+	return logic.Retune{Classes: classes, MaxAttempts: site.Logic.MaxAttempts, ParallelCopies: site.Logic.ParallelCopies}, later, nil
+}
+
+// numbered are the classes by the numbers that their names have. Those that are no more are there as dropped.
+func (t *Terms) numbered(classes []logic.Class) ([]logic.Class, error) {
+	out := slices.Clone(t.rules.Classes)
+	for i := range out {
+		out[i].Dropped = true
+	}
+	for i, c := range classes {
+		same := func(other logic.Class) bool { return other.Name == c.Name }
+		if slices.ContainsFunc(classes[:i], same) {
+			return nil, fmt.Errorf("class %q is there twice", c.Name)
+		}
+		at := slices.IndexFunc(out, same)
+		switch {
+		case at >= 0:
+			out[at] = c
+		case len(out) == mostClasses:
+			return nil, fmt.Errorf("class %q: there have been %d classes since the start, and no more can be told apart", c.Name, mostClasses)
+		default:
+			out = append(out, c)
+		}
+	}
+	return out, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 
@@ -37,6 +38,30 @@
 	return site, err
 }
 
+// Differs names what another instance's settings have otherwise, beside classes, the number of attempts and whether two may be
+// out at a time.
+func (s Site) Differs(other Site) (names []string) {
+	s.Logic.Classes, s.Logic.MaxAttempts, s.Logic.ParallelCopies = other.Logic.Classes, other.Logic.MaxAttempts, other.Logic.ParallelCopies
+	for _, part := range []struct {
+		name     string
+		old, now any
+	}{
+		{"the module's", s.Logic, other.Logic},
+		{"report fields", s.ReportFields, other.ReportFields},
+		{"tenants", s.Tenants, other.Tenants},
+		{"zones", s.Zones, other.Zones},
+		{"connect time-out", s.ConnectTimeout, other.ConnectTimeout},
+		{"idle limit", s.ConnIdle, other.ConnIdle},
+		{"requests held", s.MostHeld, other.MostHeld},
+		{"come-back time", s.MaxRetryAfter, other.MaxRetryAfter},
+	} {
+		if !reflect.DeepEqual(part.old, part.now) {
+			names = append(names, part.name)
+		}
+	}
+	return names
+}
+
 // bootInfo is the start-up object of an instance, as far as there is a use for it.
 type bootInfo struct {
 	Balancers int
--- a/logic/api.go
+++ b/logic/api.go
@@ -38,9 +38,10 @@
 	Aim      time.Duration // an answer within this time earns the full worth
 	Deadline time.Duration // the client's patience over all its tries
 	Worth    float64
+	Dropped  bool // takes no new requests, as later settings have it no more
 }
 
-// Settings are all that a Balancer is told at start. They do not change while it lives.
+// Settings are all that a Balancer is told at start. Retune alone changes them while it lives.
 type Settings struct {
 	Balancers      int           // how many balancers front the same servers
 	Me             int           // the number of this one among them, the same after a restart
@@ -62,8 +63,8 @@
 	Overload       float64       // a cold server topples at this multiple of its capacity; 0 if not known
 }
 
-// check says in plain words what is wrong with the settings.
-func (set *Settings) check() error {
+// Check says in plain words what is wrong with the settings.
+func (set *Settings) Check() error {
 	if len(set.Classes) == 0 {
 		return errors.New("logic: settings name no class of requests")
 	}
@@ -178,6 +179,14 @@
 		OnDemand      bool          // one attempt at a time, and a further one only when a Retry asks for it
 		Attempts      int           // that it may have in all, where that is fewer than MaxAttempts; 0: those
 		Before        Before        // what may have run of it under another id
+		Was           bool          // its class is as it was before the latest Retune
+	}
+	// Retune changes the classes and how many attempts a request may have. Classes keep their numbers: new ones come
+	// behind, and those that are no more are Dropped. Requests keep the class that they came under.
+	Retune struct {
+		Classes        []Class
+		MaxAttempts    int
+		ParallelCopies bool
 	}
 	// Before is an attempt that was made for the same key by an earlier request. The zero value is none.
 	Before struct {
@@ -228,6 +237,7 @@
 func (ListUnavailable) event() {}
 func (Request) event()         {}
 func (Retry) event()           {}
+func (Retune) event()          {}
 func (Outcome) event()         {}
 func (Streaming) event()       {}
 func (ClientGone) event()      {}
@@ -292,6 +302,8 @@
 		b.request(e)
 	case Retry:
 		b.retry(e)
+	case Retune:
+		b.retune(e)
 	case Outcome:
 		b.outcome(e)
 	case Streaming:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,23 +61,42 @@
 
 // New returns a Balancer. Its random numbers follow from the seed alone.
 func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), byID: map[string]*server{},
 		requests: map[string]*request{}, timers: map[uint64]*request{}, token: firstToken,
-		asked: make([]float64, len(set.Shares)), budget: retrySaved, trialBy: Unsafe,
+		asked: make([]float64, len(set.Shares)), budget: retrySaved,
 		mean: 1, warm: weighted.NewPool[*server](set.WarmKeys),
 		cold: weighted.NewPool[*server](false), race: weighted.NewRace()}
-	for _, c := range set.Classes {
-		if c.Effect == Keyed && c.Group == GroupCell {
+	b.classes()
+	return b, nil
+}
+
+// classes follows from the classes in force.
+func (b *Balancer) classes() {
+	b.horizon, b.trialBy = 0, Unsafe
+	for i, c := range b.set.Classes {
+		if i == len(b.usual) {
+			b.usual = append(b.usual, float64(c.Aim)/4)
+		}
+		if c.Dropped {
+			continue
+		}
+		b.horizon, b.trialBy = max(b.horizon, c.Aim), min(b.trialBy, c.Effect)
+		if c.Effect == Keyed && c.Group == GroupCell && b.cells == nil {
 			b.cells = map[int][]*server{}
+			for _, s := range b.servers {
+				b.moveCell(s, s.Cell, true)
+			}
 		}
-		b.usual = append(b.usual, float64(c.Aim)/4)
-		b.horizon = max(b.horizon, c.Aim)
-		b.trialBy = min(b.trialBy, c.Effect)
 	}
-	return b, nil
+}
+
+func (b *Balancer) retune(e Retune) {
+	b.was, b.set.Classes = b.set.Classes, e.Classes
+	b.set.MaxAttempts, b.set.ParallelCopies = e.MaxAttempts, e.ParallelCopies
+	b.classes()
 }
 
 // Start returns what a new Balancer wants done before its first event.
@@ -653,11 +672,15 @@
 // Admission.
 
 func (b *Balancer) request(e Request) {
-	if e.Class < 0 || e.Class >= len(b.set.Classes) || b.requests[e.ID] != nil {
+	classes := b.set.Classes
+	if e.Was {
+		classes = b.was
+	}
+	if e.Class < 0 || e.Class >= len(classes) || b.requests[e.ID] != nil {
 		return
 	}
 	r := b.newRequest()
-	r.Request, r.class = e, &b.set.Classes[e.Class]
+	r.Request, r.class = e, &classes[e.Class]
 	r.before = attempt{zone: e.Before.Zone, cell: e.Before.Cell, sent: e.Before.Since}
 	b.requests[e.ID] = r
 	b.budget = min(b.budget+retryShare, retrySaved)
--- a/logic/state.go
+++ b/logic/state.go
@@ -17,6 +17,7 @@
 // events give equal actions. It is not safe for concurrent use. A restart is a new Balancer.
 type Balancer struct {
 	set      Settings
+	was      []Class // the classes before the latest Retune
 	rng      *rand.Rand
 	now      time.Duration
 	actions  []Action
