Upgrades under load: the listening socket, bans and limits are handed over

The new process takes the listening socket, the bans and every later order over a Unix socket in TMPDIR and takes connections once ready; the old one keeps idle connections 600 ms, each ends with its next answer. Each has half of the limits while both live.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,12 +12,14 @@
 
 	"appleledge/internal/admin"
 	"appleledge/internal/engine"
+	"appleledge/internal/handover"
 	"appleledge/internal/httpcarrier"
 	"appleledge/internal/httpfront"
 	"appleledge/internal/intake"
 	"appleledge/internal/join"
 	"appleledge/internal/membership"
 	"appleledge/internal/membership/platform"
+	"appleledge/internal/places"
 	"appleledge/internal/pool"
 	"appleledge/internal/terms"
 	"appleledge/internal/wire"
@@ -80,6 +82,10 @@
 	Figures time.Duration // between two lines of the log with what is counted; 0: none
 	// Generations are configurations of the fleet that operators plan and apply; nil: none is in force.
 	Generations *Generations
+	// Memory limits the process to a part of the agent's memory, while another process of the agent runs; nil: nothing does.
+	Memory func(part float64)
+
+	link *handover.Link // to other processes of the agent; nil where there can be none
 }
 
 // Storm says how retry storms are noticed.
@@ -113,6 +119,14 @@
 
 // Run serves until the context ends, then drains as the platform's restarts want it.
 func Run(ctx context.Context, cfg Config, reloads Reloads, log *slog.Logger, with Extras) error {
+	if cfg.Operator != "" { // where operators call, they put new versions beside old ones
+		link, err := joinOthers(cfg, log)
+		if err != nil {
+			return fmt.Errorf("listening for clients: %w", err)
+		}
+		with.link = link
+		return serve(ctx, cfg, reloads, link.Gate(), log, with)
+	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
@@ -174,8 +188,15 @@
 	}
 	core.Name(cfg.Site.Logic.Classes)
 	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, log: log}
+	clients := places.New(listener, fromClients, 0)
 	ready := func() bool { return core.Ready() && ctx.Err() == nil }
-	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, ready: ready}, log)
+	var twin *upgrade
+	if with.link != nil {
+		twin = &upgrade{link: with.link, core: core, clock: clk, conns: conns, clients: clients, toBackends: toBackends,
+			fromClients: fromClients, memory: with.Memory}
+		ready = func() bool { return core.Ready() && ctx.Err() == nil && twin.serving.Load() }
+	}
+	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, link: with.link, ready: ready}, clk, log)
 	if err != nil {
 		return err
 	}
@@ -194,6 +215,12 @@
 		parts.Go(func() { source.Run(inner, hub.Sink(i)) })
 	}
 	parts.Go(func() { reloads.follow(inner, &reloading) })
+	var leave func() bool
+	if twin != nil {
+		leave = twin.leave
+		parts.Go(func() { with.link.Run(inner, twin) })
+		parts.Go(func() { twin.becomeReady(inner, disco, log) })
+	}
 	if operators != nil {
 		parts.Go(func() {
 			if err := operators(inner); err != nil { // clients are served all the same
@@ -210,12 +237,12 @@
 		Carrier: &httpcarrier.Carrier{Pool: conns, Clock: clk, Fields: cfg.Site.ReportFields, Noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		}},
-		Most:      fromClients,
 		MostHeld:  cfg.Site.MostHeld,
 		AcceptFor: cfg.acceptFor,
+		Leave:     leave,
 		Log:       log,
 		Joins:     joined.front(),
-	})
+	}, clients)
 	var others sync.WaitGroup
 	defer others.Wait() // before the engine stops: what they hold is still answered
 	for i, serveFront := range beside {
@@ -225,7 +252,7 @@
 			}
 		})
 	}
-	return front.Serve(ctx, listener, func() time.Duration { return rules.Longest() + drainMost })
+	return front.Serve(ctx, func() time.Duration { return rules.Longest() + drainMost })
 }
 
 // open opens the sources of members, the platform's list among them.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"appleledge/internal/handover"
 	"appleledge/internal/membership/listing"
 	"appleledge/internal/operator"
 	"appleledge/internal/wire"
@@ -141,10 +142,10 @@
 	return site, nil
 }
 
-// operatorSockets are the descriptors that operators' calls need.
+// operatorSockets are the descriptors that operators' calls and upgrades need.
 func (c Config) operatorSockets() int {
 	if c.Operator == "" {
 		return 0
 	}
-	return operator.Sockets
+	return operator.Sockets + handover.Sockets
 }
--- a/internal/agent/operator.go
+++ b/internal/agent/operator.go
@@ -10,6 +10,7 @@
 
 	"appleledge/internal/bans"
 	"appleledge/internal/engine"
+	"appleledge/internal/handover"
 	"appleledge/internal/operator"
 )
 
@@ -23,6 +24,7 @@
 type operating struct {
 	core    *engine.Engine
 	reloads *reloadCounts
+	link    *handover.Link // to other processes of the agent; nil where there can be none
 	ready   func() bool
 }
 
@@ -36,13 +38,27 @@
 	return f, nil
 }
 
-func (o operating) Ban(ctx context.Context, do func(time.Duration, *bans.Set) error) error {
-	return o.core.Bans(ctx, do)
+// Hold carries an operator's order out, here and in the other processes of the agent.
+func (o operating) Hold(ctx context.Context, server string, out bool) error {
+	do := func() error { return hold(ctx, o.core, server, out) }
+	if o.link == nil {
+		return do()
+	}
+	return o.link.Give(ctx, handover.Order{Server: server, Out: out}, do)
+}
+
+func hold(ctx context.Context, core *engine.Engine, server string, out bool) error {
+	return core.Bans(ctx, func(now time.Duration, s *bans.Set) error {
+		if out {
+			return s.Down(now, server)
+		}
+		return s.Up(now, server)
+	})
 }
 
-// openToOperators opens the operators' listener where the configuration names one. What it returns serves until the context ends; it
-// is nil where there is none.
-func openToOperators(cfg Config, o operating, log *slog.Logger) (serve func(context.Context) error, err error) {
+// openToOperators opens the operators' listener where the configuration names one. What it returns serves until the context
+// ends; it is nil where there is none.
+func openToOperators(cfg Config, o operating, clk engine.Clock, log *slog.Logger) (serve func(context.Context) error, err error) {
 	if cfg.Operator == "" {
 		return nil, nil
 	}
@@ -50,7 +66,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for operators: %w", err)
 	}
-	o.core.Hold(bans.New(mostBans))
+	set := bans.New(mostBans)
+	if o.link != nil {
+		set.Restore(o.link.Inherited(), clk.FromUnix)
+	}
+	o.core.Hold(set)
 	s := &operator.Server{Agent: o, Log: log}
 	return func(ctx context.Context) error { return s.Serve(ctx, l) }, nil
 }
--- /dev/null
+++ b/internal/agent/upgrade.go
@@ -0,0 +1,106 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"appleledge/internal/bans"
+	"appleledge/internal/engine"
+	"appleledge/internal/handover"
+	"appleledge/internal/membership/platform"
+	"appleledge/internal/places"
+	"appleledge/internal/pool"
+)
+
+const (
+	readyLook = 5 * time.Millisecond // between two looks whether the process is ready
+	// unheardMost is how long a process that starts beside another one waits for discovery itself. Then the list that it
+	// started with has to do, as the platform waits for its yes for 6 s at most.
+	unheardMost = 3 * time.Second
+)
+
+// joinOthers opens the listener for clients, or takes it over from a process of the agent that runs already.
+func joinOthers(cfg Config, log *slog.Logger) (*handover.Link, error) {
+	return handover.Join(os.TempDir(), cfg.Name, func() (net.Listener, error) { return listenShared(cfg.Listen) }, log)
+}
+
+// listenShared listens on an address at which other processes may listen as well, where the socket itself can't be handed over.
+func listenShared(addr string) (net.Listener, error) {
+	share := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if failed := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}); failed != nil {
+			return failed
+		}
+		return err
+	}}
+	return share.Listen(context.Background(), "tcp", addr)
+}
+
+// upgrade is a process among others of the same agent.
+type upgrade struct {
+	link                    *handover.Link
+	core                    *engine.Engine
+	clock                   engine.Clock
+	conns                   *pool.Pool
+	clients                 *places.Listener
+	toBackends, fromClients int                // connections of the whole agent
+	memory                  func(part float64) // limits the process to a part of the agent's memory; nil: nothing does
+	serving                 atomic.Bool
+}
+
+// Bans is for handover.Host.
+func (u *upgrade) Bans(ctx context.Context) (st bans.State, err error) {
+	err = u.core.Bans(ctx, func(_ time.Duration, s *bans.Set) error {
+		st = s.State(func(t time.Duration) int64 { return u.clock.At(t).UnixMilli() })
+		return nil
+	})
+	return st, err
+}
+
+// Obey is for handover.Host. The other process may know of a server that this one has not been told of yet.
+func (u *upgrade) Obey(ctx context.Context, o handover.Order) error {
+	if err := u.core.Bans(ctx, func(_ time.Duration, s *bans.Set) error {
+		s.Restore(bans.State{Seen: []string{o.Server}}, u.clock.FromUnix)
+		return nil
+	}); err != nil {
+		return err
+	}
+	return hold(ctx, u.core, o.Server, o.Out)
+}
+
+// Share is for handover.Host.
+func (u *upgrade) Share(part float64) {
+	u.conns.Limit(int(part * float64(u.toBackends)))
+	u.clients.Limit(int(part * float64(u.fromClients)))
+	if u.memory != nil {
+		u.memory(part)
+	}
+}
+
+// leave is told that the process is to end. It reports whether another one serves.
+func (u *upgrade) leave() bool {
+	u.link.Enter(handover.Leaving)
+	return u.link.Succeeded()
+}
+
+// becomeReady waits until the process could serve all that comes, and takes new connections from then on.
+func (u *upgrade) becomeReady(ctx context.Context, d *platform.Discovery, log *slog.Logger) {
+	began := time.Now()
+	for ctx.Err() == nil && !(u.core.Ready() && (d.Heard() || u.link.Alone() || time.Since(began) > unheardMost)) {
+		time.Sleep(readyLook)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	u.link.Enter(handover.Serving)
+	u.serving.Store(true)
+	log.Info("ready to serve", "discovery heard", d.Heard(), "alone", u.link.Alone(), "after", time.Since(began).Round(time.Millisecond))
+}
--- a/internal/extproc/equivalence_test.go
+++ b/internal/extproc/equivalence_test.go
@@ -25,6 +25,7 @@
 	"appleledge/internal/httpcarrier"
 	"appleledge/internal/httpfront"
 	"appleledge/internal/intake"
+	"appleledge/internal/places"
 	"appleledge/internal/pool"
 	"appleledge/internal/wire"
 	"appleledge/logic"
@@ -189,8 +190,8 @@
 		for _, q := range stream {
 			byID[q.id] = q
 		}
-		front := httpfront.New(httpfront.Options{Engine: w.engine, Clock: w.clock, Most: 10000, Carrier: scripted{byID, got},
-			Rules: intake.Rules{Classes: w.site.Logic.Classes, Tenants: w.site.Tenants}, Log: slog.New(slog.DiscardHandler)})
+		front := httpfront.New(httpfront.Options{Engine: w.engine, Clock: w.clock, Carrier: scripted{byID, got},
+			Rules: intake.Rules{Classes: w.site.Logic.Classes, Tenants: w.site.Tenants}, Log: slog.New(slog.DiscardHandler)}, places.New(nil, 10000, 0))
 		w.start(t)
 		play(stream, func(q recorded) {
 			method := http.MethodPost
--- /dev/null
+++ b/internal/handover/link.go
@@ -0,0 +1,515 @@
+package handover
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"appleledge/internal/bans"
+)
+
+const (
+	mostPeers   = 4                      // processes of the agent beside this one
+	joinTime    = time.Second            // for another process to answer at the start
+	writeTime   = 300 * time.Millisecond // for a message to be taken
+	orderTime   = 300 * time.Millisecond // for the others' word on an order
+	longestLine = 16 << 20               // bytes of a message: the ids of over 100,000 servers
+	acceptPause = 50 * time.Millisecond  // after a connection that could not be taken
+)
+
+// Sockets is how many descriptors a Link needs at the most.
+const Sockets = mostPeers + 2
+
+// Order is what an operator wants of a server.
+type Order struct {
+	Server string `json:"server"`
+	Out    bool   `json:"out"` // hold it out, or take it back
+}
+
+// Host is the process that a Link connects with others.
+type Host interface {
+	// Bans returns what operators hold out now.
+	Bans(context.Context) (bans.State, error)
+	// Obey carries out an order that was told to another process.
+	Obey(context.Context, Order) error
+	// Share says which part of the agent's limits the process may use from now on.
+	Share(float64)
+}
+
+// message is a line between two processes.
+type message struct {
+	Phase Phase       `json:"phase"` // of the sender
+	Bans  *bans.State `json:"bans,omitempty"`
+	Order *Order      `json:"order,omitempty"`
+	Ask   int         `json:"ask,omitempty"`   // number of an order that wants an answer
+	Reply int         `json:"reply,omitempty"` // number of the order that is answered
+}
+
+// Link connects a process with the others of its agent.
+type Link struct {
+	log  *slog.Logger
+	path string // of the own socket; empty: nobody can join
+	own  *net.UnixListener
+	gate *Gate
+	host Host // set by Run
+
+	order sync.Mutex // one order at a time, so that all carry them out in the same order
+
+	mu      sync.Mutex
+	process *Process
+	peers   map[int]*peer
+	number  int
+	wait    map[int]chan<- struct{} // for replies, by number
+	bans    bans.State              // what the processes that were there at the start held out
+}
+
+// peer is another process.
+type peer struct {
+	number int
+	conn   *net.UnixConn
+	in     *bufio.Reader
+	write  sync.Mutex
+}
+
+// Join finds the other processes of the agent by their sockets in a folder. Where one has a listener for clients it is taken
+// over; else listen opens one. A folder in which no socket can be made leaves the process alone.
+func Join(dir, agent string, listen func() (net.Listener, error), log *slog.Logger) (*Link, error) {
+	l := &Link{log: log, process: NewProcess(), peers: map[int]*peer{}, wait: map[int]chan<- struct{}{}}
+	var passed net.Listener
+	for _, path := range sockets(dir, agent) {
+		found, listener, err := join(path)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, os.ErrNotExist):
+			os.Remove(path) // its process is gone
+			continue
+		case err != nil:
+			log.Warn("another process of the agent does not answer", "socket", path, "error", err)
+			continue
+		}
+		if listener != nil && passed == nil {
+			passed = listener
+		} else if listener != nil {
+			listener.Close()
+		}
+		l.add(found.peer, found.first)
+		log.Info("beside another process of the agent", "phase", found.first.Phase.String(), "listener", listener != nil)
+	}
+	if passed == nil {
+		var err error
+		if passed, err = listen(); err != nil {
+			return nil, err
+		}
+	}
+	tcp, ok := passed.(*net.TCPListener)
+	if !ok {
+		return nil, fmt.Errorf("a listener of kind %T can't be shared", passed)
+	}
+	l.gate = NewGate(tcp)
+	l.open(filepath.Join(dir, prefix(agent)+strconv.Itoa(os.Getpid())+suffix))
+	return l, nil
+}
+
+const suffix = ".sock"
+
+func prefix(agent string) string {
+	clean := func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' {
+			return r
+		}
+		return '_'
+	}
+	return "appleledge-" + strings.Map(clean, agent) + "."
+}
+
+// sockets are the files of other processes of the agent.
+func sockets(dir, agent string) (paths []string) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil
+	}
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), prefix(agent)) && strings.HasSuffix(e.Name(), suffix) {
+			paths = append(paths, filepath.Join(dir, e.Name()))
+		}
+	}
+	return paths
+}
+
+// open makes the own socket, for its owner alone.
+func (l *Link) open(path string) {
+	os.Remove(path) // of an earlier process under the same number
+	own, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err == nil {
+		err = os.Chmod(path, 0o600)
+	}
+	if err != nil {
+		l.log.Warn("a later process can't take over from this one without a gap", "error", err)
+		return
+	}
+	l.own, l.path = own, path
+}
+
+// joined is another process as it answered.
+type joined struct {
+	*peer
+	first message
+}
+
+// join connects to another process. It says whether a listener comes by one byte, which carries it.
+func join(path string) (j joined, listener net.Listener, err error) {
+	c, err := net.DialTimeout("unix", path, joinTime)
+	if err != nil {
+		return j, nil, err
+	}
+	conn := c.(*net.UnixConn)
+	defer func() {
+		if err != nil {
+			conn.Close()
+			if listener != nil {
+				listener.Close()
+			}
+		}
+	}()
+	if err := conn.SetDeadline(time.Now().Add(joinTime)); err != nil {
+		return j, nil, err
+	}
+	var one [1]byte
+	oob := make([]byte, syscall.CmsgSpace(4))
+	n, oobn, _, _, err := conn.ReadMsgUnix(one[:], oob)
+	if err != nil {
+		return j, nil, err
+	}
+	if n != 1 {
+		return j, nil, io.ErrUnexpectedEOF
+	}
+	if listener, err = received(oob[:oobn]); err != nil {
+		return j, nil, err
+	}
+	j.peer = &peer{conn: conn, in: bufio.NewReader(conn)}
+	if j.first, err = j.read(); err != nil {
+		return j, listener, err
+	}
+	return j, listener, conn.SetDeadline(time.Time{})
+}
+
+// received is the listener that came with a message, if any.
+func received(oob []byte) (net.Listener, error) {
+	messages, err := syscall.ParseSocketControlMessage(oob)
+	if err != nil || len(messages) == 0 {
+		return nil, err
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) == 0 {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(fds[0]), "listener")
+	defer f.Close()
+	return net.FileListener(f)
+}
+
+// Gate is the listener for clients.
+func (l *Link) Gate() *Gate { return l.gate }
+
+// Inherited is what the other processes held out at the start.
+func (l *Link) Inherited() bans.State { return l.bans }
+
+// Alone reports whether there is no other process.
+func (l *Link) Alone() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers) == 0
+}
+
+// Succeeded reports whether another process serves.
+func (l *Link) Succeeded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.process.Succeeded()
+}
+
+// add takes up another process with what it said first.
+func (l *Link) add(p *peer, first message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.number++
+	p.number = l.number
+	l.peers[p.number] = p
+	l.process.Met(p.number, first.Phase)
+	if first.Bans != nil {
+		l.bans.Seen = append(l.bans.Seen, first.Bans.Seen...)
+		l.bans.Out = merged(l.bans.Out, first.Bans.Out)
+		l.bans.Back = merged(l.bans.Back, first.Bans.Back)
+	}
+}
+
+func merged(into, from map[string]int64) map[string]int64 {
+	if into == nil {
+		into = map[string]int64{}
+	}
+	for id, at := range from {
+		into[id] = max(into[id], at)
+	}
+	return into
+}
+
+// Run keeps up with the other processes until the context ends.
+func (l *Link) Run(ctx context.Context, host Host) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	l.mu.Lock()
+	l.host = host
+	for _, p := range l.peers {
+		all.Go(func() { l.follow(ctx, p) })
+	}
+	l.mu.Unlock()
+	l.settle()
+	if l.own != nil {
+		all.Go(func() { l.accept(ctx, &all) })
+	}
+	<-ctx.Done()
+	if l.own != nil {
+		l.own.Close() // which removes the file
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		p.conn.Close()
+	}
+}
+
+// settle lets the process do what its phase and the others' want.
+func (l *Link) settle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gate.Set(l.process.Accepts())
+	if l.host != nil {
+		l.host.Share(l.process.Share())
+	}
+}
+
+// Enter brings the process into a phase, which the others are told.
+func (l *Link) Enter(phase Phase) {
+	l.mu.Lock()
+	l.process.Enter(phase)
+	l.mu.Unlock()
+	l.settle()
+	for _, p := range l.others() {
+		l.send(p, message{})
+	}
+}
+
+func (l *Link) others() (all []*peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Give carries an order out by do, tells the others, and waits until they have carried it out or it is no use to wait.
+func (l *Link) Give(ctx context.Context, o Order, do func() error) error {
+	l.order.Lock()
+	defer l.order.Unlock()
+	if err := do(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	replies := make(chan struct{}, mostPeers+1)
+	asked := 0
+	for _, p := range l.others() {
+		l.mu.Lock()
+		l.number++
+		number := l.number
+		l.wait[number] = replies
+		l.mu.Unlock()
+		defer func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			delete(l.wait, number)
+		}()
+		if l.send(p, message{Order: &o, Ask: number}) == nil {
+			asked++
+		}
+	}
+	for ; asked > 0; asked-- {
+		select {
+		case <-replies:
+		case <-ctx.Done():
+			l.log.Warn("another process of the agent has not taken an order in time", "server", o.Server, "out", o.Out)
+			return nil
+		}
+	}
+	return nil
+}
+
+// accept takes processes that start beside this one.
+func (l *Link) accept(ctx context.Context, all *sync.WaitGroup) {
+	for ctx.Err() == nil {
+		conn, err := l.own.AcceptUnix()
+		if err != nil {
+			if ctx.Err() == nil {
+				time.Sleep(acceptPause)
+			}
+			continue
+		}
+		all.Go(func() {
+			p := &peer{conn: conn, in: bufio.NewReader(conn)}
+			if err := l.welcome(ctx, p); err != nil {
+				l.log.Warn("a process that starts beside this one could not join", "error", err)
+				conn.Close()
+				return
+			}
+			l.follow(ctx, p)
+		})
+	}
+}
+
+// welcome gives a new process the listener and the bans. No order is carried out meanwhile, so that it misses none.
+func (l *Link) welcome(ctx context.Context, p *peer) error {
+	if err := sameOwner(p.conn); err != nil {
+		return err
+	}
+	raw, err := l.gate.SyscallConn()
+	if err != nil {
+		return err
+	}
+	l.order.Lock()
+	defer l.order.Unlock()
+	state, err := l.host.Bans(ctx)
+	if err != nil {
+		return err
+	}
+	if err := p.conn.SetWriteDeadline(time.Now().Add(joinTime)); err != nil {
+		return err
+	}
+	var sent error
+	err = raw.Control(func(fd uintptr) {
+		_, _, sent = p.conn.WriteMsgUnix([]byte{'L'}, syscall.UnixRights(int(fd)), nil)
+	})
+	if err := errors.Join(err, sent); err != nil {
+		return err
+	}
+	if len(l.others()) >= mostPeers {
+		return fmt.Errorf("there are %d processes of the agent already", 1+mostPeers)
+	}
+	l.add(p, message{Phase: Starting})
+	if err := l.send(p, message{Bans: &state}); err != nil {
+		l.lost(p)
+		return err
+	}
+	l.log.Info("another process of the agent starts")
+	l.settle()
+	return nil
+}
+
+// sameOwner reports an error of a peer that runs as somebody else.
+func sameOwner(c *net.UnixConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var cred *syscall.Ucred
+	var got error
+	if err := raw.Control(func(fd uintptr) {
+		cred, got = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	}); err != nil || got != nil {
+		return errors.Join(err, got)
+	}
+	if int(cred.Uid) != os.Geteuid() {
+		return fmt.Errorf("user %d is not the agent's", cred.Uid)
+	}
+	return nil
+}
+
+// send writes a message, with the own phase.
+func (l *Link) send(p *peer, m message) error {
+	p.write.Lock()
+	defer p.write.Unlock()
+	l.mu.Lock()
+	m.Phase = l.process.Phase() // while the peer is locked: phases are told in their order
+	l.mu.Unlock()
+	line, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	_, err = p.conn.Write(append(line, '\n'))
+	return err
+}
+
+// read reads a message.
+func (p *peer) read() (m message, err error) {
+	var line []byte
+	for {
+		part, err := p.in.ReadSlice('\n')
+		line = append(line, part...)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return m, err
+		}
+		if len(line) > longestLine {
+			return m, fmt.Errorf("a message of more than %d bytes", longestLine)
+		}
+	}
+	return m, json.Unmarshal(line, &m)
+}
+
+// follow keeps up with another process until it ends.
+func (l *Link) follow(ctx context.Context, p *peer) {
+	defer l.lost(p)
+	for {
+		m, err := p.read()
+		if err != nil {
+			if ctx.Err() == nil {
+				l.log.Info("another process of the agent has ended", "error", err)
+			}
+			return
+		}
+		l.mu.Lock()
+		l.process.Met(p.number, m.Phase)
+		reply := l.wait[m.Reply]
+		delete(l.wait, m.Reply)
+		l.mu.Unlock()
+		l.settle()
+		if reply != nil {
+			reply <- struct{}{} // has room for all that were asked
+		}
+		if m.Order == nil {
+			continue
+		}
+		if err := l.host.Obey(ctx, *m.Order); err != nil {
+			l.log.Warn("an order that another process took could not be carried out", "server", m.Order.Server, "error", err)
+		}
+		if err := l.send(p, message{Reply: m.Ask}); err != nil {
+			return
+		}
+	}
+}
+
+// lost notes that another process has ended.
+func (l *Link) lost(p *peer) {
+	p.conn.Close()
+	l.mu.Lock()
+	delete(l.peers, p.number)
+	l.process.Lost(p.number)
+	l.mu.Unlock()
+	l.settle()
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -36,11 +35,13 @@
 	Engine    *engine.Engine
 	Clock     engine.Clock
 	Carrier   engine.Carrier // of the calls
-	Most      int            // connections from clients
-	MostHeld  int            // requests open at a time; 0: as many as Most allows
+	MostHeld  int            // requests open at a time; 0: as many as there are connections
 	AcceptFor time.Duration  // new connections are accepted for so long after the signal to end
-	Log       *slog.Logger
-	Joins     *Joins // nil: no request says what it asks, so that the engine joins none
+	// Leave is told that the signal has come. It reports whether another process serves now and takes new connections. It
+	// may be nil.
+	Leave func() bool
+	Log   *slog.Logger
+	Joins *Joins // nil: no request says what it asks, so that the engine joins none
 }
 
 // Joins says which requests say what they ask, so that the engine may answer like ones together.
@@ -53,30 +54,30 @@
 // Server is the side that faces the clients.
 type Server struct {
 	Options
-	mostHeld int64 // requests open at a time
-	held     atomic.Int64
-	leaving  atomic.Bool
-	crowded  func() bool // so many connections are open that answers close theirs
+	held    atomic.Int64 // requests that are open
+	leaving atomic.Bool
+	clients *places.Listener
 }
 
-// New returns a server.
-func New(o Options) *Server {
-	s := &Server{Options: o, mostHeld: int64(HeldPart * float64(o.Most)), crowded: func() bool { return false }}
-	if o.MostHeld > 0 {
-		s.mostHeld = min(s.mostHeld, int64(o.MostHeld))
+// New returns a server of the connections from a listener.
+func New(o Options, clients *places.Listener) *Server { return &Server{Options: o, clients: clients} }
+
+// full reports whether so many requests are open that no other one is let in.
+func (s *Server) full(open int64) bool {
+	most := int64(HeldPart * float64(s.clients.Most()))
+	if s.MostHeld > 0 {
+		most = min(most, int64(s.MostHeld))
 	}
-	return s
+	return open > most
 }
 
 // Serve answers clients until the context ends and what was taken by then is answered. That takes for as long as it
 // accepts and longest more, at most, as it is by then.
-func (s *Server) Serve(ctx context.Context, l net.Listener, longest func() time.Duration) error {
-	clients := places.New(l, s.Most, 0)
-	s.crowded = clients.Crowded
+func (s *Server) Serve(ctx context.Context, longest func() time.Duration) error {
 	srv := s.httpServer()
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(clients) }()
-	s.Log.Info("listening", "addr", l.Addr().String())
+	go func() { failed <- srv.Serve(s.clients) }()
+	s.Log.Info("listening", "addr", s.clients.Addr().String())
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving clients: %w", err)
@@ -121,7 +122,7 @@
 // ServeHTTP gives each request its one answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.Clock.Now()
-	if s.leaving.Load() || s.crowded() {
+	if s.leaving.Load() || s.clients.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
@@ -135,7 +136,7 @@
 	}
 	places.Hold(r.Context())
 	defer s.held.Add(-1)
-	if s.held.Add(1) > s.mostHeld { // nothing was sent yet, so a refusal's promise holds
+	if s.full(s.held.Add(1)) { // nothing was sent yet, so a refusal's promise holds
 		s.Engine.TurnedAway(c)
 		write(w, engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry})
 		return
@@ -247,14 +248,26 @@
 	return body, nil
 }
 
+// keepFor is how long idle connections are kept once another process serves. What crosses their close is lost, so each ends
+// with its next answer; what comes later than this might not be answered before the process is killed.
+const keepFor = 600 * time.Millisecond
+
 // drain stops taking requests in the order in which the clients stop sending them: idle connections close and
-// answers close theirs at once, while new connections are still accepted; then what is open is answered.
+// answers close theirs at once, while new connections are still accepted; then what is open is answered. Where another
+// process serves, clients notice nothing: what connects goes there, and what is idle may bring one more request.
 func (s *Server) drain(ctx context.Context, srv *http.Server) error {
+	succeeded := s.Leave != nil && s.Leave()
 	s.leaving.Store(true)
-	srv.SetKeepAlivesEnabled(false)
+	wait := s.AcceptFor
+	if succeeded {
+		wait = keepFor
+	} else {
+		srv.SetKeepAlivesEnabled(false)
+	}
 	select {
-	case <-time.After(s.AcceptFor):
+	case <-time.After(wait):
 	case <-ctx.Done():
 	}
+	srv.SetKeepAlivesEnabled(false)
 	return srv.Shutdown(ctx)
 }
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -57,6 +57,7 @@
 	drop context.CancelFunc // ends the calls to the present address
 
 	whole, watches, failed, unreadable atomic.Uint64 // calls
+	heard                              atomic.Bool   // discovery itself has said what there is
 
 	// Those of the goroutine that runs:
 	at      string // the address that is followed
@@ -94,6 +95,9 @@
 	}
 }
 
+// Heard reports whether discovery has answered since the start, so that the list is no longer one of an earlier life.
+func (d *Discovery) Heard() bool { return d.heard.Load() }
+
 // Counts are calls to discovery since the start. Those that are unreadable have failed as well.
 type Counts struct{ Whole, Watches, Failed, Unreadable uint64 }
 
@@ -296,6 +300,7 @@
 		return fmt.Errorf("%w: the list: %w", errUntold, err)
 	}
 	d.misread = 0
+	d.heard.Store(true)
 	if err := d.take(l, query == ""); err != nil {
 		return fmt.Errorf("%w: %w", errUntold, err)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,8 +38,8 @@
 	Ready() bool
 	// Figures returns what it has counted, and the state of its list.
 	Figures(ctx context.Context) (Figures, error)
-	// Ban runs do with the set of bans and returns when what it has changed holds.
-	Ban(ctx context.Context, do func(now time.Duration, s *bans.Set) error) error
+	// Hold holds a server out, or takes it back, and returns when that is in force.
+	Hold(ctx context.Context, server string, out bool) error
 }
 
 // Figures are what operators read.
@@ -80,8 +80,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", s.readiness)
 	mux.HandleFunc("GET /ops/stats", s.stats)
-	mux.HandleFunc("PUT /ops/backends/down/{id}", s.ban("out", (*bans.Set).Down))
-	mux.HandleFunc("PUT /ops/backends/up/{id}", s.ban("back", (*bans.Set).Up))
+	mux.HandleFunc("PUT /ops/backends/down/{id}", s.hold(true))
+	mux.HandleFunc("PUT /ops/backends/up/{id}", s.hold(false))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		places.Hold(r.Context())
 		if r.ContentLength > mostBody {
@@ -113,15 +113,19 @@
 	io.WriteString(w, f.String())
 }
 
-// ban takes a server out or back.
-func (s *Server) ban(done string, do func(*bans.Set, time.Duration, string) error) http.HandlerFunc {
+// hold takes a server out or back.
+func (s *Server) hold(out bool) http.HandlerFunc {
+	done := "back"
+	if out {
+		done = "out"
+	}
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
 		if id == "" || len(id) > longestID {
 			http.Error(w, "the id of a server is missing or too long", http.StatusBadRequest)
 			return
 		}
-		err := s.Agent.Ban(r.Context(), func(now time.Duration, set *bans.Set) error { return do(set, now, id) })
+		err := s.Agent.Hold(r.Context(), id, out)
 		switch {
 		case errors.Is(err, bans.ErrUnknown):
 			http.Error(w, err.Error(), http.StatusNotFound)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -37,11 +37,14 @@
 	return Figures{Tally: engine.Tally{Classes: []string{"form-check"}, Answers: [][4]uint64{{812, 3, 2, 1}}, Written: 900, Open: 14},
 		Fleet: engine.FleetCounts{Listed: 12, Avoided: 1}, Reloads: 4, ReloadErrors: 2}, f.err
 }
-func (f *fake) Ban(_ context.Context, do func(time.Duration, *bans.Set) error) error {
-	if f.err != nil {
+func (f *fake) Hold(_ context.Context, server string, out bool) error {
+	switch {
+	case f.err != nil:
 		return f.err
+	case out:
+		return f.set.Down(time.Second, server)
 	}
-	return do(time.Second, f.set)
+	return f.set.Up(time.Second, server)
 }
 
 func serve(t *testing.T, f *fake) string {
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -63,6 +63,21 @@
 	return c, nil
 }
 
+// Limit changes how many connections it holds at most. Those that are open stay.
+func (t *Listener) Limit(most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.most = most
+	t.room.Broadcast()
+}
+
+// Most is how many connections it holds at most.
+func (t *Listener) Most() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.most
+}
+
 // crowdedPart of the places taken is many: then connections close with their answers, so that clients which keep theirs
 // for good leave places to others, who could not open any more.
 const crowdedPart = 0.4
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,7 +73,7 @@
 		Dialer:     net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
 		idleFor:    time.Duration(float64(idle) * nearIdle),
 		most:       most,
-		perBackend: max(1, most/4),
+		perBackend: perBackend(most),
 		backends:   map[string]*Backend{},
 		byAddr:     map[string][]*Backend{},
 		open:       map[*Conn]struct{}{},
@@ -167,6 +167,18 @@
 	c.backend.conns--
 }
 
+// Limit changes how many connections there may be. Those that wait for use are closed where there are more.
+func (p *Pool) Limit(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most, p.perBackend = most, perBackend(most)
+	for len(p.open)+p.opening > most && p.evict() {
+	}
+}
+
+// perBackend is how many connections one backend may have, so that a silent one does not use up all.
+func perBackend(most int) int { return max(1, most/4) }
+
 // Backend returns the present life of a backend, or nil.
 func (p *Pool) Backend(id string) *Backend {
 	p.mu.Lock()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -83,7 +83,8 @@
 		with.Generations = &agent.Generations{Socket: s.Socket, State: s.State}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
+	with.Memory = func(part float64) { debug.SetMemoryLimit(int64(part * heapPart * float64(cfg.MemoryMB<<20))) }
+	with.Memory(1)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reloads := agent.Reloads{Signals: hangups, Load: func() (agent.Config, error) {
