Upgrades, tested as processes under load: killed before and after the yes, bans both ways

Three versions in a row under load of new and kept connections: nothing turned back, nothing run twice.

--- /dev/null
+++ b/cmd/appleledge/upgrade_test.go
@@ -0,0 +1,309 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"appleledge/internal/testbed"
+)
+
+// installation is an agent whose versions are started beside one another.
+type installation struct {
+	t            *testing.T
+	dir, listen  string
+	disco        *testbed.Discovery
+	one, two     *testbed.Backend
+	mu           sync.Mutex
+	ran          map[string]int // by id: how often a backend has run it
+	id           atomic.Int64
+	served, lost atomic.Int64
+	firstLost    atomic.Pointer[string]
+}
+
+func install(t *testing.T) *installation {
+	in := &installation{t: t, dir: t.TempDir(), listen: testbed.Refusing(t), ran: map[string]int{}}
+	run := func(c net.Conn, r *http.Request, _ int) bool {
+		in.mu.Lock()
+		in.ran[r.Header.Get("X-Request-ID")]++
+		in.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		_, err := io.WriteString(c, testbed.Served)
+		return err == nil
+	}
+	in.one, in.two = testbed.NewBackend(t, run), testbed.NewBackend(t, run)
+	in.disco = testbed.NewDiscovery(t, 1, testbed.EntryText("s-1", in.one.Addr().String(), "Ready", 0),
+		testbed.EntryText("s-2", in.two.Addr().String(), "Ready", 0))
+	return in
+}
+
+// version is one process of the agent.
+type version struct {
+	*exec.Cmd
+	operator string
+	ended    chan error
+}
+
+// start starts a version that follows discovery at an address. It does not wait.
+func (in *installation) start(discovery string) *version {
+	in.t.Helper()
+	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1)}
+	config := filepath.Join(in.dir, filepath.Base(in.t.TempDir())+".json")
+	if err := os.WriteFile(config, testbed.ConfigText(discovery, "null"), 0o600); err != nil {
+		in.t.Fatal(err)
+	}
+	v.Cmd = exec.Command(os.Args[0])
+	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+config, "PROXY_LISTEN="+in.listen,
+		"PROXY_OPERATOR="+v.operator)
+	if err := v.Start(); err != nil {
+		in.t.Fatal(err)
+	}
+	go func() { v.ended <- v.Wait() }()
+	in.t.Cleanup(func() { v.Process.Kill() })
+	return v
+}
+
+func (in *installation) ready(v *version) *version {
+	in.t.Helper()
+	testbed.Eventually(in.t, "a version says yes", func() bool { return in.call(v, "GET", "readiness") == http.StatusOK })
+	return v
+}
+
+func (in *installation) call(v *version, method, path string) int {
+	r, err := http.NewRequest(method, "http://"+v.operator+"/ops/"+path, nil)
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// retire ends a version as the platform does, and waits until it has drained.
+func (in *installation) retire(v *version) {
+	in.t.Helper()
+	v.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-v.ended:
+		if err != nil {
+			in.t.Errorf("an old version has ended with %v", err)
+		}
+	case <-time.After(testbed.Patience):
+		in.t.Fatal("an old version does not end")
+	}
+}
+
+// request is a request that must not run twice, on a connection of its own or on one that is kept.
+func (in *installation) request(c net.Conn, r *bufio.Reader) (keep bool, err error) {
+	id := fmt.Sprintf("%016x", in.id.Add(1))
+	c.SetDeadline(time.Now().Add(testbed.Patience))
+	if _, err := fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: a\r\nX-Request-ID: %s\r\nX-Tenant-Id: glasgow-airport\r\nX-Timeout: 2000m\r\nContent-Length: 2\r\n\r\nhi", id); err != nil {
+		return false, err
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return false, err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return false, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		in.served.Add(1)
+	}
+	return !resp.Close, nil
+}
+
+// load connects anew every few milliseconds, and sends on kept connections, until it is told to end. It counts what was turned
+// back with no answer.
+func (in *installation) load() (end func()) {
+	over := make(chan struct{})
+	var all sync.WaitGroup
+	client := func(pause time.Duration, keeps bool) {
+		var c net.Conn
+		var r *bufio.Reader
+		for {
+			select {
+			case <-over:
+				if c != nil {
+					c.Close()
+				}
+				return
+			case <-time.After(pause):
+			}
+			var err error
+			if c == nil {
+				if c, err = net.Dial("tcp", in.listen); err == nil {
+					r = bufio.NewReader(c)
+				}
+			}
+			keep := false
+			if err == nil {
+				keep, err = in.request(c, r)
+			}
+			if err != nil {
+				what := err.Error()
+				in.firstLost.CompareAndSwap(nil, &what)
+				in.lost.Add(1)
+			}
+			if c != nil && !(keep && keeps) {
+				c.Close()
+				c = nil
+			}
+		}
+	}
+	for i := range 8 {
+		all.Go(func() { client(time.Millisecond, i%2 == 0) })
+	}
+	return func() { close(over); all.Wait() }
+}
+
+// Under load of new and kept connections three versions follow one another, and one that never becomes ready is killed on the
+// way: no request is turned back unheard, and none runs twice.
+func TestUpgradesLoseNothing(t *testing.T) {
+	in := install(t)
+	now := in.ready(in.start(in.disco.Addr().String()))
+	end := in.load()
+	for round := range 3 {
+		testbed.Eventually(t, "requests are served", func(n int64) func() bool {
+			return func() bool { return in.served.Load() > n+50 }
+		}(in.served.Load()))
+		if round == 1 {
+			stillborn := in.start(testbed.Refusing(t)) // no discovery: it has nothing to send to
+			testbed.Eventually(t, "it answers operators", func() bool { return in.call(stillborn, "GET", "readiness") == 503 })
+			stillborn.Process.Kill()
+			<-stillborn.ended
+		}
+		next := in.ready(in.start(in.disco.Addr().String()))
+		in.retire(now)
+		now = next
+	}
+	end()
+	if n := in.lost.Load(); n != 0 {
+		t.Errorf("%d requests were turned back with no answer; the first: %s", n, *in.firstLost.Load())
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for id, n := range in.ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	if n := int(in.served.Load()); n < 150 || len(in.ran) < n {
+		t.Errorf("%d served, %d ran", n, len(in.ran))
+	}
+}
+
+// Whichever of the two is killed, one working agent is left.
+func TestUpgradesThatGoWrong(t *testing.T) {
+	for name, wrong := range map[string]func(in *installation, old, next *version) (left *version){
+		"the old one is killed before it was told to end": func(in *installation, old, next *version) *version {
+			old.Process.Kill()
+			<-old.ended
+			return next
+		},
+		"the old one is killed midway": func(in *installation, old, next *version) *version {
+			old.Process.Signal(syscall.SIGTERM)
+			time.Sleep(100 * time.Millisecond)
+			old.Process.Kill()
+			<-old.ended
+			return next
+		},
+		"the new one is killed after its yes": func(in *installation, old, next *version) *version {
+			next.Process.Kill()
+			<-next.ended
+			return old
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in := install(t)
+			old := in.ready(in.start(in.disco.Addr().String()))
+			left := wrong(in, old, in.ready(in.start(in.disco.Addr().String())))
+			for range 20 {
+				c, err := net.Dial("tcp", in.listen)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := in.request(c, bufio.NewReader(c)); err != nil {
+					t.Error(err)
+				}
+				c.Close()
+			}
+			if n := in.served.Load(); n != 20 {
+				t.Errorf("%d of 20 are served", n)
+			}
+			next := in.ready(in.start(in.disco.Addr().String())) // and it can be replaced
+			in.retire(left)
+			if in.call(next, "GET", "readiness") != http.StatusOK {
+				t.Error("the next version is not ready")
+			}
+		})
+	}
+}
+
+// A ban outlasts an upgrade, and one that is told to either process during an upgrade holds in both.
+func TestBansOverAnUpgrade(t *testing.T) {
+	in := install(t)
+	old := in.ready(in.start(in.disco.Addr().String()))
+	use := func(v *version, what string, n int) {
+		t.Helper()
+		before := in.one.Requests()
+		for range n {
+			c, err := net.Dial("tcp", in.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = in.request(c, bufio.NewReader(c))
+			c.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := in.one.Requests() - before; got != 0 {
+			t.Errorf("%s: %d requests went to a server that is out", what, got)
+		}
+	}
+	put := func(v *version, path string, want int) {
+		t.Helper()
+		if got := in.call(v, "PUT", path); got != want {
+			t.Fatalf("%s: %d", path, got)
+		}
+	}
+	put(old, "backends/down/s-1", 200)
+	next := in.ready(in.start(in.disco.Addr().String()))
+	use(next, "with two processes", 20)
+	put(next, "backends/up/s-1", 200)   // told to the new one
+	put(old, "backends/down/s-1", 200)  // and to the old one: each holds in both
+	put(next, "backends/down/s-9", 404) // never listed
+	use(next, "after orders to both", 20)
+	in.retire(old)
+	use(next, "after the upgrade", 20)
+	put(next, "backends/up/s-1", 200)
+	testbed.Eventually(t, "a server that was taken back is used", func() bool {
+		n := in.one.Requests()
+		c, err := net.Dial("tcp", in.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := in.request(c, bufio.NewReader(c)); err != nil && !errors.Is(err, io.EOF) {
+			t.Fatal(err)
+		}
+		return in.one.Requests() > n
+	})
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -83,6 +83,8 @@
 	write  sync.Mutex
 }
 
+func newPeer(c *net.UnixConn) *peer { return &peer{conn: c, in: bufio.NewReader(c)} }
+
 // Join finds the other processes of the agent by their sockets in a folder. Where one has a listener for clients it is taken
 // over; else listen opens one. A folder in which no socket can be made leaves the process alone.
 func Join(dir, agent string, listen func() (net.Listener, error), log *slog.Logger) (*Link, error) {
@@ -197,7 +199,7 @@
 	if listener, err = received(oob[:oobn]); err != nil {
 		return j, nil, err
 	}
-	j.peer = &peer{conn: conn, in: bufio.NewReader(conn)}
+	j.peer = newPeer(conn)
 	if j.first, err = j.read(); err != nil {
 		return j, listener, err
 	}
@@ -367,7 +369,7 @@
 			continue
 		}
 		all.Go(func() {
-			p := &peer{conn: conn, in: bufio.NewReader(conn)}
+			p := newPeer(conn)
 			if err := l.welcome(ctx, p); err != nil {
 				l.log.Warn("a process that starts beside this one could not join", "error", err)
 				conn.Close()
--- /dev/null
+++ b/internal/handover/link_test.go
@@ -0,0 +1,235 @@
+package handover
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"appleledge/internal/bans"
+	"appleledge/internal/testbed"
+)
+
+var started atomic.Int64
+
+// host is a process under test.
+type host struct {
+	*Link
+	end func() // as its death does
+
+	mu    sync.Mutex
+	set   *bans.Set
+	share float64
+}
+
+func (h *host) Bans(context.Context) (bans.State, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.set.State(func(d time.Duration) int64 { return int64(d) }), nil
+}
+
+func (h *host) Obey(_ context.Context, o Order) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.Out {
+		return h.set.Down(time.Second, o.Server)
+	}
+	return h.set.Up(time.Second, o.Server)
+}
+
+func (h *host) Share(part float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.share = part
+}
+
+func (h *host) has(share float64) func() bool {
+	return func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.share == share
+	}
+}
+
+func (h *host) out() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.set.Held()
+}
+
+// give is an operator's order to this process.
+func (h *host) give(t *testing.T, server string, out bool) {
+	t.Helper()
+	o := Order{server, out}
+	if err := h.Give(t.Context(), o, func() error { return h.Obey(t.Context(), o) }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// process starts a process in a folder; listens says whether it may open a listener of its own.
+func process(t *testing.T, dir string, listens bool) *host {
+	t.Helper()
+	listen := func() (net.Listener, error) {
+		if !listens {
+			t.Error("a listener was opened, though another process has one")
+		}
+		return net.Listen("tcp", "127.0.0.1:0")
+	}
+	link, err := Join(dir, "n0", listen, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Processes of one test have one number, so that the later one would take the earlier one's place.
+	moved := filepath.Join(dir, fmt.Sprint(prefix("n0"), started.Add(1), suffix))
+	if err := os.Rename(link.path, moved); err != nil {
+		t.Fatal(err)
+	}
+	h := &host{Link: link, set: bans.New(10)}
+	for _, id := range []string{"a", "b"} {
+		h.set.Listed(id, 0)
+	}
+	h.set.Restore(link.Inherited(), func(ms int64) time.Duration { return time.Duration(ms) })
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); link.Run(ctx, h) }()
+	h.end = func() { stop(); <-done; link.gate.Close(); os.Remove(moved) }
+	t.Cleanup(h.end)
+	return h
+}
+
+func TestTwoProcessesAreOneAgent(t *testing.T) {
+	dir := t.TempDir()
+	old := process(t, dir, true)
+	old.Enter(Serving)
+	old.give(t, "a", true)
+	fresh := process(t, dir, false)
+	testbed.Eventually(t, "each has half", func() bool { return old.has(0.5)() && fresh.has(0.5)() })
+	if got := fresh.out(); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("the new process holds out %v", got)
+	}
+	fresh.give(t, "b", true) // from its return both have it
+	old.give(t, "a", false)
+	for name, h := range map[string]*host{"old": old, "new": fresh} {
+		if got := h.out(); !slices.Equal(got, []string{"b"}) {
+			t.Errorf("the %s process holds out %v", name, got)
+		}
+	}
+	if fresh.Gate().Addr().String() != old.Gate().Addr().String() {
+		t.Error("they listen at two addresses")
+	}
+	fresh.Enter(Serving)
+	testbed.Eventually(t, "the old one knows of it", old.Succeeded)
+	old.Enter(Leaving)
+	far, err := net.Dial("tcp", old.Gate().Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	c, err := fresh.Gate().Accept() // the old one, whose gate is shut, would keep it
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	old.end()
+	testbed.Eventually(t, "the new one has all", fresh.has(1))
+	next := process(t, dir, false) // a second upgrade in a row
+	if got := next.out(); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("the third process holds out %v", got)
+	}
+	next.end() // and dies before its yes
+	testbed.Eventually(t, "the second one has all again", fresh.has(1))
+}
+
+func TestAProcessThatDiesKeepsNothing(t *testing.T) {
+	dir := t.TempDir()
+	stale := filepath.Join(dir, prefix("n0")+"1"+suffix)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: stale, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetUnlinkOnClose(false) // as a killed process leaves it
+	l.Close()
+	h := process(t, dir, true)
+	if _, err := os.Lstat(stale); err == nil {
+		t.Error("the file of a process that is gone is still there")
+	}
+	if !h.Alone() {
+		t.Error("it is not alone")
+	}
+}
+
+// One that hangs, or is no process of ours, must not keep a new one from starting.
+func TestAPeerThatSaysNothing(t *testing.T) {
+	dir := t.TempDir()
+	l, err := net.Listen("unix", filepath.Join(dir, prefix("n0")+"1"+suffix))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	began := time.Now()
+	if h := process(t, dir, true); !h.Alone() {
+		t.Error("it counts as a process")
+	}
+	if took := time.Since(began); took > 5*joinTime {
+		t.Errorf("it took %v", took)
+	}
+}
+
+// What comes over the socket is an own process' word; whatever it is, it is read within bounds.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"phase":1,"bans":{"out":{"a":5},"seen":["a"]}}` + "\n"))
+	f.Add([]byte(`{"phase":-1,"order":{"server":"a","out":true},"ask":3}` + "\n" + `{"reply":3}` + "\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		near, far, err := pair()
+		if err != nil {
+			t.Skip(err)
+		}
+		defer near.Close()
+		link := &Link{log: slog.New(slog.DiscardHandler), process: NewProcess(), peers: map[int]*peer{}, wait: map[int]chan<- struct{}{}}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		link.gate = NewGate(l.(*net.TCPListener))
+		h := &host{Link: link, set: bans.New(2)}
+		link.host = h
+		p := newPeer(near)
+		link.add(p, message{})
+		go func() { far.Write(text); far.CloseWrite() }()
+		link.follow(t.Context(), p)
+		far.Close()
+		if n := len(h.out()); n > 2 {
+			t.Errorf("%d are held out", n)
+		}
+		if !link.Alone() {
+			t.Error("it is still there")
+		}
+	})
+}
+
+// pair are two ends of a connection.
+func pair() (near, far *net.UnixConn, err error) {
+	dir, err := os.MkdirTemp("", "link")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer os.RemoveAll(dir)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: filepath.Join(dir, "s"), Net: "unix"})
+	if err != nil {
+		return nil, nil, err
+	}
+	defer l.Close()
+	if far, err = net.DialUnix("unix", nil, l.Addr().(*net.UnixAddr)); err != nil {
+		return nil, nil, err
+	}
+	near, err = l.AcceptUnix()
+	return near, far, err
+}
--- /dev/null
+++ b/internal/handover/process_test.go
@@ -0,0 +1,86 @@
+package handover
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Several processes of one agent start, become ready, are told to leave and die, in any order that the platform or a mishap can
+// bring, each heard of by the others: as long as one that has been ready lives, somebody takes new connections; one that could
+// not serve takes none from those that can; and the shares come to one.
+func TestProcessesAsAModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		live := map[int]*Process{}
+		next := 0
+		some := func(t *rapid.T) int {
+			var ids []int
+			for id := range next {
+				if live[id] != nil {
+					ids = append(ids, id)
+				}
+			}
+			if len(ids) == 0 {
+				t.Skip("none lives")
+			}
+			return rapid.SampledFrom(ids).Draw(t, "process")
+		}
+		enter := func(id int, phase Phase) {
+			live[id].Enter(phase)
+			for other, p := range live {
+				if other != id {
+					p.Met(id, live[id].Phase())
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				if len(live) > mostPeers {
+					t.Skip("there are enough")
+				}
+				p := NewProcess()
+				for id, other := range live {
+					p.Met(id, other.Phase())
+					other.Met(next, Starting)
+				}
+				live[next] = p
+				next++
+			},
+			"ready": func(t *rapid.T) { enter(some(t), Serving) },
+			"leave": func(t *rapid.T) { enter(some(t), Leaving) },
+			"die": func(t *rapid.T) {
+				id := some(t)
+				delete(live, id)
+				for _, p := range live {
+					p.Lost(id)
+				}
+			},
+			"": func(t *rapid.T) {
+				accepting, serving, ready, shares := 0, 0, 0, 0.0
+				for _, p := range live {
+					shares += p.Share()
+					if p.Phase() != Starting {
+						ready++
+					}
+					if p.Phase() == Serving {
+						serving++
+					}
+					if p.Accepts() {
+						accepting++
+						if p.Phase() == Starting && len(live) > 1 {
+							t.Fatal("one that is not ready takes connections from others")
+						}
+					}
+				}
+				switch {
+				case ready > 0 && accepting == 0:
+					t.Fatal("nobody takes new connections")
+				case serving > 0 && accepting != serving:
+					t.Fatalf("%d serve and %d take new connections", serving, accepting)
+				case len(live) > 0 && (shares < 0.999 || shares > 1.001):
+					t.Fatalf("the shares come to %v", shares)
+				}
+			},
+		})
+	})
+}
