--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,6 +35,7 @@
 	sweepEvery   = time.Second
 	spareSockets = 24 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
+	largePart    = 6    // of the memory limit, which large bodies may hold
 	leastSockets = 100  // with fewer there is no point in running
 	mostSockets  = 4096 // more are never needed, whatever the limit allows
 )
@@ -188,6 +189,11 @@
 	}
 	core.Name(cfg.Site.Logic.Classes)
 	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, log: log}
+	var large *httpfront.Large
+	if cfg.Operator != "" { // the days on which operators call are those on which bodies are large
+		large = httpfront.NewLarge(int64(cfg.MemoryMB<<20) / largePart)
+		listener = large.Frames(listener)
+	}
 	clients := places.New(listener, fromClients, 0)
 	ready := func() bool { return core.Ready() && ctx.Err() == nil }
 	var twin *upgrade
@@ -234,12 +240,13 @@
 		Rules:  rules,
 		Engine: core,
 		Clock:  clk,
-		Carrier: &httpcarrier.Carrier{Pool: conns, Clock: clk, Fields: cfg.Site.ReportFields, Noted: func(err error) {
+		Carrier: &httpcarrier.Carrier{Pool: conns, Clock: clk, Large: large != nil, Fields: cfg.Site.ReportFields, Noted: func(err error) {
 			badReport.Do(func() { log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		}},
 		MostHeld:  cfg.Site.MostHeld,
 		AcceptFor: cfg.acceptFor,
 		Leave:     leave,
+		Large:     large,
 		Log:       log,
 		Joins:     joined.front(),
 	}, clients)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -36,6 +36,7 @@
 	Carrier       Carrier       // of its attempts; nil where the caller is a Chooser
 	Caller        Caller
 	Like          *join.Digest // what it asks, where it may be answered together with others; else nil
+	Upload        Upload       // what still comes of it, while it is sent on; nil where it is there whole
 
 	// Read where a configuration is in force:
 	Path   string
@@ -70,6 +71,21 @@
 // Close marks a call as over, so that no attempt of it begins any more.
 func (c *Call) Close() { c.closed.Store(true) }
 
+// Upload is a request of which a part is to be read while it is sent on.
+type Upload interface {
+	// Spent reports whether something was read that a further attempt would need.
+	Spent() bool
+}
+
+// Discarder is a payload that holds something on until it is used or discarded.
+type Discarder interface{ Discard() }
+
+func discard(payload any) {
+	if d, ok := payload.(Discarder); ok {
+		d.Discard()
+	}
+}
+
 // Caller waits for the final answer of a call.
 type Caller interface {
 	// Answer is called at most once, on the engine's goroutine, and must not block.
@@ -125,6 +141,8 @@
 	tied   bool        // the table of ties counts it
 	expiry *time.Timer // of a chooser's: tells that Until has come
 	tally  *tally
+	begun  time.Duration // when the server had it whole
+	tell   func(Event)   // the engine; nil of an attempt that none made
 }
 
 // Wrote says that the attempt was written whole. It may be called from any goroutine, once.
@@ -134,6 +152,13 @@
 	}
 }
 
+// Uploaded says that the last byte of an Upload was written, and when the client will have given up its answer.
+func (a *Attempt) Uploaded(deadline time.Duration) {
+	if a.tell != nil {
+		a.tell(uploaded{a, deadline})
+	}
+}
+
 // Outcome is how an attempt ended. Every attempt gets exactly one.
 type Outcome struct {
 	Attempt *Attempt
@@ -196,6 +221,11 @@
 		logic.Retune
 		Number int
 	}
+	// uploaded says that the last byte of an attempt was written.
+	uploaded struct {
+		attempt  *Attempt
+		deadline time.Duration
+	}
 	// commanded is work for the engine's goroutine.
 	commanded struct {
 		do   func(time.Duration)
@@ -210,6 +240,7 @@
 func (counted) event()         {}
 func (commanded) event()       {}
 func (Retuned) event()         {}
+func (uploaded) event()        {}
 func (Outcome) event()         {}
 func (Listed) event()          {}
 func (ListUnavailable) event() {}
@@ -417,6 +448,8 @@
 	case Retuned:
 		e.settings = ev.Number
 		e.decide(ev.Retune)
+	case uploaded:
+		e.uploaded(ev)
 	case commanded:
 		ev.do(e.clock.Now())
 		close(ev.done)
@@ -483,7 +516,8 @@
 		return
 	}
 	e.decide(logic.Request{Was: c.Settings < e.settings, ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Again: c.Again,
-		Among: c.among(), OnDemand: c.chooser != nil, Attempts: fewest(c.Attempts, c.bound.Attempts), Before: c.before})
+		Among: c.among(), OnDemand: c.chooser != nil || c.Upload != nil, Uploads: c.Upload != nil,
+		Attempts: fewest(c.Attempts, c.bound.Attempts), Before: c.before})
 }
 
 // fewest is the lower of two numbers of which 0 states none.
@@ -524,17 +558,33 @@
 		e.ties.ended(e.clock.Now(), a, o.Result)
 	}
 	c.carried++
+	spent := c.Upload != nil && c.Upload.Spent()
 	switch {
 	case served:
 		e.finish(c, Answer{Kind: Served, Payload: o.Payload, Private: o.Private})
+	case spent && (c.ranSince == 0 || c.Effect == logic.Safe): // what it would need is gone
+		e.finish(c, Answer{Kind: Refused})
+	case spent:
+		e.finish(c, Answer{Kind: Failed})
 	case o.Elsewhere && c.Effect != logic.Safe: // the group in which it may be repeated is not known
 		e.finish(c, Answer{Kind: Failed})
 	}
 	e.decide(logic.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: o.Result,
-		Took: e.clock.Now() - a.Sent, Closed: c.closed.Load(), Report: o.Report})
+		Took: e.clock.Now() - max(a.Sent, a.begun), Closed: c.closed.Load(), Report: o.Report})
+	if c.Upload != nil && !c.closed.Load() {
+		e.decide(logic.Retry{Request: c.ID, Among: c.among()})
+	}
 	e.forget(c)
 }
 
+// uploaded notes that a server has an attempt whole, which it owes the answer to from now on.
+func (e *Engine) uploaded(u uploaded) {
+	if a := u.attempt; !a.over {
+		a.begun = e.clock.Now()
+		e.decide(logic.Written{Request: a.Call.ID, Attempt: a.Number, Deadline: u.deadline})
+	}
+}
+
 func (e *Engine) list(l Listed) {
 	if e.governed != nil {
 		l = e.governed.listed(l)
@@ -586,7 +636,7 @@
 	c := e.calls[act.Request]
 	e.tally.sent(c, act.Cold)
 	a := c.attempt(act, e.clock.Now())
-	a.Life, a.tally = e.fleet.Life(act.Server), e.tally
+	a.Life, a.tally, a.tell = e.fleet.Life(act.Server), e.tally, e.Tell
 	var tie TieCommit
 	if e.ties != nil {
 		tie = e.ties.begin(e.clock.Now(), c, a)
@@ -636,6 +686,7 @@
 // finish gives a call its answer, unless it has one.
 func (e *Engine) finish(c *Call, a Answer) {
 	if c == nil || c.closed.Load() {
+		discard(a.Payload)
 		return
 	}
 	c.closed.Store(true)
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -41,12 +41,15 @@
 	URL          *url.URL
 	Header       http.Header // what goes on to the backend
 	Body         []byte
+	Upload       *Upload // in place of Body: one that still comes
 }
 
 // Response is what a backend made for a request: the payload of a served answer.
 type Response struct {
 	Body        []byte
 	ContentType string
+	Length      int64   // of the whole body; -1 where it is not stated
+	Rest        *Stream // what follows on Body; nil where that is whole. It must be read to its end, or discarded
 }
 
 // Carrier makes attempts.
@@ -55,6 +58,7 @@
 	Clock  engine.Clock
 	Fields []string        // of load reports
 	Noted  func(err error) // is told of reports that can't be read
+	Large  bool            // bodies of up to MostLarge pass, and peers may be slow
 }
 
 // Carry makes the attempt and returns its outcome, which is exact: what may have run is never said not to have.
@@ -73,8 +77,9 @@
 		s.Pool.Put(c, true)
 		return out
 	}
-	keep := s.exchange(c, a, &out)
-	s.Pool.Put(c, keep)
+	if keep, passed := s.exchange(c, a, &out); !passed {
+		s.Pool.Put(c, keep)
+	}
 	return out
 }
 
@@ -90,28 +95,47 @@
 	return s.Clock.Now() < a.WriteBy && !a.Call.Closed() && s.Pool.TakesNew(life(a))
 }
 
-// exchange writes the request and reads the whole answer; keep says whether the connection is in order then.
-func (s *Carrier) exchange(c *pool.Conn, a *engine.Attempt, out *engine.Outcome) (keep bool) {
-	req, text, err := s.request(a)
-	if err != nil || c.SetDeadline(s.Clock.At(a.Until)) != nil {
-		return false
-	}
-	if n, err := c.Write(text); err != nil && n < len(text) {
-		out.Result = logic.ConnectFailed // the backend begins a request when its last byte has come
-		return false
+// exchange writes the request and reads the answer; keep says whether the connection is in order then, and passed that the
+// rest of the answer, and with it the connection, is in the outcome's payload.
+func (s *Carrier) exchange(c *pool.Conn, a *engine.Attempt, out *engine.Outcome) (keep, passed bool) {
+	req, until, ok := s.write(c, a, out)
+	if !ok {
+		return false, false
 	}
-	a.Wrote()
-	resp, body, err := s.readAnswer(c, req, a)
+	resp, body, err := s.readAnswer(c, req, until)
 	if err != nil {
 		out.Result = broken(err)
-		return false
+		return false, false
 	}
 	out.Report = ReadReport(resp.Header, s.Fields, s.Noted)
 	if out.Result = Judge(resp.StatusCode, resp.Header); out.Result == logic.OK {
-		out.Payload = &Response{Body: body, ContentType: resp.Header.Get("Content-Type")}
-		out.Private = private(resp.Header)
+		out.Payload = body
+		out.Private = private(resp.Header) || body.Rest != nil // which can be read once
 	}
-	return !resp.Close
+	return !resp.Close, body.Rest != nil
+}
+
+// write writes the request and says until when its answer is waited for. If it could not be written whole, that is the
+// outcome.
+func (s *Carrier) write(c *pool.Conn, a *engine.Attempt, out *engine.Outcome) (req *http.Request, until time.Duration, ok bool) {
+	if u := a.Call.Payload.(*Request).Upload; u != nil {
+		if req, ok, out.Result = s.upload(c, a, u); !ok {
+			return nil, 0, false
+		}
+		until = s.Clock.Now() + u.Patience - min(uploadMargin, u.Patience/4)
+		a.Uploaded(until)
+		return req, until, c.SetDeadline(s.Clock.At(until)) == nil
+	}
+	req, text, err := s.request(a)
+	if err != nil || c.SetDeadline(s.Clock.At(a.Until)) != nil {
+		return nil, 0, false
+	}
+	if n, err := c.Write(text); err != nil && n < len(text) {
+		out.Result = logic.ConnectFailed // the backend begins a request when its last byte has come
+		return nil, 0, false
+	}
+	a.Wrote()
+	return req, a.Until, true
 }
 
 // private reports whether an answer is for one caller alone, by the rules for shared caches (RFC 9111, sections 3 and 4.1).
@@ -134,13 +158,17 @@
 // errSpoilt is an answer that can't be what a backend made for the request. The request may have run.
 var errSpoilt = errors.New("spoilt answer")
 
-// readAnswer reads a whole answer, or fails as soon as it can't become one: a spoilt answer may never end.
-func (s *Carrier) readAnswer(c *pool.Conn, req *http.Request, a *engine.Attempt) (*http.Response, []byte, error) {
+// readAnswer reads an answer, or fails as soon as it can't become one: a spoilt answer may never end.
+func (s *Carrier) readAnswer(c *pool.Conn, req *http.Request, until time.Duration) (*http.Response, *Response, error) {
 	c.Allow(maxHead) // http.ReadResponse takes a head of any length
 	if err := startsWell(c.Reader); err != nil {
 		return nil, nil, err
 	}
-	if end := s.Clock.Now() + answerTimeout; end < a.Until {
+	wait := answerTimeout
+	if s.Large {
+		wait = headWait
+	}
+	if end := s.Clock.Now() + wait; end < until {
 		if err := c.SetReadDeadline(s.Clock.At(end)); err != nil {
 			return nil, nil, err
 		}
@@ -149,7 +177,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
 	}
-	body, err := readWhole(c, resp)
+	body, err := s.readBody(c, resp, until)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", errSpoilt, err)
 	}
--- /dev/null
+++ b/internal/httpfront/body.go
@@ -0,0 +1,250 @@
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/httpcarrier"
+	"appleledge/internal/httpfront/framing"
+	"appleledge/internal/intake"
+	"appleledge/internal/places"
+)
+
+const (
+	slowHeader = 2600 * time.Millisecond // for the head of a request, where clients may be slow
+	bodyStall  = 1500 * time.Millisecond // for the next bytes of a body
+	paceFrom   = 3 * time.Second         // from when on a body has to have come at the pace
+	leastPace  = 16 << 10                // bytes a second, a quarter of what the slowest client is said to send
+	takeStall  = 5 * time.Second         // for a client to take a piece of a large answer
+	piece      = 32 << 10                // bytes that are passed on at a time
+	holdLarge  = intake.MaxBody + piece  // what a large body holds in memory
+	budgetWait = time.Second             // for room in the budget
+)
+
+// Large says how large bodies pass.
+type Large struct {
+	budget *semaphore.Weighted
+	pieces sync.Pool
+}
+
+// NewLarge lets large bodies pass that hold so many bytes in memory at the most, all together.
+func NewLarge(budget int64) *Large {
+	return &Large{budget: semaphore.NewWeighted(max(budget, holdLarge)),
+		pieces: sync.Pool{New: func() any { return new([piece]byte) }}}
+}
+
+// Frames wraps the connections of a listener so that the framing of their requests is followed.
+func (*Large) Frames(l net.Listener) net.Listener { return frames{l} }
+
+type frames struct{ net.Listener }
+
+func (f frames) Accept() (net.Conn, error) {
+	c, err := f.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &framed{Conn: c}, nil
+}
+
+// framed is a connection whose requests are followed. net/http reads from one goroutine at a time, but from several.
+type framed struct {
+	net.Conn
+	mu   sync.Mutex
+	scan framing.Scanner
+}
+
+func (f *framed) Read(p []byte) (int, error) {
+	n, err := f.Conn.Read(p)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.scan.Write(p[:n])
+	return n, err
+}
+
+// CloseWrite lets net/http end an answer so that a client which still sends can read it.
+func (f *framed) CloseWrite() error {
+	if half, ok := f.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// checkFraming turns a request away whose body could be read in two ways.
+func checkFraming(ctx context.Context) error {
+	f, ok := places.Conn(ctx).(*framed)
+	if !ok {
+		return errors.New("the connection is not followed")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.scan.Next(); v != "" {
+		return intake.BadRequest{Status: http.StatusBadRequest, Text: string(v)}
+	}
+	return nil
+}
+
+// body reads from a client as long as it keeps a pace.
+type body struct {
+	from    io.Reader
+	control *http.ResponseController
+	began   time.Time
+	came    int64
+	most    int64
+}
+
+var (
+	errSlow = errors.New("the body comes too slowly")
+	errLong = errors.New("the body is too long")
+)
+
+func (b *body) Read(p []byte) (int, error) {
+	if err := b.control.SetReadDeadline(time.Now().Add(bodyStall)); err != nil {
+		return 0, err
+	}
+	n, err := b.from.Read(p)
+	b.came += int64(n)
+	if err == io.EOF {
+		return n, errors.Join(err, b.control.SetReadDeadline(time.Time{}))
+	}
+	if took := time.Since(b.began); err == nil && took > paceFrom && float64(b.came) < leastPace*took.Seconds() {
+		return n, errSlow
+	}
+	if b.came > b.most {
+		return n, errLong
+	}
+	return n, err
+}
+
+// badBody is the answer to a body that could not be read.
+func badBody(err error) error {
+	if errors.Is(err, errLong) {
+		return intake.BadRequest{Status: http.StatusRequestEntityTooLarge, Text: fmt.Sprintf("the body is over %d KiB", httpcarrier.MostLarge>>10)}
+	}
+	return intake.BadRequest{Status: http.StatusBadRequest, Text: "the body is not whole"}
+}
+
+// take reads a body: whole, or its beginning where it is large; then it goes on as an Upload.
+func (l *Large) take(w http.ResponseWriter, r *http.Request, patience time.Duration) (whole []byte, up *httpcarrier.Upload, err error) {
+	if r.ContentLength == 0 {
+		return nil, nil, nil
+	}
+	b := &body{from: r.Body, control: http.NewResponseController(w), began: time.Now(), most: httpcarrier.MostLarge}
+	size := intake.MaxBody + 1
+	if r.ContentLength > 0 {
+		size = int(min(r.ContentLength, int64(size)))
+	}
+	kept := make([]byte, 0, min(size, 4<<10))
+	for len(kept) < size {
+		if len(kept) == cap(kept) {
+			kept = append(make([]byte, 0, min(size, 2*cap(kept))), kept...)
+		}
+		n, err := b.Read(kept[len(kept):cap(kept)])
+		kept = kept[:len(kept)+n]
+		if errors.Is(err, io.EOF) {
+			return kept, nil, nil
+		}
+		if err != nil {
+			return nil, nil, badBody(err)
+		}
+	}
+	if int64(len(kept)) == r.ContentLength {
+		if _, err := b.Read(make([]byte, 1)); !errors.Is(err, io.EOF) { // net/http has to see its end
+			return nil, nil, badBody(err)
+		}
+		return kept, nil, nil
+	}
+	return nil, &httpcarrier.Upload{Length: r.ContentLength, Kept: kept, Rest: b, Patience: patience}, nil
+}
+
+// reserve takes the memory of a large body from the budget, and returns what gives it back.
+func (l *Large) reserve(ctx context.Context, n int64) (release func(), ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, budgetWait)
+	defer cancel()
+	if l.budget.Acquire(ctx, n) != nil {
+		return nil, false
+	}
+	return func() { l.budget.Release(n) }, true
+}
+
+// end stops an Upload whose request has its answer, and says whether the client's side was at fault.
+func end(w http.ResponseWriter, up *httpcarrier.Upload) error {
+	// An attempt may wait for the client's next bytes.
+	err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	up.End()
+	return errors.Join(err, up.Broken())
+}
+
+// pass passes on what still comes of an answer. A client can tell that it has broken off by how the connection ends.
+func (l *Large) pass(ctx context.Context, w http.ResponseWriter, resp *httpcarrier.Response) {
+	defer resp.Discard()
+	control := http.NewResponseController(w)
+	buf := l.pieces.Get().(*[piece]byte)
+	defer l.pieces.Put(buf)
+	for {
+		if err := control.Flush(); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		n, err := resp.Rest.Read(buf[:])
+		if n > 0 {
+			if control.SetWriteDeadline(time.Now().Add(takeStall)) != nil {
+				panic(http.ErrAbortHandler)
+			}
+			if _, err := w.Write(buf[:n]); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil || ctx.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// caller takes the one answer, so that the engine never waits for a client. What comes when nobody waits any more is discarded.
+type caller struct {
+	answer chan engine.Answer
+	mu     sync.Mutex
+	left   bool
+}
+
+func newCaller() *caller { return &caller{answer: make(chan engine.Answer, 1)} }
+
+// Answer is for engine.Caller.
+func (c *caller) Answer(a engine.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		discard(a)
+		return
+	}
+	c.answer <- a
+}
+
+// leave says that nobody waits any more.
+func (c *caller) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = true
+	select {
+	case a := <-c.answer:
+		discard(a)
+	default:
+	}
+}
+
+func discard(a engine.Answer) {
+	if d, ok := a.Payload.(engine.Discarder); ok {
+		d.Discard()
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -42,6 +42,7 @@
 	Leave func() bool
 	Log   *slog.Logger
 	Joins *Joins // nil: no request says what it asks, so that the engine joins none
+	Large *Large // nil: bodies have intake.MaxBody at the most, and clients are quick
 }
 
 // Joins says which requests say what they ask, so that the engine may answer like ones together.
@@ -99,9 +100,13 @@
 
 // httpServer returns the net/http server that s answers for.
 func (s *Server) httpServer() *http.Server {
+	head := HeaderTimeout
+	if s.Large != nil {
+		head = slowHeader
+	}
 	return &http.Server{
 		Handler:           s,
-		ReadHeaderTimeout: HeaderTimeout,
+		ReadHeaderTimeout: head,
 		IdleTimeout:       clientIdle,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelWarn),
@@ -114,22 +119,23 @@
 var statuses = [...]int{engine.Served: http.StatusOK, engine.Refused: http.StatusServiceUnavailable,
 	engine.Failed: http.StatusBadGateway, engine.Conflict: http.StatusConflict}
 
-// caller takes the one answer, so that the engine never waits for a client.
-type caller chan engine.Answer
-
-func (c caller) Answer(a engine.Answer) { c <- a }
-
 // ServeHTTP gives each request its one answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.Clock.Now()
 	if s.leaving.Load() || s.clients.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.Large != nil {
+		if err := checkFraming(r.Context()); err != nil {
+			turnAway(w, err)
+			return
+		}
+	}
 	if r.URL.Path == "/ready" {
 		s.readiness(w)
 		return
 	}
-	c, err := s.accept(w, r, began)
+	c, up, err := s.accept(w, r, began)
 	if err != nil {
 		turnAway(w, err)
 		return
@@ -137,24 +143,75 @@
 	places.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.full(s.held.Add(1)) { // nothing was sent yet, so a refusal's promise holds
-		s.Engine.TurnedAway(c)
-		write(w, engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry})
+		s.refuse(w, c, up)
 		return
 	}
-	answered := make(caller, 1)
-	c.Caller = answered
+	if up != nil {
+		release, ok := s.Large.reserve(r.Context(), holdLarge)
+		if !ok {
+			s.refuse(w, c, up)
+			return
+		}
+		defer release()
+	}
+	waits := newCaller()
+	c.Caller = waits
 	s.Engine.Arrive(c)
 	select {
-	case a := <-answered:
-		write(w, a)
+	case a := <-waits.answer:
+		s.answer(w, r, up, a)
 	case <-r.Context().Done():
+		waits.leave()
 		s.Engine.ClientLeft(c)
+		if up != nil {
+			end(w, up)
+		}
 		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
 	case <-s.Engine.Done(): // never before the server has drained
+		waits.leave()
 		write(w, engine.Answer{Kind: engine.Failed})
 	}
 }
 
+// refuse turns away what the engine has not seen.
+func (s *Server) refuse(w http.ResponseWriter, c *engine.Call, up *httpcarrier.Upload) {
+	s.Engine.TurnedAway(c)
+	if up != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	write(w, engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry})
+}
+
+// answer writes the final answer.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, up *httpcarrier.Upload, a engine.Answer) {
+	if up != nil && a.Kind != engine.Served {
+		broken := end(w, up)
+		w.Header().Set("Connection", "close")
+		if broken != nil && up.Broken() != nil {
+			turnAway(w, badBody(up.Broken()))
+			return
+		}
+	}
+	resp, ok := a.Payload.(*httpcarrier.Response)
+	if !ok || resp.Rest == nil {
+		write(w, a)
+		return
+	}
+	if s.Large == nil || resp.Length < 0 && !r.ProtoAtLeast(1, 1) { // its end could not be told from a break
+		resp.Discard()
+		write(w, engine.Answer{Kind: engine.Failed})
+		return
+	}
+	release, ok := s.Large.reserve(r.Context(), piece)
+	if !ok {
+		resp.Discard()
+		panic(http.ErrAbortHandler)
+	}
+	defer release()
+	write(w, a)
+	s.Large.pass(r.Context(), w, resp)
+}
+
 // turnAway answers bad input. It closes the connection, as what comes behind may be a part of it.
 func turnAway(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
@@ -173,14 +230,16 @@
 	io.WriteString(w, "ready\n")
 }
 
-// write writes an answer. An error means that the client has gone, which net/http deals with.
+// write writes an answer, or how it begins. An error means that the client has gone, which net/http deals with.
 func write(w http.ResponseWriter, a engine.Answer) {
 	h := w.Header()
 	var resp httpcarrier.Response
 	if made, ok := a.Payload.(*httpcarrier.Response); ok {
 		resp = *made
 	}
-	h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	if resp.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
 	if resp.ContentType != "" {
 		h.Set("Content-Type", resp.ContentType)
 	} else {
@@ -194,21 +253,47 @@
 	w.Write(resp.Body)
 }
 
-// accept reads a request and checks it. The body must be there in time whatever time-out the client states.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (*engine.Call, error) {
-	c, timeout, err := s.Rules.Check(intake.Head{Method: r.Method, Path: r.URL.Path, Header: r.Header,
-		ContentLength: r.ContentLength, Chunked: len(r.TransferEncoding) > 0}, began)
+// accept reads a request and checks it. What of a large body still comes is an Upload. The body must be there in time, or come
+// at a pace, whatever time-out the client states.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (*engine.Call, *httpcarrier.Upload, error) {
+	h := intake.Head{Method: r.Method, Path: r.URL.Path, Header: r.Header, ContentLength: r.ContentLength, Chunked: len(r.TransferEncoding) > 0}
+	if s.Large != nil {
+		h.MostBody, h.Forms = httpcarrier.MostLarge, true
+	}
+	c, timeout, err := s.Rules.Check(h, began)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	var body []byte
+	var up *httpcarrier.Upload
+	if s.Large != nil {
+		places.Hold(r.Context()) // as long as it keeps its pace
+		if body, up, err = s.Large.take(w, r, timeout); err == nil {
+			c.Deadline += s.Clock.Now() - began // a request's time counts from its last byte
+		}
+	} else {
+		body, err = readBody(w, r, s.Clock.At(began+min(timeout, BodyTimeout)))
 	}
-	body, err := readBody(w, r, s.Clock.At(began+min(timeout, BodyTimeout)))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	c.Carrier = s.Carrier
-	c.Payload = &httpcarrier.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: intake.Forwarded(r.Header), Body: body}
-	c.Like = s.Joins.like(c, r, body)
-	return c, nil
+	if up != nil { // it has its real deadline when its last byte has been sent on
+		c.Upload, c.Deadline = up, s.Clock.Now()+slowest(r.ContentLength)+timeout
+	}
+	c.Payload = &httpcarrier.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: intake.Forwarded(r.Header), Body: body, Upload: up}
+	if up == nil {
+		c.Like = s.Joins.like(c, r, body)
+	}
+	return c, up, nil
+}
+
+// slowest is the time that a body takes to come at the least pace.
+func slowest(length int64) time.Duration {
+	if length < 0 {
+		length = httpcarrier.MostLarge
+	}
+	return paceFrom + time.Duration(float64(length)/leastPace*float64(time.Second))
 }
 
 // like is what a request asks, or nil of one that is not to be joined. All counts that goes on to a backend but for who
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -102,6 +102,10 @@
 	Header        http.Header
 	ContentLength int64 // of the body; -1 where none is stated
 	Chunked       bool  // it has a transfer encoding
+
+	// Of fronts that check the framing themselves:
+	MostBody int64 // the longest body that is taken; 0: MaxBody
+	Forms    bool  // chunked bodies, and HEAD of what may be repeated at will, are taken as well
 }
 
 // Check checks a request that began at that time on the engine's clock. It returns the call, without payload, carrier
@@ -143,7 +147,7 @@
 	}
 	form := logic.Unsafe
 	switch {
-	case h.Method == http.MethodGet:
+	case h.Method == http.MethodGet, h.Method == http.MethodHead:
 		form = logic.Safe
 	case h.Header.Get(KeyHeader) != "":
 		form = logic.Keyed
@@ -182,20 +186,23 @@
 func checkForm(h Head, class logic.Class) error {
 	// Beside a length, chunks may hide a second request in what the length makes the body. net/http drops such a length
 	// unseen, so that chunks can't be had at all; clients always send a length.
-	if h.Chunked {
+	if h.Chunked && !h.Forms {
 		return BadRequest{http.StatusLengthRequired, "only a body with a Content-Length is taken"}
 	}
-	if h.ContentLength > MaxBody {
-		return BadRequest{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+	if h.ContentLength > max(h.MostBody, MaxBody) {
+		return BadRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d KiB", max(h.MostBody, MaxBody)>>10)}
 	}
 	want := http.MethodPost
-	if class.Effect == logic.Safe {
+	switch {
+	case class.Effect == logic.Safe && h.Forms && h.Method == http.MethodHead:
+		want = http.MethodHead
+	case class.Effect == logic.Safe:
 		want = http.MethodGet
 	}
 	if h.Method != want {
 		return BadRequest{http.StatusMethodNotAllowed, "the method does not fit the class"}
 	}
-	if want == http.MethodGet && h.ContentLength != 0 {
+	if want != http.MethodPost && (h.ContentLength != 0 || h.Chunked) {
 		return BadRequest{http.StatusBadRequest, "a GET has no body"}
 	}
 	for _, name := range []string{RequestIDHeader, KeyHeader, TimeoutHeader} {
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -189,6 +189,14 @@
 	return context.WithValue(ctx, connKey{}, raw)
 }
 
+// Conn is the connection of a request as the listener under this one gave it; nil where there is none.
+func Conn(ctx context.Context) net.Conn {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.Conn
+	}
+	return nil
+}
+
 // Hold marks the connection of a request as in use. It is given back when net/http has written the answer.
 func Hold(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
--- a/logic/api.go
+++ b/logic/api.go
@@ -180,6 +180,14 @@
 		Attempts      int           // that it may have in all, where that is fewer than MaxAttempts; 0: those
 		Before        Before        // what may have run of it under another id
 		Was           bool          // its class is as it was before the latest Retune
+		Uploads       bool          // its attempts are written while it still comes, which Written ends
+	}
+	// Written says that an attempt of a request that Uploads is written whole, so that its server owes the answer from now
+	// on, and until when.
+	Written struct {
+		Request  string
+		Attempt  int
+		Deadline time.Duration
 	}
 	// Retune changes the classes and how many attempts a request may have. Classes keep their numbers: new ones come
 	// behind, and those that are no more are Dropped. Requests keep the class that they came under.
@@ -238,6 +246,7 @@
 func (Request) event()         {}
 func (Retry) event()           {}
 func (Retune) event()          {}
+func (Written) event()         {}
 func (Outcome) event()         {}
 func (Streaming) event()       {}
 func (ClientGone) event()      {}
@@ -304,6 +313,8 @@
 		b.retry(e)
 	case Retune:
 		b.retune(e)
+	case Written:
+		b.written(e)
 	case Outcome:
 		b.outcome(e)
 	case Streaming:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -470,7 +470,9 @@
 // server.
 func (b *Balancer) missed(s *server) (n float64) {
 	for _, a := range s.inFlight {
-		n += float64(b.now-max(a.sent, s.heard)) / b.usual[a.req.Class]
+		if !a.writing {
+			n += float64(b.now-max(a.sent, s.heard)) / b.usual[a.req.Class]
+		}
 	}
 	return n
 }
@@ -596,7 +598,7 @@
 	if len(r.attempts) > 0 {
 		a = &attempt{}
 	}
-	*a = attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, sent: b.now, out: true}
+	*a = attempt{req: r, srv: s, zone: s.Zone, cell: s.Cell, sent: b.now, out: true, writing: r.Uploads}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.inFlight = append(s.inFlight, a)
@@ -631,6 +633,13 @@
 	}
 }
 
+func (b *Balancer) written(e Written) {
+	if r := b.requests[e.Request]; r != nil && !r.closed && r.out > 0 && e.Attempt == len(r.attempts)-1 {
+		r.attempts[e.Attempt].writing, r.attempts[e.Attempt].sent, r.Deadline = false, b.now, e.Deadline
+		b.timer(r.token, r.Deadline-b.now)
+	}
+}
+
 func (b *Balancer) outcome(o Outcome) {
 	r := b.requests[o.Request]
 	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
@@ -726,7 +735,7 @@
 			busy += (1 - faith) * (1 - s.busy) * b.capacity(s)
 		}
 		for _, a := range s.inFlight {
-			if b.now-a.sent <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
+			if !a.writing && b.now-a.sent <= a.req.class.Aim { // one out for longer hangs, or late answers tell of it
 				wait, out = wait+1/a.req.class.Aim.Seconds(), out+1
 			}
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -126,4 +126,5 @@
 	sent     time.Duration
 	out      bool
 	neverRan bool
+	writing  bool // its request still comes: the server owes nothing yet
 }
