--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -113,7 +113,10 @@
 	n, err := b.from.Read(p)
 	b.came += int64(n)
 	if err == io.EOF {
-		return n, errors.Join(err, b.control.SetReadDeadline(time.Time{}))
+		if failed := b.control.SetReadDeadline(time.Time{}); failed != nil {
+			return n, failed
+		}
+		return n, io.EOF
 	}
 	if took := time.Since(b.began); err == nil && took > paceFrom && float64(b.came) < leastPace*took.Seconds() {
 		return n, errSlow
@@ -149,7 +152,7 @@
 		}
 		n, err := b.Read(kept[len(kept):cap(kept)])
 		kept = kept[:len(kept)+n]
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF {
 			return kept, nil, nil
 		}
 		if err != nil {
@@ -157,7 +160,7 @@
 		}
 	}
 	if int64(len(kept)) == r.ContentLength {
-		if _, err := b.Read(make([]byte, 1)); !errors.Is(err, io.EOF) { // net/http has to see its end
+		if _, err := b.Read(make([]byte, 1)); err != io.EOF { // net/http has to see its end
 			return nil, nil, badBody(err)
 		}
 		return kept, nil, nil
