--- a/internal/httpcarrier/stream.go
+++ b/internal/httpcarrier/stream.go
@@ -170,11 +170,12 @@
 // readBody reads a body: whole, or its first piece where it is large.
 func (s *Carrier) readBody(c *pool.Conn, resp *http.Response, until time.Duration) (*Response, error) {
 	out := &Response{Length: resp.ContentLength, ContentType: resp.Header.Get("Content-Type")}
-	if !s.Large || resp.StatusCode != http.StatusOK || resp.Request.Method == http.MethodHead {
+	if resp.Request.Method == http.MethodHead { // the length is that of what is not sent
+		return out, nil
+	}
+	if !s.Large || resp.StatusCode != http.StatusOK {
 		body, err := readWhole(c, resp)
-		if out.Body = body; resp.Request.Method != http.MethodHead {
-			out.Length = int64(len(body))
-		}
+		out.Body, out.Length = body, int64(len(body))
 		return out, err
 	}
 	if out.Length > MostLarge || out.Length < 0 && len(resp.TransferEncoding) == 0 {
