--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -171,6 +171,7 @@
 	flags.DurationVar(&q.For, "for", 20*time.Second, "how `long` clients send")
 	flags.Uint64Var(&q.Seed, "seed", 1, "`number` from which speeds, requests and the like are drawn")
 	flags.StringVar(&q.Socket, "socket", "", "`path` of an operators' socket, for appleledgectl; without it there is none")
+	flags.StringVar(&q.Operator, "operator", "", "`address` where operators call, such as 127.0.0.1:9100; without it there is none")
 	flags.StringVar(&q.State, "state", "", "`file` that keeps what operators apply")
 	if err := flags.Parse(args); err != nil {
 		return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,9 +35,10 @@
 	sweepEvery   = time.Second
 	spareSockets = 24 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
-	largePart    = 6    // of the memory limit, which large bodies may hold
-	leastSockets = 100  // with fewer there is no point in running
-	mostSockets  = 4096 // more are never needed, whatever the limit allows
+	silentMost   = 500 * time.Millisecond // for which a client may be silent before it makes room for others
+	largePart    = 6                      // of the memory limit, which large bodies may hold
+	leastSockets = 100                    // with fewer there is no point in running
+	mostSockets  = 4096                   // more are never needed, whatever the limit allows
 )
 
 // Core is what further fronts are built on.
@@ -190,11 +191,13 @@
 	core.Name(cfg.Site.Logic.Classes)
 	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, log: log}
 	var large *httpfront.Large
+	var crowd places.Options
 	if cfg.Operator != "" { // the days on which operators call are those on which bodies are large
 		large = httpfront.NewLarge(int64(cfg.MemoryMB<<20) / largePart)
 		listener = large.Frames(listener)
+		crowd.Patience = silentMost
 	}
-	clients := places.New(listener, fromClients, 0)
+	clients := places.New(listener, fromClients, crowd)
 	ready := func() bool { return core.Ready() && ctx.Err() == nil }
 	var twin *upgrade
 	if with.link != nil {
--- a/internal/httpfront/server_test.go
+++ b/internal/httpfront/server_test.go
@@ -21,7 +21,7 @@
 	}
 	core := engine.New(b, engine.NewClock(), nil, nil)
 	s := New(Options{Engine: core, Rules: intake.Rules{Classes: []logic.Class{{Name: "form-check", Deadline: 2 * time.Second}}},
-		Clock: engine.NewClock(), MostHeld: 1}, places.New(nil, 2, 0))
+		Clock: engine.NewClock(), MostHeld: 1}, places.New(nil, 2, places.Options{}))
 	s.held.Store(1)
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodGet, "/form-check", nil)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	mostAtOnce  = 24                     // connections; the oldest silent one makes room
-	settled     = 50 * time.Millisecond  // for which a connection may be silent though others wait
+	mostAtOnce  = 12                     // connections; the oldest silent one makes room
+	settled     = 20 * time.Millisecond  // for which a connection may be silent though others wait
 	patience    = 5 * time.Second        // for a call to come, whoever else wants its place
 	answerIn    = 700 * time.Millisecond // a call is owed its answer in a second
 	mostHead    = 8 << 10                // bytes
@@ -69,7 +69,7 @@
 		}
 	})()
 	s.Log.Info("listening for operators", "addr", l.Addr().String())
-	if err := srv.Serve(places.New(l, mostAtOnce, settled)); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(places.New(l, mostAtOnce, places.Options{Settled: settled})); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving operators: %w", err)
 	}
 	return nil
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -8,14 +8,24 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// Options say whom a Listener closes to make room, and whom not.
+type Options struct {
+	// Settled is how old a connection has to be: what it has to say may be on its way.
+	Settled time.Duration
+	// Patience is how long a connection that has brought no request yet may be silent, also in the midst of one, before it
+	// goes ahead of those between requests. 0: those that have said nothing go first, and those in the midst of a request last.
+	Patience time.Duration
+}
+
 // Listener is a listener that holds at most so many connections.
 type Listener struct {
 	net.Listener
-	settled time.Duration // a connection that is younger is not closed to make room
-	most    int
+	Options
+	most int
 
 	mu     sync.Mutex
 	room   *sync.Cond
@@ -30,9 +40,19 @@
 	use    connUse
 	served bool // has brought a request that was in order
 	since  time.Time
+	heard  atomic.Int64 // when its last byte came, in Unix nanoseconds, where there is a Patience
+}
+
+// Read notes when bytes come.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.table.Patience > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
-// connUse orders connections by how readily they are closed to make room.
+// connUse is what a connection does.
 type connUse int
 
 const (
@@ -41,10 +61,9 @@
 	inUse                  // one that is in order is open: never closed
 )
 
-// New returns a listener of at most so many connections. One that is younger than settled is not closed to make room: what it
-// has to say may be on its way.
-func New(l net.Listener, most int, settled time.Duration) *Listener {
-	t := &Listener{Listener: l, settled: settled, most: most, open: map[*conn]struct{}{}}
+// New returns a listener of at most so many connections.
+func New(l net.Listener, most int, o Options) *Listener {
+	t := &Listener{Listener: l, Options: o, most: most, open: map[*conn]struct{}{}}
 	t.room = sync.NewCond(&t.mu)
 	return t
 }
@@ -98,7 +117,7 @@
 			t.room.Wait()
 			continue
 		}
-		if young := t.settled - time.Since(c.since); young > 0 {
+		if young := t.Settled - time.Since(c.since); young > 0 {
 			t.mu.Unlock()
 			time.Sleep(young)
 			t.mu.Lock()
@@ -111,26 +130,39 @@
 	}
 }
 
-// leastUseful is the connection to close first: one that never brought a request in order, then one between
-// requests, then one that is being read; among like ones the oldest.
+// leastUseful is the connection to close first: by its rank, among like ones the one that is silent for longest.
 func (t *Listener) leastUseful() (least *conn) {
-	rank := func(c *conn) int {
-		if c.use == unused && c.served {
-			return 1
-		}
-		return 2 * int(c.use)
-	}
+	now := time.Now()
+	var lowest int
+	var longest time.Duration
 	for c := range t.open {
 		if c.use == inUse {
 			continue
 		}
-		if least == nil || rank(c) < rank(least) || rank(c) == rank(least) && c.since.Before(least.since) {
-			least = c
+		silent := now.Sub(c.since)
+		if t.Patience > 0 {
+			silent = min(silent, now.Sub(time.Unix(0, c.heard.Load())))
+		}
+		if rank := t.rank(c, silent); least == nil || rank < lowest || rank == lowest && silent > longest {
+			least, lowest, longest = c, rank, silent
 		}
 	}
 	return least
 }
 
+// rank orders connections by how readily they are closed to make room.
+func (t *Listener) rank(c *conn, silent time.Duration) int {
+	switch {
+	case c.use == unused && c.served:
+		return 1
+	case t.Patience > 0 && silent > t.Patience, t.Patience == 0 && c.use == unused:
+		return 0
+	case c.use == unused:
+		return 2
+	}
+	return 3
+}
+
 // Close closes the listener, not the connections.
 func (t *Listener) Close() error {
 	t.mu.Lock()
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -4,27 +4,46 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"appleledge/internal/testbed"
 )
 
+// listener is one of so many places whose connections a test opens.
+type listener struct {
+	t *testing.T
+	*Listener
+}
+
+func listen(t *testing.T, most int, o Options) listener {
+	return listener{t, New(testbed.Listen(t), most, o)}
+}
+
+// accept opens a connection and takes it.
+func (l listener) accept() (*conn, net.Conn) {
+	l.t.Helper()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.t.Cleanup(func() { far.Close() })
+	c, err := l.Accept()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.t.Cleanup(func() { c.Close() })
+	return c.(*conn), far
+}
+
+func (l listener) has(c *conn) bool {
+	_, open := l.open[c]
+	return open
+}
+
 // Room is made by those without a request: one that is being served stays, and so does the number of places.
 func TestWhoMakesRoom(t *testing.T) {
-	table := New(testbed.Listen(t), 3, 0)
-	accept := func() *conn {
-		t.Helper()
-		far, err := net.Dial("tcp", table.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { far.Close() })
-		c, err := table.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return c.(*conn)
-	}
+	table := listen(t, 3, Options{})
+	accept := func() *conn { c, _ := table.accept(); return c }
 	busy, kept, silent := accept(), accept(), accept()
 	busy.now(inUse)
 	kept.now(inUse)
@@ -53,3 +72,40 @@
 		t.Error("accepted beyond the limit")
 	}
 }
+
+// A client that takes its time stays as long as something comes of it; one that has begun and says nothing more goes, ahead of
+// those between requests, and ahead of one that has only just connected.
+func TestASlowClientStays(t *testing.T) {
+	const patience = 50 * time.Millisecond
+	table := listen(t, 4, Options{Patience: patience})
+	slow, far := table.accept()
+	ConnState(slow, http.StateActive)
+	stalled, _ := table.accept()
+	ConnState(stalled, http.StateActive)
+	kept, _ := table.accept()
+	kept.now(inUse)
+	ConnState(kept, http.StateIdle)
+	for range 4 {
+		time.Sleep(patience / 2)
+		if _, err := far.Write([]byte("G")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := slow.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fresh, _ := table.accept()
+	for i, want := range []*conn{stalled, kept} {
+		if !table.has(want) {
+			t.Errorf("connection %d was closed too early", i)
+		}
+		c, _ := table.accept()
+		c.now(inUse)
+		if table.has(want) {
+			t.Errorf("connection %d should have made room", i)
+		}
+	}
+	if !table.has(slow) || !table.has(fresh) {
+		t.Errorf("slow open: %v, fresh open: %v", table.has(slow), table.has(fresh))
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -32,9 +32,18 @@
 
     PROXY_CONFIG=FILE %[1]s [-settings FILE]
 
-PROXY_CONFIG names the platform's JSON configuration; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before what it
-says. SIGTERM drains and ends; SIGHUP reads the files again and follows discovery to where they say. GET /ready answers
-200 once there are backends to send to.
+PROXY_CONFIG names the platform's JSON configuration; PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_OPERATOR go before
+what it says. SIGTERM drains and ends; SIGHUP reads the files again: discovery, classes and the number of attempts change in
+force, and a file that can't be used changes nothing. GET /ready answers 200 once there are backends to send to.
+
+Where PROXY_OPERATOR says, operators ask for readiness and figures and take servers out and back:
+
+    curl http://ADDRESS/ops/readiness
+    curl http://ADDRESS/ops/stats
+    curl -X PUT http://ADDRESS/ops/backends/down/ID          (and .../up/ID)
+
+A second process with another PROXY_OPERATOR takes the clients' socket over from the first, which SIGTERM ends then
+(docs/operators/daily-operation.md).
 
 `
 
--- a/internal/rehearsal/quickstart.go
+++ b/internal/rehearsal/quickstart.go
@@ -24,8 +24,12 @@
 	Live    bool   // Out is a terminal: progress is shown on one line that changes
 	Socket  string // of operators, who can plan and apply configurations there; empty: there is none
 	State   string // keeps their configuration; empty: nothing does
+
+	Operator string // where operators call; empty: nowhere
 }
 
+const configName = "config.json" // of the agent's configuration, in a folder of its own
+
 // startWait is how long the agent may take until it is ready.
 const startWait = 10 * time.Second
 
@@ -53,6 +57,11 @@
 	if q.Socket != "" {
 		fmt.Fprintf(q.Out, "Operators: go run ./cmd/appleledgectl --socket %s status\n\n", q.Socket)
 	}
+	if q.Operator != "" {
+		fmt.Fprintf(q.Out, "Operators: curl http://%s/ops/stats\n", q.Operator)
+		fmt.Fprintf(q.Out, "A new version beside the agent, with an operators' address of its own: PROXY_CONFIG=%s PROXY_OPERATOR=HOST:PORT bin/appleledge\n\n",
+			filepath.Join(dir, configName))
+	}
 	fmt.Fprintf(q.Out, "Clients now send %.0f requests a second for %v. Ctrl-C ends it with the report.\n", q.Rate, q.For)
 	clients := NewClients("http://"+addr, q.Rate, q.Seed)
 	limited, cancel := context.WithTimeout(ctx, q.For)
@@ -75,13 +84,16 @@
 	if err != nil {
 		return "", nil, nil, err
 	}
-	file := filepath.Join(dir, "config.json")
+	file := filepath.Join(dir, configName)
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return "", nil, nil, err
 	}
 	cfg, err := agent.LoadConfig(func(name string) string {
-		if name == "PROXY_CONFIG" {
+		switch name {
+		case "PROXY_CONFIG":
 			return file
+		case "PROXY_OPERATOR":
+			return q.Operator
 		}
 		return ""
 	})
