Large answers pass where the budget is full; a large body waits for room

Seen in a measurement of 64 uploads and 48 answers of 32 MB in an agent of 32 MB: 46 answers were cut off, as their pieces found no room in the budget (httpfront/body.go, reserve), which would have lost them. Answers now go on in pieces of 4 KiB there; a body takes its room before it is read and waits 5 s for it; the other process of an upgrade has its half. A pace counts only while the client is waited for, and one that stops is told so (net/http ends the request's context at a time-out).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -201,7 +201,7 @@
 	ready := func() bool { return core.Ready() && ctx.Err() == nil }
 	var twin *upgrade
 	if with.link != nil {
-		twin = &upgrade{link: with.link, core: core, clock: clk, conns: conns, clients: clients, toBackends: toBackends,
+		twin = &upgrade{link: with.link, core: core, clock: clk, conns: conns, clients: clients, toBackends: toBackends, large: large,
 			fromClients: fromClients, memory: with.Memory}
 		ready = func() bool { return core.Ready() && ctx.Err() == nil && twin.serving.Load() }
 	}
--- a/internal/agent/bodies_test.go
+++ b/internal/agent/bodies_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"runtime"
@@ -418,3 +419,51 @@
 	}
 	t.Logf("%d KB more, slowest %v", grown>>10, slowest)
 }
+
+// Where there is no room for another large body its client waits; answers, which are owed, and small requests pass all the same.
+func TestNoRoomForLargeBodies(t *testing.T) {
+	large := strings.Repeat("x", million)
+	b := newBackend(t, func(c net.Conn, r *http.Request, _ int) bool {
+		text := served
+		if r.URL.Path == "/form-check" {
+			text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large), large)
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
+	a := startOn(t, d, 0, func(c *Config) { c.Operator, c.MemoryMB = testbed.Refusing(t), 1 }, Extras{}, slog.New(slog.DiscardHandler))
+	var holding []*raw
+	for range 2 { // which is all that 256 KB have room for
+		c := a.raw(t)
+		c.send(head("POST", "/pay", "HTTP/1.1", fmt.Sprint("Content-Length: ", len(large))) + large[:100_000])
+		holding = append(holding, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+	waiting := a.raw(t)
+	go io.WriteString(waiting, head("POST", "/pay", "HTTP/1.1", fmt.Sprint("Content-Length: ", len(large)))+large)
+	for range 3 {
+		c := a.raw(t)
+		c.send(head("GET", "/form-check", "HTTP/1.1"))
+		if _, body, err := c.answer("GET"); err != nil || body != large {
+			t.Errorf("a large answer: %d bytes, %v", len(body), err)
+		}
+		c.send(head("POST", "/pay", "HTTP/1.1", "Content-Length: 2") + "hi")
+		if _, body, err := c.answer("POST"); err != nil || body != "fine" {
+			t.Errorf("a small request: %q, %v", body, err)
+		}
+	}
+	if n := b.Requests(); n != 6 {
+		t.Errorf("%d requests came to the server, want 6", n)
+	}
+	holding[0].send(large[100_000:])
+	for _, c := range []*raw{holding[0], waiting} {
+		if resp, _, err := c.answer("POST"); err != nil || resp.StatusCode != 200 {
+			t.Errorf("%v %v", resp, err)
+		}
+	}
+	stalled := time.Now()
+	if resp, _, err := holding[1].answer("POST"); err != nil || resp.StatusCode != 400 || time.Since(stalled) > 10*time.Second {
+		t.Errorf("one that says nothing more: %v %v", resp, err)
+	}
+}
--- a/internal/agent/upgrade.go
+++ b/internal/agent/upgrade.go
@@ -14,6 +14,7 @@
 	"appleledge/internal/bans"
 	"appleledge/internal/engine"
 	"appleledge/internal/handover"
+	"appleledge/internal/httpfront"
 	"appleledge/internal/membership/platform"
 	"appleledge/internal/places"
 	"appleledge/internal/pool"
@@ -51,6 +52,7 @@
 	clock                   engine.Clock
 	conns                   *pool.Pool
 	clients                 *places.Listener
+	large                   *httpfront.Large
 	toBackends, fromClients int                // connections of the whole agent
 	memory                  func(part float64) // limits the process to a part of the agent's memory; nil: nothing does
 	serving                 atomic.Bool
@@ -80,6 +82,7 @@
 func (u *upgrade) Share(part float64) {
 	u.conns.Limit(int(part * float64(u.toBackends)))
 	u.clients.Limit(int(part * float64(u.fromClients)))
+	u.large.Share(part)
 	if u.memory != nil {
 		u.memory(part)
 	}
--- a/internal/httpfront/body.go
+++ b/internal/httpfront/body.go
@@ -27,21 +27,42 @@
 	takeStall  = 5 * time.Second         // for a client to take a piece of a large answer
 	piece      = 32 << 10                // bytes that are passed on at a time
 	holdLarge  = intake.MaxBody + piece  // what a large body holds in memory
-	budgetWait = time.Second             // for room in the budget
+	budgetWait = 5 * time.Second         // for room in the budget, in which a body waits with its client
+	small      = 4 << 10                 // bytes that are passed on at a time where the budget has no more
 )
 
-// Large says how large bodies pass.
+// Large says how large bodies pass. What they hold in memory comes from one budget: a body waits for its part of it, and an
+// answer, which is owed, goes on in small pieces without one.
 type Large struct {
 	budget *semaphore.Weighted
+	most   int64
 	pieces sync.Pool
+
+	mu       sync.Mutex
+	withheld int64 // of the budget, for another process of the agent
 }
 
 // NewLarge lets large bodies pass that hold so many bytes in memory at the most, all together.
 func NewLarge(budget int64) *Large {
-	return &Large{budget: semaphore.NewWeighted(max(budget, holdLarge)),
+	budget = max(budget, holdLarge)
+	return &Large{budget: semaphore.NewWeighted(budget), most: budget,
 		pieces: sync.Pool{New: func() any { return new([piece]byte) }}}
 }
 
+// Share lets large bodies hold a part of the budget only, from 0 to 1. What is held already stays so: it comes into force as
+// far as the budget is free.
+func (l *Large) Share(part float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	want := int64((1 - part) * float64(l.most))
+	if want < l.withheld {
+		l.budget.Release(l.withheld - want)
+		l.withheld = want
+	}
+	for ; l.withheld+holdLarge <= want && l.budget.TryAcquire(holdLarge); l.withheld += holdLarge {
+	}
+}
+
 // Frames wraps the connections of a listener so that the framing of their requests is followed.
 func (*Large) Frames(l net.Listener) net.Listener { return frames{l} }
 
@@ -92,11 +113,11 @@
 	return nil
 }
 
-// body reads from a client as long as it keeps a pace.
+// body reads from a client as long as it keeps a pace. Only the time counts in which the client was waited for.
 type body struct {
 	from    io.Reader
 	control *http.ResponseController
-	began   time.Time
+	waited  time.Duration
 	came    int64
 	most    int64
 }
@@ -110,7 +131,9 @@
 	if err := b.control.SetReadDeadline(time.Now().Add(bodyStall)); err != nil {
 		return 0, err
 	}
+	began := time.Now()
 	n, err := b.from.Read(p)
+	b.waited += time.Since(began)
 	b.came += int64(n)
 	if err == io.EOF {
 		if failed := b.control.SetReadDeadline(time.Time{}); failed != nil {
@@ -118,7 +141,7 @@
 		}
 		return n, io.EOF
 	}
-	if took := time.Since(b.began); err == nil && took > paceFrom && float64(b.came) < leastPace*took.Seconds() {
+	if err == nil && b.waited > paceFrom && float64(b.came) < leastPace*b.waited.Seconds() {
 		return n, errSlow
 	}
 	if b.came > b.most {
@@ -135,12 +158,30 @@
 	return intake.BadRequest{Status: http.StatusBadRequest, Text: "the body is not whole"}
 }
 
-// take reads a body: whole, or its beginning where it is large; then it goes on as an Upload.
-func (l *Large) take(w http.ResponseWriter, r *http.Request, patience time.Duration) (whole []byte, up *httpcarrier.Upload, err error) {
+// errFull says that there is no room in memory for another large body. Nothing of its request was sent on.
+var errFull = errors.New("no room for another large body")
+
+// take reads a body: whole, or its beginning where it is large; then it goes on as an Upload. What it holds of the budget is
+// given back by release, which is never nil.
+func (l *Large) take(w http.ResponseWriter, r *http.Request, patience time.Duration) (whole []byte, up *httpcarrier.Upload, release func(), err error) {
+	release = func() {}
 	if r.ContentLength == 0 {
-		return nil, nil, nil
+		return nil, nil, release, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > intake.MaxBody {
+		ctx, cancel := context.WithTimeout(r.Context(), budgetWait)
+		defer cancel()
+		if l.budget.Acquire(ctx, holdLarge) != nil {
+			return nil, nil, release, errFull
+		}
+		release = func() { l.budget.Release(holdLarge) }
 	}
-	b := &body{from: r.Body, control: http.NewResponseController(w), began: time.Now(), most: httpcarrier.MostLarge}
+	whole, up, err = l.read(w, r, patience)
+	return whole, up, release, err
+}
+
+func (l *Large) read(w http.ResponseWriter, r *http.Request, patience time.Duration) (whole []byte, up *httpcarrier.Upload, err error) {
+	b := &body{from: r.Body, control: http.NewResponseController(w), most: httpcarrier.MostLarge}
 	size := intake.MaxBody + 1
 	if r.ContentLength > 0 {
 		size = int(min(r.ContentLength, int64(size)))
@@ -168,16 +209,6 @@
 	return nil, &httpcarrier.Upload{Length: r.ContentLength, Kept: kept, Rest: b, Patience: patience}, nil
 }
 
-// reserve takes the memory of a large body from the budget, and returns what gives it back.
-func (l *Large) reserve(ctx context.Context, n int64) (release func(), ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, budgetWait)
-	defer cancel()
-	if l.budget.Acquire(ctx, n) != nil {
-		return nil, false
-	}
-	return func() { l.budget.Release(n) }, true
-}
-
 // end stops an Upload whose request has its answer, and says whether the client's side was at fault.
 func end(w http.ResponseWriter, up *httpcarrier.Upload) error {
 	// An attempt may wait for the client's next bytes.
@@ -190,13 +221,20 @@
 func (l *Large) pass(ctx context.Context, w http.ResponseWriter, resp *httpcarrier.Response) {
 	defer resp.Discard()
 	control := http.NewResponseController(w)
-	buf := l.pieces.Get().(*[piece]byte)
-	defer l.pieces.Put(buf)
+	var buf []byte
+	if l.budget.TryAcquire(piece) {
+		defer l.budget.Release(piece)
+		whole := l.pieces.Get().(*[piece]byte)
+		defer l.pieces.Put(whole)
+		buf = whole[:]
+	} else {
+		buf = make([]byte, small)
+	}
 	for {
 		if err := control.Flush(); err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		n, err := resp.Rest.Read(buf[:])
+		n, err := resp.Rest.Read(buf)
 		if n > 0 {
 			if control.SetWriteDeadline(time.Now().Add(takeStall)) != nil {
 				panic(http.ErrAbortHandler)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -135,7 +136,12 @@
 		s.readiness(w)
 		return
 	}
-	c, up, err := s.accept(w, r, began)
+	c, up, release, err := s.accept(w, r, began)
+	defer release()
+	if errors.Is(err, errFull) {
+		s.refuse(w, c, true)
+		return
+	}
 	if err != nil {
 		turnAway(w, err)
 		return
@@ -143,17 +149,9 @@
 	places.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.full(s.held.Add(1)) { // nothing was sent yet, so a refusal's promise holds
-		s.refuse(w, c, up)
+		s.refuse(w, c, up != nil)
 		return
 	}
-	if up != nil {
-		release, ok := s.Large.reserve(r.Context(), holdLarge)
-		if !ok {
-			s.refuse(w, c, up)
-			return
-		}
-		defer release()
-	}
 	waits := newCaller()
 	c.Caller = waits
 	s.Engine.Arrive(c)
@@ -163,8 +161,9 @@
 	case <-r.Context().Done():
 		waits.leave()
 		s.Engine.ClientLeft(c)
-		if up != nil {
-			end(w, up)
+		if up != nil && end(w, up) != nil && errors.Is(up.Broken(), os.ErrDeadlineExceeded) { // net/http takes that for the client's end
+			turnAway(w, badBody(up.Broken()))
+			return
 		}
 		panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend said
 	case <-s.Engine.Done(): // never before the server has drained
@@ -173,11 +172,11 @@
 	}
 }
 
-// refuse turns away what the engine has not seen.
-func (s *Server) refuse(w http.ResponseWriter, c *engine.Call, up *httpcarrier.Upload) {
+// refuse turns away what the engine has not seen. Of its body there may be some that is not read.
+func (s *Server) refuse(w http.ResponseWriter, c *engine.Call, unread bool) {
 	s.Engine.TurnedAway(c)
-	if up != nil {
-		w.Header().Set("Connection", "close") // the rest of the body is not read
+	if unread {
+		w.Header().Set("Connection", "close")
 	}
 	write(w, engine.Answer{Kind: engine.Refused, RetryAfter: heldRetry})
 }
@@ -202,12 +201,6 @@
 		write(w, engine.Answer{Kind: engine.Failed})
 		return
 	}
-	release, ok := s.Large.reserve(r.Context(), piece)
-	if !ok {
-		resp.Discard()
-		panic(http.ErrAbortHandler)
-	}
-	defer release()
 	write(w, a)
 	s.Large.pass(r.Context(), w, resp)
 }
@@ -255,27 +248,28 @@
 
 // accept reads a request and checks it. What of a large body still comes is an Upload. The body must be there in time, or come
 // at a pace, whatever time-out the client states.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (*engine.Call, *httpcarrier.Upload, error) {
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Duration) (c *engine.Call, up *httpcarrier.Upload,
+	release func(), err error) {
+	release = func() {}
 	h := intake.Head{Method: r.Method, Path: r.URL.Path, Header: r.Header, ContentLength: r.ContentLength, Chunked: len(r.TransferEncoding) > 0}
 	if s.Large != nil {
 		h.MostBody, h.Forms = httpcarrier.MostLarge, true
 	}
-	c, timeout, err := s.Rules.Check(h, began)
-	if err != nil {
-		return nil, nil, err
+	var timeout time.Duration
+	if c, timeout, err = s.Rules.Check(h, began); err != nil {
+		return nil, nil, release, err
 	}
 	var body []byte
-	var up *httpcarrier.Upload
 	if s.Large != nil {
 		places.Hold(r.Context()) // as long as it keeps its pace
-		if body, up, err = s.Large.take(w, r, timeout); err == nil {
+		if body, up, release, err = s.Large.take(w, r, timeout); err == nil {
 			c.Deadline += s.Clock.Now() - began // a request's time counts from its last byte
 		}
 	} else {
 		body, err = readBody(w, r, s.Clock.At(began+min(timeout, BodyTimeout)))
 	}
 	if err != nil {
-		return nil, nil, err
+		return c, nil, release, err
 	}
 	c.Carrier = s.Carrier
 	if up != nil { // it has its real deadline when its last byte has been sent on
@@ -285,7 +279,7 @@
 	if up == nil {
 		c.Like = s.Joins.like(c, r, body)
 	}
-	return c, up, nil
+	return c, up, release, nil
 }
 
 // slowest is the time that a body takes to come at the least pace.
