Tests: operators under load, figures while classes change, settings in upgrades

Need: three hard cases of the issue had no test of their own. Change: operators call an agent under full load beside 200 silent callers; figures are read while ten classes come and go, and of two signals at once the later file holds; a broken and a good file in each of two processes during an upgrade.

--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,6 +53,7 @@
 // version is one process of the agent.
 type version struct {
 	*exec.Cmd
+	config   string
 	operator string
 	ended    chan error
 }
@@ -59,13 +61,12 @@
 // start starts a version that follows discovery at an address. It does not wait.
 func (in *installation) start(discovery string) *version {
 	in.t.Helper()
-	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1)}
-	config := filepath.Join(in.dir, filepath.Base(in.t.TempDir())+".json")
-	if err := os.WriteFile(config, testbed.ConfigText(discovery, "null"), 0o600); err != nil {
+	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1), config: filepath.Join(in.t.TempDir(), "config.json")}
+	if err := os.WriteFile(v.config, testbed.ConfigText(discovery, "null"), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
 	v.Cmd = exec.Command(os.Args[0])
-	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+config, "PROXY_LISTEN="+in.listen,
+	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+v.config, "PROXY_LISTEN="+in.listen,
 		"PROXY_OPERATOR="+v.operator)
 	if err := v.Start(); err != nil {
 		in.t.Fatal(err)
@@ -321,3 +322,46 @@
 		return in.one.Requests() > n
 	})
 }
+
+// While two processes run each takes the settings of its own file, and both go on serving.
+func TestSettingsChangeDuringAnUpgrade(t *testing.T) {
+	in := install(t)
+	old := in.ready(in.start(in.disco.Addr().String()))
+	next := in.ready(in.start(in.disco.Addr().String()))
+	for _, v := range []*version{old, next} {
+		if err := os.WriteFile(v.config, []byte("{"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		v.Process.Signal(syscall.SIGHUP)
+		testbed.Eventually(t, "a broken file is turned down", func() bool { return in.stats(v)["svc.config_reload_errors"] == "1" })
+		if err := os.WriteFile(v.config, testbed.ConfigText(in.disco.Addr().String(), "null"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		v.Process.Signal(syscall.SIGHUP)
+		testbed.Eventually(t, "a good one is taken", func() bool { return in.stats(v)["svc.config_reloads"] == "1" })
+	}
+	in.retire(old)
+	c, err := net.Dial("tcp", in.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := in.request(c, bufio.NewReader(c)); err != nil || in.served.Load() != 1 {
+		t.Errorf("%d served, %v", in.served.Load(), err)
+	}
+}
+
+// stats are the figures of a process.
+func (in *installation) stats(v *version) map[string]string {
+	resp, err := http.Get("http://" + v.operator + "/ops/stats")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	figures := map[string]string{}
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		key, value, _ := strings.Cut(lines.Text(), "=")
+		figures[key] = value
+	}
+	return figures
+}
--- a/internal/agent/operator_test.go
+++ b/internal/agent/operator_test.go
@@ -229,3 +229,62 @@
 		}
 	})
 }
+
+// Under full load, with 200 callers that say nothing or half a call, operators are answered as ever: none of their calls waits
+// until a silent one has been given up.
+func TestOperatorsCallUnderLoad(t *testing.T) {
+	b := newBackend(t, says(served))
+	a, o := withOperators(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)))
+	ended := make(chan struct{})
+	var all sync.WaitGroup
+	var asked atomic.Int64
+	for range 16 {
+		all.Go(func() {
+			client := http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				if resp, err := client.Do(a.newRequest(t, http.MethodGet, "/form-check", "")); err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					asked.Add(1)
+				}
+			}
+		})
+	}
+	for i := range 200 {
+		c, err := net.Dial("tcp", o.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "PUT /ops/backends/down/s-1 HTTP/1.1\r\n")
+		}
+	}
+	eventually(t, "there is load", func() bool { return asked.Load() > 100 })
+	var slowest time.Duration
+	for i := range 30 {
+		began := time.Now()
+		if i%10 == 0 {
+			if status, text := o.call("PUT", "/ops/backends/up/s-1"); status != 200 {
+				t.Errorf("%d %s", status, text)
+			}
+		} else if n := o.figure("svc.members"); n != 1 {
+			t.Errorf("%d members", n)
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	close(ended)
+	all.Wait()
+	if slowest > 4*time.Second { // for which the silent ones stay
+		t.Errorf("a call took %v", slowest)
+	}
+	if n := o.figure("svc.downstream_requests.form-check.completed"); n < int(asked.Load()) {
+		t.Errorf("%d completed of %d that were answered", n, asked.Load())
+	}
+}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +28,11 @@
 }
 
 func startReloading(t *testing.T, discovery string) *reloading {
+	return startReloadingFor(t, discovery, "")
+}
+
+// startReloadingFor is startReloading with an address for operators.
+func startReloadingFor(t *testing.T, discovery, operator string) *reloading {
 	t.Helper()
 	a := &reloading{running: &running{done: make(chan error, 1)}, t: t, file: filepath.Join(t.TempDir(), "config.json"),
 		hup: make(chan os.Signal, 1)}
@@ -36,6 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	cfg.Operator = operator
 	l := listen(t)
 	a.addr, a.url = l.Addr().String(), "http://"+l.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
@@ -154,6 +163,65 @@
 	}
 }
 
+// Figures that are read while classes come and go are whole and never go back; of two signals that come together the later
+// file holds.
+func TestFiguresWhileClassesChange(t *testing.T) {
+	b := newBackend(t, says(served))
+	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
+	o := operators{t, testbed.Refusing(t)}
+	a := startReloadingFor(t, d.Addr().String(), o.addr)
+	text := string(configText(d.Addr().String(), "null"))
+	named := func(i int) []byte {
+		return []byte(strings.Replace(text, `"Name":"pay"`, fmt.Sprintf(`"Name":"pay-%d"`, i), 1))
+	}
+	over := make(chan struct{})
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		last := map[string]int{}
+		for {
+			select {
+			case <-over:
+				return
+			default:
+			}
+			status, page := o.call("GET", "/ops/stats")
+			if status != http.StatusOK || !strings.HasSuffix(page, "\n") || !strings.Contains(page, "svc.config_reload_errors=0\n") {
+				t.Errorf("%d %q", status, page)
+			}
+			for line := range strings.Lines(page) {
+				key, value, _ := strings.Cut(strings.TrimSpace(line), "=")
+				n, err := strconv.Atoi(value)
+				if err != nil || n < last[key] && key != "svc.pending" && !strings.HasPrefix(key, "svc.members") {
+					t.Errorf("%q after %d", line, last[key])
+				}
+				last[key] = n
+			}
+			for key := range last {
+				if !strings.Contains(page, key+"=") {
+					t.Errorf("%s is gone", key)
+				}
+			}
+		}
+	})
+	for i := range 10 {
+		a.reload(named(i))
+		eventually(t, "it is in force", func() bool { return o.figure("svc.config_reloads") == i+1 })
+		if got := send(t, a.newRequest(t, http.MethodPost, fmt.Sprintf("/pay-%d", i), "")); got.status != http.StatusOK {
+			t.Errorf("class %d: %+v", i, got)
+		}
+	}
+	close(over)
+	reader.Wait()
+	a.reload(named(10))
+	a.reload(named(11))
+	eventually(t, "the later file holds", func() bool {
+		return send(t, a.newRequest(t, http.MethodPost, "/pay-11", "")).status == http.StatusOK
+	})
+	if n := o.figure("svc.downstream_requests.pay-3.completed"); n != 1 {
+		t.Errorf("a class that was dropped has %d completed, want 1", n)
+	}
+}
+
 func TestReloadEndsWithTheAgent(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
