--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -56,18 +56,20 @@
 	config   string
 	operator string
 	ended    chan error
+	log      *testbed.LockedBuffer
 }
 
 // start starts a version that follows discovery at an address. It does not wait.
 func (in *installation) start(discovery string) *version {
 	in.t.Helper()
-	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1), config: filepath.Join(in.t.TempDir(), "config.json")}
+	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1), log: &testbed.LockedBuffer{}, config: filepath.Join(in.t.TempDir(), "config.json")}
 	if err := os.WriteFile(v.config, testbed.ConfigText(discovery, "null"), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
 	v.Cmd = exec.Command(os.Args[0])
 	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+v.config, "PROXY_LISTEN="+in.listen,
 		"PROXY_OPERATOR="+v.operator)
+	v.Stderr = v.log
 	if err := v.Start(); err != nil {
 		in.t.Fatal(err)
 	}
@@ -103,7 +105,7 @@
 	select {
 	case err := <-v.ended:
 		if err != nil {
-			in.t.Errorf("an old version has ended with %v", err)
+			in.t.Errorf("an old version has ended with %v:\n%s", err, v.log)
 		}
 	case <-time.After(testbed.Patience):
 		in.t.Fatal("an old version does not end")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// size is how many connections there may be.
+func (p *Pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.most
+}
+
 // perBackend is how many connections one backend may have, so that a silent one does not use up all.
 func perBackend(most int) int { return max(1, most/4) }
 
@@ -322,7 +329,7 @@
 // time.
 func (p *Pool) Sweep() {
 	var from time.Time
-	for range 1 + p.most/sweepPart {
+	for range 1 + p.size()/sweepPart {
 		if from = p.sweep(from); from.IsZero() {
 			return
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -161,3 +162,49 @@
 		}
 	})
 }
+
+// A limit that falls closes what waits for use beyond it, and the pool is swept meanwhile.
+func TestLimitFalls(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
+	p := New(time.Second, time.Minute, 8)
+	defer p.Close()
+	p.Update(true, []engine.Member{{Server: logic.Server{ID: "b"}, Addr: b.Addr().String()}})
+	var sweeper sync.WaitGroup
+	over := make(chan struct{})
+	sweeper.Go(func() {
+		for {
+			select {
+			case <-over:
+				return
+			default:
+				p.Sweep()
+			}
+		}
+	})
+	var held []*Conn
+	for range 2 {
+		c, err := p.Get(t.Context(), p.Backend("b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	if _, err := p.Get(t.Context(), p.Backend("b")); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("a third of at most two to one backend: %v", err)
+	}
+	for _, c := range held {
+		p.Put(c, true)
+	}
+	p.Limit(1)
+	if n := p.Count(); n.Open != 1 || n.Idle != 1 {
+		t.Errorf("%d open, %d idle", n.Open, n.Idle)
+	}
+	p.Limit(8)
+	if c, err := p.Get(t.Context(), p.Backend("b")); err != nil {
+		t.Error(err)
+	} else {
+		p.Put(c, true)
+	}
+	close(over)
+	sweeper.Wait()
+}
