A kept connection's last request has a test of its own

Need: the count of requests that cross the close of a kept connection hangs on how busy the machine is: 8 on two test runs a core under -race, where the test of upgrades allowed 6. Change: that test logs the count and goes on asserting that nothing is lost and nothing runs twice. A new one sends a request on a kept connection while the old process drains: it is served, and its answer closes the connection.

--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -210,9 +210,7 @@
 	if n := in.lost.Load(); n != 0 {
 		t.Errorf("%d requests were turned back with no answer; the first: %s", n, *in.firstLost.Load())
 	}
-	if n := in.crossed.Load(); n > 6 { // two an upgrade
-		t.Errorf("%d requests crossed the close of a kept connection", n)
-	}
+	t.Logf("%d requests crossed the close of a kept connection", in.crossed.Load()) // as many as the machine is busy
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for id, n := range in.ran {
@@ -225,6 +223,27 @@
 	}
 }
 
+// A connection that is kept when its process is told to end brings one more request, whose answer closes it.
+func TestAKeptConnectionBringsOneMore(t *testing.T) {
+	in := install(t)
+	old := in.ready(in.start(in.disco.Addr().String()))
+	c, err := net.Dial("tcp", in.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	if keep, err := in.request(c, r); err != nil || !keep {
+		t.Fatal(keep, err)
+	}
+	in.ready(in.start(in.disco.Addr().String()))
+	old.Process.Signal(syscall.SIGTERM)
+	testbed.Eventually(t, "it is draining", func() bool { return old.log.Count("draining") == 1 })
+	if keep, err := in.request(c, r); err != nil || keep || in.served.Load() != 2 {
+		t.Errorf("kept: %v, %v, %d served", keep, err, in.served.Load())
+	}
+}
+
 // Whichever of the two is killed, one working agent is left.
 func TestUpgradesThatGoWrong(t *testing.T) {
 	for name, wrong := range map[string]func(in *installation, old, next *version) (left *version){
