Telemetry over an upgrade; the external processor drains by the deadlines in force

A new version with [telemetry] did not start while the old one listened there; it listens now once that has ended. The external processor took the longest deadline of the start for its drains and streams.

--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -60,13 +60,13 @@
 }
 
 // start starts a version that follows discovery at an address. It does not wait.
-func (in *installation) start(discovery string) *version {
+func (in *installation) start(discovery string, args ...string) *version {
 	in.t.Helper()
 	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1), log: &testbed.LockedBuffer{}, config: filepath.Join(in.t.TempDir(), "config.json")}
 	if err := os.WriteFile(v.config, testbed.ConfigText(discovery, "null"), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
-	v.Cmd = exec.Command(os.Args[0])
+	v.Cmd = exec.Command(os.Args[0], args...)
 	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+v.config, "PROXY_LISTEN="+in.listen,
 		"PROXY_OPERATOR="+v.operator)
 	v.Stderr = v.log
@@ -372,6 +372,28 @@
 	}
 }
 
+// A section that owns an address does not keep a new version from starting: it has the address when the old one has ended.
+func TestTelemetryOverAnUpgrade(t *testing.T) {
+	in := install(t)
+	addr := testbed.Refusing(t)
+	own := filepath.Join(in.dir, "own.toml")
+	if err := os.WriteFile(own, fmt.Appendf(nil, "[telemetry]\nlisten = %q\n", addr), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	old := in.ready(in.start(in.disco.Addr().String(), "-settings", own))
+	in.ready(in.start(in.disco.Addr().String(), "-settings", own))
+	in.retire(old)
+	testbed.Eventually(t, "the new version shows telemetry", func() bool {
+		resp, err := http.Get("http://" + addr + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Contains(string(text), "appleledge_ready 1")
+	})
+}
+
 // stats are the figures of a process.
 func (in *installation) stats(v *version) map[string]string {
 	resp, err := http.Get("http://" + v.operator + "/ops/stats")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,7 +48,8 @@
 	Rules   intake.Checker
 	Pool    *pool.Pool
 	Site    wire.Site
-	Longest time.Duration // that any client waits
+	Longest func() time.Duration // that any client waits, as the settings have it now
+	Beside  func() bool          // another process of the agent lives, which may hold what this one needs
 	Log     *slog.Logger
 }
 
@@ -161,7 +162,7 @@
 	settled, rules := terms.New(cfg.Site), &intake.InForce{}
 	rules.Put(settled.Rules())
 	beside, err := open(with.Fronts, Core{Engine: core, Clock: clk, Rules: rules, Pool: conns, Site: cfg.Site,
-		Longest: rules.Longest(), Log: log})
+		Longest: rules.Longest, Beside: func() bool { return with.link != nil && !with.link.Alone() }, Log: log})
 	if err != nil {
 		return err
 	}
--- a/internal/extproc/bench_test.go
+++ b/internal/extproc/bench_test.go
@@ -124,7 +124,7 @@
 		set.MaxOpen, set.MaxStreams, set.MaxConnections = benchStreams, benchStreams, 64
 		s := New(Options{Settings: set, Engine: e, Clock: clock, Pool: pool, ReportFields: site.ReportFields,
 			Rules:   intake.Rules{Classes: site.Logic.Classes, Tenants: site.Tenants},
-			Longest: 2 * time.Second, Log: log})
+			Longest: twoSeconds, Log: log})
 		go e.Run(ctx)
 		var members []engine.Member
 		for i := range 14 {
--- a/internal/extproc/equivalence_test.go
+++ b/internal/extproc/equivalence_test.go
@@ -224,7 +224,7 @@
 		set.MaxOpen, set.MaxStreams = 10000, 10000
 		server := New(Options{Settings: set, Engine: w.engine, Clock: w.clock, Pool: w.pool, ReportFields: w.site.ReportFields,
 			Rules:   intake.Rules{Classes: w.site.Logic.Classes, Tenants: w.site.Tenants},
-			Longest: 2 * time.Second, Log: slog.New(slog.DiscardHandler)})
+			Longest: twoSeconds, Log: slog.New(slog.DiscardHandler)})
 		w.start(t)
 		l := bufconn.Listen(1 << 20)
 		ctx, stop := context.WithCancel(context.Background())
--- a/internal/extproc/harness_test.go
+++ b/internal/extproc/harness_test.go
@@ -86,7 +86,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	r.server = New(Options{Settings: set, Engine: r.engine, Clock: clock, Pool: r.pool, ReportFields: site.ReportFields,
-		Rules: intake.Rules{Classes: site.Logic.Classes, Tenants: site.Tenants}, Longest: longest, Log: log})
+		Rules: intake.Rules{Classes: site.Logic.Classes, Tenants: site.Tenants}, Longest: func() time.Duration { return longest }, Log: log})
 	if o.linger > 0 {
 		r.server.linger = o.linger
 	}
@@ -342,3 +342,5 @@
 	t.Cleanup(func() { conn.Close() })
 	return healthv1.NewHealthClient(conn)
 }
+
+func twoSeconds() time.Duration { return 2 * time.Second }
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -55,8 +55,8 @@
 	Clock        engine.Clock
 	Rules        intake.Checker
 	Pool         *pool.Pool
-	ReportFields []string      // of load reports
-	Longest      time.Duration // that any client waits: for so long a drain may take
+	ReportFields []string             // of load reports
+	Longest      func() time.Duration // that any client waits: for so long a drain may take
 	Log          *slog.Logger
 }
 
@@ -124,7 +124,7 @@
 func (s *Server) drain(srv *grpc.Server) {
 	ended := make(chan struct{})
 	go func() { srv.GracefulStop(); close(ended) }()
-	limit := time.NewTimer(s.Longest + drainMost)
+	limit := time.NewTimer(s.Longest() + drainMost)
 	defer limit.Stop()
 	select {
 	case <-ended:
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -73,7 +73,7 @@
 			return err
 		}
 		if first { // it has said something: one that only watches may last as long as a request
-			st.expiry.Reset(st.s.Longest + st.s.linger)
+			st.expiry.Reset(st.s.Longest() + st.s.linger)
 		}
 		resp, err := st.take(req)
 		if err != nil {
--- a/internal/program/telemetry.go
+++ b/internal/program/telemetry.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"syscall"
+	"time"
 
 	"appleledge/internal/agent"
 	"appleledge/internal/settings"
@@ -14,11 +17,36 @@
 func telemetryFront(f settings.File) agent.Front {
 	return agent.Front{Name: "telemetry", Sockets: telemetry.Sockets, Open: func(c agent.Core) (func(context.Context) error, error) {
 		l, err := net.Listen("tcp", f.Telemetry.Listen)
-		if err != nil {
+		taken := errors.Is(err, syscall.EADDRINUSE) && c.Beside() // by the process that this one replaces
+		if err != nil && !taken {
 			return nil, fmt.Errorf("%s: %w", f.Where("telemetry.listen"), err)
 		}
 		c.Engine.Count(c.Site.Logic.Classes)
 		s := &telemetry.Server{Engine: c.Engine, Pool: c.Pool, Classes: c.Site.Logic.Classes, Log: c.Log}
-		return func(ctx context.Context) error { return s.Serve(ctx, l) }, nil
+		return func(ctx context.Context) error {
+			if taken {
+				if l = listenLater(ctx, f.Telemetry.Listen); l == nil {
+					return nil
+				}
+			}
+			return s.Serve(ctx, l)
+		}, nil
 	}}
 }
+
+// takenPause is between two tries to listen where another process still does.
+const takenPause = 100 * time.Millisecond
+
+// listenLater listens as soon as that can be had; nil when the context ends before.
+func listenLater(ctx context.Context, addr string) net.Listener {
+	for ctx.Err() == nil {
+		if l, err := net.Listen("tcp", addr); err == nil {
+			return l
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(takenPause):
+		}
+	}
+	return nil
+}
