A test of a thousand half-written heads a second beside a slow request

It fails where who was first to be read makes room. Tried and taken out: a rank of its own for who has sent several pieces; who is silent for longest already tells them apart.

--- a/internal/agent/bodies_test.go
+++ b/internal/agent/bodies_test.go
@@ -467,3 +467,47 @@
 		t.Errorf("one that says nothing more: %v %v", resp, err)
 	}
 }
+
+// A thousand half-written heads a second, with descriptors for a few dozen clients, keep nobody out who writes his request, at once or
+// slowly.
+func TestHalfWrittenHeadsMakeRoom(t *testing.T) {
+	b := newBackend(t, says(served))
+	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
+	a := startOn(t, d, 0, func(c *Config) { c.Operator, c.Sockets = testbed.Refusing(t), leastSockets }, Extras{}, slog.New(slog.DiscardHandler))
+	slow := a.raw(t)
+	text := head("POST", "/pay", "HTTP/1.1", "Content-Length: 2") + "hi"
+	slow.send(text[:1])
+	done := make(chan error, 1)
+	go func() { // for over a second
+		for i := 1; i < len(text); i += 2 {
+			time.Sleep(20 * time.Millisecond)
+			if _, err := io.WriteString(slow, text[i:min(i+2, len(text))]); err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	open := 0
+	for range 200 {
+		time.Sleep(5 * time.Millisecond)
+		for range 5 {
+			c, err := net.Dial("tcp", a.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, "POST /pay HTTP/1.1\r\nHost: a\r\nX-Req")
+			open++
+		}
+		if got := send(t, a.newRequest(t, http.MethodGet, "/form-check", "")); got.status != http.StatusOK {
+			t.Fatalf("after %d half-written heads: %+v", open, got)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Fatalf("the slow one was cut off: %v", err)
+	}
+	if resp, _, err := slow.answer("POST"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the slow one: %v %v", resp, err)
+	}
+}
