Upgrades: a word that is acknowledged, names that can't be mistaken, paths of any length

Found on a second reading and by a test that failed: an old process could be told to end before it had read that the new one serves, and closed its idle connections at once; the yes now waits until the others know. Sockets were named by process id, which two versions in containers share, and not by the clients' address, so that two agents of one name in one folder would have become one; a deep TMPDIR left no room for a socket's path, and only SO_REUSEPORT remained. A message that was cut off closes the link; the link closes where the agent never came to serve. A server taken back as cold stays so for the next process, which hears of the list later (bans).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -36,7 +36,7 @@
 	spareSockets = 24 // for the listener, discovery, the runtime and files
 	backendShare = 0.45
 	silentMost   = 500 * time.Millisecond // for which a client may be silent before it makes room for others
-	largePart    = 6                      // of the memory limit, which large bodies may hold
+	largePart    = 4                      // of the memory limit, which large bodies may hold
 	leastSockets = 100                    // with fewer there is no point in running
 	mostSockets  = 4096                   // more are never needed, whatever the limit allows
 )
@@ -127,6 +127,7 @@
 		if err != nil {
 			return fmt.Errorf("listening for clients: %w", err)
 		}
+		defer link.Close() // also where it never came to serving
 		with.link = link
 		return serve(ctx, cfg, reloads, link.Gate(), log, with)
 	}
--- a/internal/agent/upgrade.go
+++ b/internal/agent/upgrade.go
@@ -29,7 +29,7 @@
 
 // joinOthers opens the listener for clients, or takes it over from a process of the agent that runs already.
 func joinOthers(cfg Config, log *slog.Logger) (*handover.Link, error) {
-	return handover.Join(os.TempDir(), cfg.Name, func() (net.Listener, error) { return listenShared(cfg.Listen) }, log)
+	return handover.Join(os.TempDir(), cfg.Name+" "+cfg.Listen, func() (net.Listener, error) { return listenShared(cfg.Listen) }, log)
 }
 
 // listenShared listens on an address at which other processes may listen as well, where the socket itself can't be handed over.
@@ -90,7 +90,7 @@
 
 // leave is told that the process is to end. It reports whether another one serves.
 func (u *upgrade) leave() bool {
-	u.link.Enter(handover.Leaving)
+	u.link.Enter(context.Background(), handover.Leaving)
 	return u.link.Succeeded()
 }
 
@@ -103,7 +103,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	u.link.Enter(handover.Serving)
+	u.link.Enter(ctx, handover.Serving)
 	u.serving.Store(true)
 	log.Info("ready to serve", "discovery heard", d.Heard(), "alone", u.link.Alone(), "after", time.Since(began).Round(time.Millisecond))
 }
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -46,9 +46,7 @@
 // Listed notes that the list names a server, with its latest start.
 func (s *Set) Listed(id string, started time.Duration) {
 	n := s.named(id)
-	if n.listed = true; n.began != started {
-		n.began, n.back = started, 0
-	}
+	n.listed, n.began = true, started
 	s.settle(id, n)
 }
 
--- a/internal/bans/bans_test.go
+++ b/internal/bans/bans_test.go
@@ -74,6 +74,13 @@
 		if got := s.Started("a", c.listed); got != c.want {
 			t.Errorf("%s: started %v, want %v", c.name, got, c.want)
 		}
+		other := New(3) // as does a process that takes over, which hears of the list only then
+		same := func(d time.Duration) int64 { return int64(d) }
+		other.Restore(s.State(same), func(ms int64) time.Duration { return time.Duration(ms) })
+		other.Listed("a", max(c.listed, second))
+		if got := other.Started("a", max(c.listed, second)); got != c.want {
+			t.Errorf("%s: started %v for the next process, want %v", c.name, got, c.want)
+		}
 		s.Listed("a", 11*second) // what the list learns later holds
 		if got := s.Started("a", 11*second); got != 11*second {
 			t.Errorf("%s: started %v after the list knew", c.name, got)
--- a/internal/engine/held.go
+++ b/internal/engine/held.go
@@ -37,10 +37,15 @@
 // listed takes a list over and returns it with the bans.
 func (h *held) listed(l Listed) Listed {
 	if l.Full {
-		for id := range h.told {
-			h.set.Unlisted(id)
-		}
-		clear(h.told)
+		before := h.told
+		h.told = make(map[string]Member, len(l.Members))
+		defer func() {
+			for id := range before {
+				if _, still := h.told[id]; !still {
+					h.set.Unlisted(id)
+				}
+			}
+		}()
 	}
 	h.drop = l.Drop
 	out := Listed{Full: l.Full, Drop: l.Drop, Members: make([]Member, 0, len(l.Members))}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,13 +11,14 @@
 	"log/slog"
 	"net"
 	"os"
-	"path/filepath"
-	"strconv"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"appleledge/internal/bans"
 )
 
@@ -24,13 +26,13 @@
 	mostPeers   = 4                      // processes of the agent beside this one
 	joinTime    = time.Second            // for another process to answer at the start
 	writeTime   = 300 * time.Millisecond // for a message to be taken
-	orderTime   = 300 * time.Millisecond // for the others' word on an order
+	replyTime   = 300 * time.Millisecond // for the others' word that they have taken a message in
 	longestLine = 16 << 20               // bytes of a message: the ids of over 100,000 servers
 	acceptPause = 50 * time.Millisecond  // after a connection that could not be taken
 )
 
 // Sockets is how many descriptors a Link needs at the most.
-const Sockets = mostPeers + 2
+const Sockets = mostPeers + 3
 
 // Order is what an operator wants of a server.
 type Order struct {
@@ -53,15 +55,15 @@
 	Phase Phase       `json:"phase"` // of the sender
 	Bans  *bans.State `json:"bans,omitempty"`
 	Order *Order      `json:"order,omitempty"`
-	Ask   int         `json:"ask,omitempty"`   // number of an order that wants an answer
-	Reply int         `json:"reply,omitempty"` // number of the order that is answered
+	Ask   int         `json:"ask,omitempty"`   // the number under which a reply is wanted
+	Reply int         `json:"reply,omitempty"` // the number that is replied to
 }
 
 // Link connects a process with the others of its agent.
 type Link struct {
 	log  *slog.Logger
-	path string // of the own socket; empty: nobody can join
-	own  *net.UnixListener
+	dir  *os.File          // where the sockets are
+	own  *net.UnixListener // nil: nobody can join
 	gate *Gate
 	host Host // set by Run
 
@@ -85,19 +87,24 @@
 
 func newPeer(c *net.UnixConn) *peer { return &peer{conn: c, in: bufio.NewReader(c)} }
 
-// Join finds the other processes of the agent by their sockets in a folder. Where one has a listener for clients it is taken
+// Join finds the other processes of the agent by their sockets in a folder, which agents may share: agent is what tells this one
+// from all others, as its name and address. Where one has a listener for clients it is taken
 // over; else listen opens one. A folder in which no socket can be made leaves the process alone.
 func Join(dir, agent string, listen func() (net.Listener, error), log *slog.Logger) (*Link, error) {
 	l := &Link{log: log, process: NewProcess(), peers: map[int]*peer{}, wait: map[int]chan<- struct{}{}}
+	var err error
+	if l.dir, err = os.Open(dir); err != nil {
+		return nil, fmt.Errorf("the folder for temporary files, in which an old and a new version meet: %w", err)
+	}
 	var passed net.Listener
-	for _, path := range sockets(dir, agent) {
-		found, listener, err := join(path)
+	for _, name := range l.sockets(agent) {
+		found, listener, err := join(l.path(name))
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, os.ErrNotExist):
-			os.Remove(path) // its process is gone
+			os.Remove(l.path(name)) // its process is gone
 			continue
 		case err != nil:
-			log.Warn("another process of the agent does not answer", "socket", path, "error", err)
+			log.Warn("another process of the agent does not answer", "socket", name, "error", err)
 			continue
 		}
 		if listener != nil && passed == nil {
@@ -109,58 +116,53 @@
 		log.Info("beside another process of the agent", "phase", found.first.Phase.String(), "listener", listener != nil)
 	}
 	if passed == nil {
-		var err error
 		if passed, err = listen(); err != nil {
+			l.Close()
 			return nil, err
 		}
 	}
 	tcp, ok := passed.(*net.TCPListener)
 	if !ok {
+		l.Close()
 		return nil, fmt.Errorf("a listener of kind %T can't be shared", passed)
 	}
 	l.gate = NewGate(tcp)
-	l.open(filepath.Join(dir, prefix(agent)+strconv.Itoa(os.Getpid())+suffix))
+	l.open(l.path(prefix(agent) + rand.Text()[:8] + suffix))
 	return l, nil
 }
 
 const suffix = ".sock"
 
-func prefix(agent string) string {
-	clean := func(r rune) rune {
-		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' {
-			return r
-		}
-		return '_'
-	}
-	return "appleledge-" + strings.Map(clean, agent) + "."
-}
+// path leads to a file of the folder. It is short wherever that is, as the path of a socket may have a hundred bytes.
+func (l *Link) path(name string) string { return fmt.Sprintf("/proc/self/fd/%d/%s", l.dir.Fd(), name) }
+
+// prefix is short as well, whatever the agent is called.
+func prefix(agent string) string { return fmt.Sprintf("appleledge-%016x.", xxhash.Sum64String(agent)) }
 
 // sockets are the files of other processes of the agent.
-func sockets(dir, agent string) (paths []string) {
-	entries, err := os.ReadDir(dir)
+func (l *Link) sockets(agent string) []string {
+	names, err := l.dir.Readdirnames(-1)
 	if err != nil {
-		return nil
-	}
-	for _, e := range entries {
-		if strings.HasPrefix(e.Name(), prefix(agent)) && strings.HasSuffix(e.Name(), suffix) {
-			paths = append(paths, filepath.Join(dir, e.Name()))
-		}
+		l.log.Warn("other processes of the agent can't be looked for", "error", err)
 	}
-	return paths
+	return slices.DeleteFunc(names, func(name string) bool {
+		return !strings.HasPrefix(name, prefix(agent)) || !strings.HasSuffix(name, suffix)
+	})
 }
 
 // open makes the own socket, for its owner alone.
 func (l *Link) open(path string) {
-	os.Remove(path) // of an earlier process under the same number
 	own, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
 	if err == nil {
-		err = os.Chmod(path, 0o600)
+		if err = os.Chmod(path, 0o600); err != nil {
+			own.Close()
+		}
 	}
 	if err != nil {
 		l.log.Warn("a later process can't take over from this one without a gap", "error", err)
 		return
 	}
-	l.own, l.path = own, path
+	l.own = own
 }
 
 // joined is another process as it answered.
@@ -281,6 +283,11 @@
 		all.Go(func() { l.accept(ctx, &all) })
 	}
 	<-ctx.Done()
+	l.Close()
+}
+
+// Close ends the connections to the others, who then go on without this process. Run does so at its end.
+func (l *Link) Close() {
 	if l.own != nil {
 		l.own.Close() // which removes the file
 	}
@@ -289,6 +296,7 @@
 	for _, p := range l.peers {
 		p.conn.Close()
 	}
+	l.dir.Close()
 }
 
 // settle lets the process do what its phase and the others' want.
@@ -301,14 +309,15 @@
 	}
 }
 
-// Enter brings the process into a phase, which the others are told.
-func (l *Link) Enter(phase Phase) {
+// Enter brings the process into a phase. When it returns the others know, or have not said so in time: a process may be told to
+// end as soon as another one says that it serves, and has to know by then that it has a successor.
+func (l *Link) Enter(ctx context.Context, phase Phase) {
 	l.mu.Lock()
 	l.process.Enter(phase)
 	l.mu.Unlock()
 	l.settle()
-	for _, p := range l.others() {
-		l.send(p, message{})
+	if !l.tell(ctx, message{}) {
+		l.log.Warn("another process of the agent has not heard of this one's phase in time", "phase", phase.String())
 	}
 }
 
@@ -328,22 +337,26 @@
 	if err := do(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	if !l.tell(ctx, message{Order: &o}) {
+		l.log.Warn("another process of the agent has not taken an order in time", "server", o.Server, "out", o.Out)
+	}
+	return nil
+}
+
+// tell sends a message to all others and waits until they have taken it in. It reports whether all have, in time.
+func (l *Link) tell(ctx context.Context, m message) bool {
+	ctx, cancel := context.WithTimeout(ctx, replyTime)
 	defer cancel()
-	replies := make(chan struct{}, mostPeers+1)
+	replies := make(chan struct{}, mostPeers)
 	asked := 0
 	for _, p := range l.others() {
 		l.mu.Lock()
 		l.number++
-		number := l.number
-		l.wait[number] = replies
+		m.Ask = l.number
+		l.wait[m.Ask] = replies
 		l.mu.Unlock()
-		defer func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			delete(l.wait, number)
-		}()
-		if l.send(p, message{Order: &o, Ask: number}) == nil {
+		defer l.forget(m.Ask)
+		if l.send(p, m) == nil {
 			asked++
 		}
 	}
@@ -351,11 +364,17 @@
 		select {
 		case <-replies:
 		case <-ctx.Done():
-			l.log.Warn("another process of the agent has not taken an order in time", "server", o.Server, "out", o.Out)
-			return nil
+			return false
 		}
 	}
-	return nil
+	return true
+}
+
+// forget waits for a reply no more.
+func (l *Link) forget(number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.wait, number)
 }
 
 // accept takes processes that start beside this one.
@@ -391,6 +410,9 @@
 	}
 	l.order.Lock()
 	defer l.order.Unlock()
+	if len(l.others()) >= mostPeers {
+		return fmt.Errorf("there are %d processes of the agent already", 1+mostPeers)
+	}
 	state, err := l.host.Bans(ctx)
 	if err != nil {
 		return err
@@ -405,9 +427,6 @@
 	if err := errors.Join(err, sent); err != nil {
 		return err
 	}
-	if len(l.others()) >= mostPeers {
-		return fmt.Errorf("there are %d processes of the agent already", 1+mostPeers)
-	}
 	l.add(p, message{Phase: Starting})
 	if err := l.send(p, message{Bans: &state}); err != nil {
 		l.lost(p)
@@ -448,10 +467,12 @@
 	if err != nil {
 		return err
 	}
-	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
-		return err
+	if err = p.conn.SetWriteDeadline(time.Now().Add(writeTime)); err == nil {
+		_, err = p.conn.Write(append(line, '\n'))
+	}
+	if err != nil { // a part of a line may be out: what follows could not be read
+		p.conn.Close()
 	}
-	_, err = p.conn.Write(append(line, '\n'))
 	return err
 }
 
@@ -494,11 +515,13 @@
 		if reply != nil {
 			reply <- struct{}{} // has room for all that were asked
 		}
-		if m.Order == nil {
-			continue
+		if m.Order != nil {
+			if err := l.host.Obey(ctx, *m.Order); err != nil {
+				l.log.Warn("an order that another process took could not be carried out", "server", m.Order.Server, "error", err)
+			}
 		}
-		if err := l.host.Obey(ctx, *m.Order); err != nil {
-			l.log.Warn("an order that another process took could not be carried out", "server", m.Order.Server, "error", err)
+		if m.Ask == 0 {
+			continue
 		}
 		if err := l.send(p, message{Reply: m.Ask}); err != nil {
 			return
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -30,7 +30,7 @@
 	heldRetry     = time.Second // the come-back time when too much is open
 )
 
-// Options are what a Server is made of. All but MostHeld, AcceptFor and Joins must be set.
+// Options are what a Server is made of. All but MostHeld, AcceptFor, Leave, Joins and Large must be set.
 type Options struct {
 	Rules     intake.Checker
 	Engine    *engine.Engine
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -90,7 +90,9 @@
 func (f *InForce) Longest() (longest time.Duration) {
 	for r := f.rules.Load(); r != nil; r = r.Before {
 		for _, c := range r.Classes {
-			longest = max(longest, c.Deadline)
+			if !c.Dropped {
+				longest = max(longest, c.Deadline)
+			}
 		}
 	}
 	return longest
