Tests of upgrades take free ports from the log; a process is leaving before it says so

Need: ports that were free a moment ago were another run's with eight runs side by side (a dial refused, a yes from another agent). Each version listens at port 0 and the test reads where; that the next one has the first one's address is checked with it. The log says 'draining' once answers close their connections.

--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -35,7 +35,7 @@
 }
 
 func install(t *testing.T) *installation {
-	in := &installation{t: t, dir: t.TempDir(), listen: testbed.Refusing(t), ran: map[string]int{}}
+	in := &installation{t: t, dir: t.TempDir(), ran: map[string]int{}}
 	run := func(c net.Conn, r *http.Request, _ int) bool {
 		in.mu.Lock()
 		in.ran[r.Header.Get("X-Request-ID")]++
@@ -53,6 +53,7 @@
 // version is one process of the agent.
 type version struct {
 	*exec.Cmd
+	t        *testing.T
 	config   string
 	operator string
 	ended    chan error
@@ -62,22 +63,43 @@
 // start starts a version that follows discovery at an address. It does not wait.
 func (in *installation) start(discovery string, args ...string) *version {
 	in.t.Helper()
-	v := &version{operator: testbed.Refusing(in.t), ended: make(chan error, 1), log: &testbed.LockedBuffer{}, config: filepath.Join(in.t.TempDir(), "config.json")}
+	v := &version{t: in.t, ended: make(chan error, 1), log: &testbed.LockedBuffer{}, config: filepath.Join(in.t.TempDir(), "config.json")}
 	if err := os.WriteFile(v.config, testbed.ConfigText(discovery, "null"), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
 	v.Cmd = exec.Command(os.Args[0], args...)
-	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+v.config, "PROXY_LISTEN="+in.listen,
-		"PROXY_OPERATOR="+v.operator)
+	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+v.config, "PROXY_LISTEN=127.0.0.1:0",
+		"PROXY_OPERATOR=127.0.0.1:0") // free ones; a version that takes the clients' socket over has the first one's
 	v.Stderr = v.log
 	if err := v.Start(); err != nil {
 		in.t.Fatal(err)
 	}
 	go func() { v.ended <- v.Wait() }()
 	in.t.Cleanup(func() { v.Process.Kill() })
+	switch addr := v.address("msg=listening agent=n0 addr="); {
+	case in.listen == "":
+		in.listen = addr
+	case in.listen != addr:
+		in.t.Fatalf("a version listens at %s, the one before it at %s", addr, in.listen)
+	}
+	v.operator = v.address(`msg="listening for operators" agent=n0 addr=`)
 	return v
 }
 
+// address waits for the line of the log that ends in one.
+func (v *version) address(line string) (addr string) {
+	v.t.Helper()
+	testbed.Eventually(v.t, line+"\n"+v.log.String(), func() bool {
+		_, rest, ok := strings.Cut(v.log.String(), line)
+		if !ok {
+			return false
+		}
+		addr, _, ok = strings.Cut(rest, "\n")
+		return ok
+	})
+	return addr
+}
+
 func (in *installation) ready(v *version) *version {
 	in.t.Helper()
 	testbed.Eventually(in.t, "a version says yes", func() bool { return in.call(v, "GET", "readiness") == http.StatusOK })
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -85,7 +85,6 @@
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
-	s.Log.Info("draining")
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.AcceptFor+longest())
 	defer cancel()
 	err := s.drain(limited, srv)
@@ -335,8 +334,9 @@
 // answers close theirs at once, while new connections are still accepted; then what is open is answered. Where another
 // process serves, clients notice nothing: what connects goes there, and what is idle may bring one more request.
 func (s *Server) drain(ctx context.Context, srv *http.Server) error {
-	succeeded := s.Leave != nil && s.Leave()
 	s.leaving.Store(true)
+	succeeded := s.Leave != nil && s.Leave()
+	s.Log.Info("draining", "succeeded", succeeded)
 	wait := s.AcceptFor
 	if succeeded {
 		wait = keepFor
