Unix sockets get their mode before they are bound; the umask is left alone

Seen: a clean checkout failed on TestTheConfigurationSurvivesARestart, an operators' socket of mode 0755 where 0600 was asked. Cause: admin.Listen set the umask round its bind. It is the whole process': of two that listen at once the second one saves the first one's 0177 as the old value, and one socket is made between the other's restore and its own bind. Ruled out: the stale file's replacement, which keeps no mode. The link of upgrades set its mode after the bind, a gap. Change: localsocket sets the descriptor's mode before the bind, from which the kernel makes the file, and says so where a system does not.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -17,6 +17,7 @@
 
 	"appleledge/internal/fleetconfig"
 	"appleledge/internal/generation"
+	"appleledge/internal/localsocket"
 	"appleledge/internal/plan"
 )
 
@@ -46,10 +47,11 @@
 			return nil, err
 		}
 	}
-	old := syscall.Umask(0o177) // from the start, as a mode that is set later leaves a gap
-	l, err := net.Listen("unix", path)
-	syscall.Umask(old)
-	return l, err
+	l, err := localsocket.Listen(path)
+	if err != nil {
+		return nil, err
+	}
+	return l, nil
 }
 
 // Server answers the calls.
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -20,6 +20,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"appleledge/internal/bans"
+	"appleledge/internal/localsocket"
 )
 
 const (
@@ -152,12 +153,7 @@
 
 // open makes the own socket, for its owner alone.
 func (l *Link) open(path string) {
-	own, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
-	if err == nil {
-		if err = os.Chmod(path, 0o600); err != nil {
-			own.Close()
-		}
-	}
+	own, err := localsocket.Listen(path)
 	if err != nil {
 		l.log.Warn("a later process can't take over from this one without a gap", "error", err)
 		return
