Answers that end where their connection does are served where messages come in all forms

Change: where operators call it is whole at the end of the connection; a reset, and one of over 33 MiB, are breaks. Elsewhere it stays spoilt, as bodies are 64 KiB there and come with their length. Not taken: passing it on only behind what has come by 300 ms, since what is cut looks the same then.

--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -58,7 +58,7 @@
 	Clock  engine.Clock
 	Fields []string        // of load reports
 	Noted  func(err error) // is told of reports that can't be read
-	Large  bool            // bodies of up to MostLarge pass, and peers may be slow
+	Large  bool            // bodies of up to MostLarge pass, peers may be slow, and an answer may end with its connection
 }
 
 // Carry makes the attempt and returns its outcome, which is exact: what may have run is never said not to have.
@@ -199,10 +199,16 @@
 	return nil
 }
 
-// readWhole reads the body, which has to say where it ends: one that ends where the connection does may be cut.
-func readWhole(c *pool.Conn, resp *http.Response) ([]byte, error) {
+// ended reports whether the end of a body can be told: one that ends where the connection does may be cut. It is whole by the
+// protocol (RFC 9112, section 6.3, point 8), and taken for that where messages come in all forms; a reset is a break there too.
+func (s *Carrier) ended(resp *http.Response) bool {
+	return s.Large || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// readWhole reads the body.
+func (s *Carrier) readWhole(c *pool.Conn, resp *http.Response) ([]byte, error) {
 	length := resp.ContentLength
-	if length > maxBody || length < 0 && len(resp.TransferEncoding) == 0 {
+	if length > maxBody || !s.ended(resp) {
 		return nil, fmt.Errorf("a length of %d", length)
 	}
 	c.Allow(maxAnswer)
--- a/internal/httpcarrier/stream.go
+++ b/internal/httpcarrier/stream.go
@@ -174,11 +174,11 @@
 		return out, nil
 	}
 	if !s.Large || resp.StatusCode != http.StatusOK {
-		body, err := readWhole(c, resp)
+		body, err := s.readWhole(c, resp)
 		out.Body, out.Length = body, int64(len(body))
 		return out, err
 	}
-	if out.Length > MostLarge || out.Length < 0 && len(resp.TransferEncoding) == 0 {
+	if out.Length > MostLarge {
 		return nil, fmt.Errorf("a length of %d", out.Length)
 	}
 	c.Allow(chunkCost * (MostLarge + maxHead))
