Upgrades with configurations: the new process follows the old one, then takes over

Need: with [generations] a new version did not start, as the old one holds the lock of the state. Change: it starts with the state as the old one keeps it, follows its changes (read each 100 ms, as each is a rename), and has lock and socket when the old one has ended, however it did. One process judges and keeps at a time. Not taken: sending the state over the link between the two (an older version does not know of it), and handing the lock over at the yes (an operator's call and a rollback could cross it).

--- a/internal/admin/changes.go
+++ b/internal/admin/changes.go
@@ -221,6 +221,26 @@
 	return c.inForce(ctx, out), nil
 }
 
+// Adopt brings in force what another process of the agent has in force, or had when it ended: then it is this one's to watch.
+func (c *Changes) Adopt(ctx context.Context, s *generation.State, ended bool) error {
+	v, err := c.view(ctx)
+	if err != nil {
+		return err
+	}
+	p, err := generation.Prepare(s, c.Names, v.servers, v.version)
+	if err != nil {
+		return err
+	}
+	return c.command(ctx, func(now time.Duration, m *generation.Manager) error {
+		if ended {
+			m.TakeOver(now, p)
+		} else {
+			m.Follow(now, p)
+		}
+		return nil
+	})
+}
+
 // keep keeps the state as it is now.
 func (c *Changes) keep(ctx context.Context) error {
 	if c.Keeper == nil {
--- /dev/null
+++ b/internal/agent/followed.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"time"
+
+	"appleledge/internal/generation"
+	"appleledge/internal/store"
+)
+
+// keepUpEvery is how soon a process follows what another one of its agent puts in force, and takes over when that has ended.
+const keepUpEvery = 100 * time.Millisecond
+
+// kept is the state that another process of the agent keeps. That one changes it, by a rename each time; this one reads.
+type kept struct {
+	file store.File
+	seen os.FileInfo // as it was read last; nil: there was none
+}
+
+// read returns the state if it has changed since it was read last, or nil.
+func (k *kept) read() (*generation.State, error) {
+	info, err := os.Stat(k.file.Path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil // none is kept before the first change
+	}
+	if err != nil || k.seen != nil && os.SameFile(info, k.seen) && info.ModTime().Equal(k.seen.ModTime()) {
+		return nil, err
+	}
+	doc, err := k.file.Load() // it may be newer than info, and is read again then
+	if err != nil {
+		return nil, err
+	}
+	s, err := generation.DecodeState(doc)
+	if err == nil {
+		k.seen = info
+	}
+	return s, err
+}
+
+// first takes up the state before the engine runs.
+func (k *kept) first(m *generation.Manager, names generation.Names, now time.Duration) error {
+	s, err := k.read()
+	if err != nil || s == nil {
+		return err
+	}
+	servers, version := m.Servers()
+	p, err := generation.Prepare(s, names, servers, version)
+	if err == nil {
+		m.Follow(now, p)
+	}
+	return err
+}
+
+// follow keeps up with the other process until that has ended and the state is this one's, which it reports: else the context
+// has ended before.
+func (g *governing) follow(ctx context.Context, engine <-chan struct{}, log *slog.Logger) bool {
+	log.Info("the configuration in force is another process' of the agent, until that ends", "state", g.with.State)
+	tick := time.NewTicker(keepUpEvery)
+	defer tick.Stop()
+	failing := false
+	for {
+		select {
+		case <-engine: // not with the context: clients are still answered by what is in force
+			return false
+		case <-tick.C:
+		}
+		err := g.keepUp(context.WithoutCancel(ctx), log)
+		if g.kept == nil {
+			return true
+		}
+		if is := err != nil; is != failing {
+			if failing = is; is {
+				log.Error("the other process' configuration can't be followed", "error", err)
+			} else {
+				log.Info("the other process' configuration is followed again")
+			}
+		}
+	}
+}
+
+// keepUp takes over from the other process if it has ended, or brings in force what it has put in force meanwhile.
+func (g *governing) keepUp(ctx context.Context, log *slog.Logger) error {
+	release, locked := store.Lock(g.with.State)
+	if locked == nil {
+		g.release, g.kept.seen = release, nil // whatever it wrote last is this one's now
+	} else if !errors.Is(locked, store.ErrLocked) {
+		return locked
+	}
+	s, err := g.kept.read()
+	switch {
+	case err != nil && locked == nil: // nobody else will mend it
+		log.Error("the state of the configuration can't be read; this process keeps what is in force", "error", err)
+	case err != nil:
+		return err
+	case s != nil:
+		if err := g.changes.Adopt(ctx, s, locked == nil); err != nil && locked != nil {
+			return err
+		}
+		log.Info("configuration taken over", "generation", s.Number, "hash", s.Hash[:min(12, len(s.Hash))], "followed", locked != nil)
+	}
+	if locked == nil {
+		g.kept = nil
+	}
+	return nil
+}
--- a/internal/agent/generations.go
+++ b/internal/agent/generations.go
@@ -25,10 +25,12 @@
 
 // governing is what switched-on generations are at work with.
 type governing struct {
+	with    Generations
 	changes *admin.Changes
 	server  *admin.Server
 	socket  net.Listener
 	release func() error // of the state's lock; nil without a state
+	kept    *kept        // another process' state, which this one follows until that ends; nil: it has its own
 }
 
 // govern puts the configuration in force that the state has, and opens the operators' socket. It is called before the engine
@@ -49,8 +51,8 @@
 		UnixMS: func(t time.Duration) int64 { return clk.At(t).UnixMilli() }, Observe: func(r generation.Record) { logRecord(log, r) }})
 	changes := &admin.Changes{Agent: cfg.Name, Engine: core, Names: names, Keyed: keyed, Log: log, Now: time.Now,
 		Encode: func(s *generation.State) ([]byte, error) { return json.Marshal(s) }}
-	g := &governing{changes: changes, server: &admin.Server{Changes: changes, Log: log}}
-	if err := g.open(*x.Generations, manager, clk, log); err != nil {
+	g := &governing{with: *x.Generations, changes: changes, server: &admin.Server{Changes: changes, Log: log}}
+	if err := g.open(manager, x.link != nil && !x.link.Alone(), clk, log); err != nil {
 		g.close()
 		return nil, err
 	}
@@ -58,19 +60,26 @@
 	return g, nil
 }
 
-// open takes up the state and opens the socket.
-func (g *governing) open(with Generations, m *generation.Manager, clk engine.Clock, log *slog.Logger) (err error) {
-	if with.State != "" {
-		if g.release, err = store.Lock(with.State); err != nil {
+// open takes up the state and opens the socket. Where another process of the agent has them, its state is followed until it ends.
+func (g *governing) open(m *generation.Manager, beside bool, clk engine.Clock, log *slog.Logger) (err error) {
+	if g.with.State != "" {
+		file := store.File{Path: g.with.State, FS: store.OS{}}
+		g.changes.Keeper = file
+		switch g.release, err = store.Lock(g.with.State); {
+		case errors.Is(err, store.ErrLocked) && beside:
+			g.kept = &kept{file: file}
+			if err := g.kept.first(m, g.changes.Names, clk.Now()); err != nil {
+				return fmt.Errorf("the configuration of the process that runs already: %w", err)
+			}
+			return nil
+		case err != nil:
 			return fmt.Errorf("the state of the configuration: %w", err)
 		}
-		file := store.File{Path: with.State, FS: store.OS{}}
-		g.changes.Keeper = file
 		if err := restore(m, file, clk, log); err != nil {
 			return err
 		}
 	}
-	if g.socket, err = admin.Listen(with.Socket); err != nil {
+	if g.socket, err = admin.Listen(g.with.Socket); err != nil && !beside {
 		return fmt.Errorf("the operators' socket: %w", err)
 	}
 	return nil
@@ -107,6 +116,9 @@
 
 // run serves operators until the context ends, and keeps what changes by itself until the engine does.
 func (g *governing) run(ctx context.Context, engine <-chan struct{}, log *slog.Logger) {
+	if g.kept != nil && !g.follow(ctx, engine, log) {
+		return
+	}
 	keeping, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := make(chan struct{})
@@ -114,7 +126,7 @@
 		defer close(done)
 		g.changes.Run(keeping)
 	}()
-	if err := g.server.Serve(ctx, g.socket); err != nil {
+	if err := g.serve(ctx, log); err != nil {
 		log.Error("operators can't be served any more", "error", err)
 	}
 	<-engine
@@ -126,6 +138,22 @@
 	g.close()
 }
 
+// serve serves operators until the context ends, as soon as the socket is to be had: another process of the agent lets go of it
+// when it is told to end.
+func (g *governing) serve(ctx context.Context, log *slog.Logger) (err error) {
+	for g.socket == nil {
+		if g.socket, err = admin.Listen(g.with.Socket); err == nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(keepUpEvery):
+		}
+	}
+	return g.server.Serve(ctx, g.socket)
+}
+
 // lastKeep is how long the end of the agent waits for a disk.
 const lastKeep = time.Second
 
--- a/internal/generation/manager.go
+++ b/internal/generation/manager.go
@@ -42,16 +42,18 @@
 	watch   *watch // nil while none is under way
 	step    int    // of the rollout, that is done
 	stepAt  time.Duration
-	traffic *traffic
-	barred  map[string]string
-	barList []string // in order of age
-	history []Record
-	drained map[string]bool // ids that get nothing new
-	moved   []string        // ids whose drain has begun or ended
-	old     []*tenure       // with requests still bound to them
-	refused uint64
-	counts  map[string]uint64 // of records, by what they say, since the start
-	changes uint64            // of what State says
+	// followed says that another process of the agent watches the change and goes on with its rollout.
+	followed bool
+	traffic  *traffic
+	barred   map[string]string
+	barList  []string // in order of age
+	history  []Record
+	drained  map[string]bool // ids that get nothing new
+	moved    []string        // ids whose drain has begun or ended
+	old      []*tenure       // with requests still bound to them
+	refused  uint64
+	counts   map[string]uint64 // of records, by what they say, since the start
+	changes  uint64            // of what State says
 }
 
 // Ends of requests.
@@ -214,7 +216,7 @@
 // part is how much of the change's drains is out by now.
 func (m *Manager) part() float64 {
 	r := m.force.Config.Rollout
-	if r == nil || m.before == nil || m.watch == nil {
+	if r == nil || m.before == nil || m.watch == nil && !m.followed {
 		return 1
 	}
 	return min(1, float64(m.step+1)*r.Step)
--- a/internal/generation/manager_test.go
+++ b/internal/generation/manager_test.go
@@ -199,7 +199,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{m: newManager(), now: time.Second, config: &fleetconfig.Config{}, servers: Servers{}}
 		t.Repeat(map[string]func(*rapid.T){
-			"servers": w.list, "apply": w.apply, "rollback": w.rollback, "arrive": w.arrive, "end": w.end, "restart": w.restart, "": w.check,
+			"servers": w.list, "apply": w.apply, "rollback": w.rollback, "arrive": w.arrive, "end": w.end, "restart": w.restart, "follow": w.follow, "": w.check,
 		})
 		for len(w.open) > 0 {
 			w.end(t)
@@ -267,6 +267,43 @@
 	w.m.Listed(maps.Clone(w.servers))
 }
 
+// follow makes changes in another process, whose state this one follows or takes over; its requests stay, and the list moves
+// between the two looks that it takes.
+func (w *world) follow(t *rapid.T) {
+	other := newManager()
+	if err := other.Restore(w.now, w.m.State()); err != nil {
+		t.Fatal(err)
+	}
+	other.Listed(maps.Clone(w.servers))
+	switch c := drawConfig(t); {
+	case rapid.Bool().Draw(t, "the other one rolls back") && w.before != nil:
+		if err := other.Rollback(w.now, "test", ""); err != nil {
+			t.Fatal(err)
+		}
+		w.config, w.before = w.before, nil
+	case c.Hash() != w.config.Hash():
+		apply(t, other, w.now, c)
+		w.config, w.before = c, w.config
+	}
+	servers, version := w.m.Servers()
+	p, err := Prepare(other.State(), names, servers, version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rapid.Bool().Draw(t, "the list moves") {
+		w.list(t)
+	}
+	if rapid.Bool().Draw(t, "it has ended") {
+		w.m.TakeOver(w.now, p)
+	} else {
+		w.m.Follow(w.now, p)
+	}
+	_, number, hash := other.Config()
+	if _, n, h := w.m.Config(); n != number || h != hash {
+		t.Fatalf("generation %d (%.12s) follows %d (%.12s)", n, h, number, hash)
+	}
+}
+
 func (w *world) arrive(t *rapid.T) {
 	w.n++
 	a := Ask{ID: fmt.Sprint(w.n), Class: rapid.IntRange(0, 1).Draw(t, "class"), Tenant: rapid.IntRange(0, 2).Draw(t, "tenant"),
@@ -471,3 +508,44 @@
 		t.Errorf("%d barred, %d in the history", len(m.barred), len(m.history))
 	}
 }
+
+// A process that follows another one drains as far as that one's rollout has come, judges nothing, and takes the watch over.
+func TestAFollowerLeavesTheWatchToTheOther(t *testing.T) {
+	leader, follower := newManager(), newManager()
+	changed := Servers{}
+	for i := range 8 {
+		changed[server(i).ID] = server(i)
+	}
+	leader.Listed(changed)
+	follower.Listed(maps.Clone(changed))
+	apply(t, leader, time.Second, normal(fleetconfig.Config{Rollout: &fleetconfig.Rollout{Step: 0.25, Wait: fleetconfig.Time(time.Second)},
+		Drains: []fleetconfig.Drain{{Name: "d", Selector: fleetconfig.Selector{Kinds: []string{"twin-core"}}, Share: 1}}}))
+	adopt := func(bring func(time.Duration, *Prepared), now time.Duration) {
+		servers, version := follower.Servers()
+		p, err := Prepare(leader.State(), names, servers, version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bring(now, p)
+		if !maps.Equal(follower.drained, leader.drained) {
+			t.Errorf("%v are drained, and %v by the one that is followed", follower.drained, leader.drained)
+		}
+	}
+	adopt(follower.Follow, time.Second)
+	if n := len(follower.drained); n != 1 {
+		t.Fatalf("%d of 4 are drained at the first of four steps", n)
+	}
+	if _, due := follower.Due(); due {
+		t.Error("it watches as well")
+	}
+	for now := time.Second; len(leader.drained) < 3; now += 100 * time.Millisecond {
+		if leader.Tick(now); now > time.Minute {
+			t.Fatal("the rollout does not go on")
+		}
+	}
+	adopt(follower.Follow, 4*time.Second)
+	adopt(follower.TakeOver, 5*time.Second)
+	if _, due := follower.Due(); !due || len(follower.drained) != 3 {
+		t.Errorf("after it took over: watches %v, %d drained", due, len(follower.drained))
+	}
+}
--- a/internal/generation/state.go
+++ b/internal/generation/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"appleledge/internal/fleetconfig"
@@ -100,35 +101,89 @@
 // Restore takes up a state, before anything else is asked of the Manager. Configurations that no longer fit the platform's
 // names are an error, and then the Manager is as it was. A watch begins anew, with the figures of before the switch.
 func (m *Manager) Restore(now time.Duration, s *State) error {
+	p, err := Prepare(s, m.options.Names, m.servers, m.version)
+	if err == nil {
+		m.TakeOver(now, p)
+	}
+	return err
+}
+
+// Prepared is a State whose configurations are compiled.
+type Prepared struct {
+	state         *State
+	force, before *Compiled // before: nil where there is nothing to go back to
+	version       uint64    // of the servers that they are compiled for
+}
+
+// Prepare compiles the configurations of a State, for that version of the servers.
+func Prepare(s *State, names Names, servers Servers, version uint64) (*Prepared, error) {
 	compile := func(data json.RawMessage) (*Compiled, error) {
 		c, err := fleetconfig.Decode(data)
 		if err != nil {
 			return nil, err
 		}
-		return Compile(c, m.options.Names, m.servers)
+		return Compile(c, names, servers)
 	}
-	force, err := compile(s.Config)
-	if err != nil {
-		return fmt.Errorf("generation %d: %w", s.Number, err)
+	p := &Prepared{state: s, version: version}
+	var err error
+	if p.force, err = compile(s.Config); err != nil {
+		return nil, fmt.Errorf("generation %d: %w", s.Number, err)
 	}
-	var before *Compiled
-	if s.Previous != nil {
-		if before, err = compile(s.Previous); err != nil {
-			return fmt.Errorf("the generation before %d: %w", s.Number, err)
-		}
+	if s.Previous == nil {
+		return p, nil
 	}
-	m.force, m.before, m.history = &tenure{Compiled: force, number: s.Number}, before, s.History
-	for hash, why := range s.Barred {
-		m.bar(hash, why)
+	if p.before, err = compile(s.Previous); err != nil {
+		return nil, fmt.Errorf("the generation before %d: %w", s.Number, err)
 	}
+	return p, nil
+}
+
+// Follow brings in force what another process of the agent has in force. That one watches its changes, goes on with rollouts and
+// rolls back, until this one takes over.
+func (m *Manager) Follow(now time.Duration, p *Prepared) {
+	m.adopt(p)
+	m.followed = p.state.Watching != nil
+	m.redrain()
+}
+
+// TakeOver brings in force what a process had that has ended. A watch begins anew, with the figures of before the switch.
+func (m *Manager) TakeOver(now time.Duration, p *Prepared) {
+	s := p.state
+	m.adopt(p)
+	m.followed = false
 	if s.Staged != "" {
 		m.record(now, Record{Number: s.Number, Hash: s.Staged, What: Dropped, Why: "the agent ended before the switch"})
 	}
 	m.record(now, Record{Number: s.Number, Hash: s.Hash, What: Restarted})
-	if w := s.Watching; w != nil && before != nil && len(w.Before) == len(m.traffic.pairs) && len(w.Limited) == len(w.Before) {
-		m.step = w.Step
+	if w := s.Watching; w != nil && m.before != nil && len(w.Before) == len(m.traffic.pairs) && len(w.Limited) == len(w.Before) {
 		m.startWatch(now, w.Before, w.Limited)
 	}
 	m.redrain()
-	return nil
+}
+
+// adopt brings the generation of a State in force, with all that is remembered beside it. Requests that are bound to another one
+// end under that.
+func (m *Manager) adopt(p *Prepared) {
+	s := p.state
+	if old := m.force; old.number != s.Number || old.Hash != s.Hash {
+		p.force.inherit(old.Compiled)
+		if old.open > 0 {
+			m.old = append(m.old, old)
+		}
+		m.force = &tenure{Compiled: p.force, number: s.Number}
+	}
+	m.before, m.watch, m.step, m.history = p.before, nil, 0, slices.Clone(s.History)
+	if s.Watching != nil {
+		m.step = s.Watching.Step
+	}
+	if p.version != m.version { // from here on they hear of changes as the others do
+		for _, c := range []*Compiled{p.force, p.before} {
+			if c != nil {
+				c.update(m.servers, union(c.told, m.servers))
+			}
+		}
+	}
+	for hash, why := range s.Barred {
+		m.bar(hash, why)
+	}
 }
