Joins, storms, configurations and telemetry know of classes that come while the agent runs

Need: what the agent's own sections keep by class was made for those of the start; a class that came at SIGHUP passed them by. Change: they hear of the classes in the event in which the module does, by the numbers that stay. Traffic and watches grow, up to 2,048 rows of a kilobyte. Not taken: new tables for each change, since joined calls, passes and watches under way hold to the old ones. A class that comes under watch and does harm is rolled back; parts of the limit by worth.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -27,7 +27,7 @@
 )
 
 var names = generation.Names{Classes: []generation.Class{{Name: "form-check", Aim: time.Second}, {Name: "refund-record", Aim: time.Second}},
-	Tenants: []string{"wick", "lerwick"}, Zones: []string{"a"}}
+	Tenants: []string{"wick", "lerwick"}, Zones: []string{"a"}, Keyed: []string{"refund-record"}}
 
 // core is an engine of which only the manager is there.
 type core struct {
@@ -65,7 +65,7 @@
 		fleet[server(i).ID] = server(i)
 	}
 	c.manager.Listed(fleet)
-	x := &installation{core: c, disk: disk, Changes: &Changes{Agent: "n0", Engine: c, Names: names, Keyed: []string{"refund-record"}, Now: time.Now,
+	x := &installation{core: c, disk: disk, Changes: &Changes{Agent: "n0", Engine: c, Names: func() generation.Names { return names }, Now: time.Now,
 		Log: slog.New(slog.DiscardHandler), Encode: func(s *generation.State) ([]byte, error) { return json.Marshal(s) }}}
 	if disk != nil {
 		f := store.File{Path: "state", FS: disk}
--- a/internal/admin/changes.go
+++ b/internal/admin/changes.go
@@ -28,9 +28,8 @@
 type Changes struct {
 	Agent  string
 	Engine Engine
-	Names  generation.Names
-	Keyed  []string // names of the classes whose repeats pods remember
-	Keeper Keeper   // nil: nothing is kept
+	Names  func() generation.Names // of the platform, as they are now
+	Keeper Keeper                  // nil: nothing is kept
 	Encode func(*generation.State) ([]byte, error)
 	Log    *slog.Logger
 	Now    func() time.Time
@@ -80,7 +79,7 @@
 
 // Check checks a configuration against the platform's names.
 func (c *Changes) Check(config *fleetconfig.Config) error {
-	if err := config.Check(c.Names.Known()); err != nil {
+	if err := config.Check(c.Names().Known()); err != nil {
 		return refuse(KindInvalid, err)
 	}
 	return nil
@@ -109,8 +108,9 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	p, compiled, err := plan.Make(plan.Input{Agent: c.Agent, Number: v.number, From: v.config, To: config, Names: c.Names, Servers: v.servers,
-		Keyed: c.Keyed, MostTaken: mostTaken, UnixMS: c.Now().UnixMilli(),
+	names := c.Names()
+	p, compiled, err := plan.Make(plan.Input{Agent: c.Agent, Number: v.number, From: v.config, To: config, Names: names, Servers: v.servers,
+		Keyed: names.Keyed, MostTaken: mostTaken, UnixMS: c.Now().UnixMilli(),
 		TurnedAway: func(l fleetconfig.Limit) (float64, float64) { return limits[l.Name].refused, limits[l.Name].came }})
 	if err != nil {
 		return nil, nil, 0, refuse(KindInvalid, err)
@@ -227,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := generation.Prepare(s, c.Names, v.servers, v.version)
+	p, err := generation.Prepare(s, c.Names(), v.servers, v.version)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -175,7 +175,9 @@
 	if err != nil {
 		return err
 	}
-	governed, err := with.govern(core, clk, cfg, log)
+	own := newSections(cfg.Site, with.Join)
+	own.atFront = joined
+	governed, err := with.govern(core, clk, cfg, own, log)
 	if err != nil {
 		return err
 	}
@@ -188,10 +190,10 @@
 	}
 	if with.Storm != nil {
 		core.Guard(newStorm(cfg, *with.Storm))
-		parts.Go(func() { logStorms(inner, core, clk, cfg.Site.Logic.Classes, with.Storm.LogEvery, log) })
+		parts.Go(func() { logStorms(inner, core, clk, with.Storm.LogEvery, log) })
 	}
 	core.Name(cfg.Site.Logic.Classes)
-	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, log: log}
+	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, own: own, log: log}
 	var large *httpfront.Large
 	var crowd places.Options
 	if cfg.Operator != "" { // the days on which operators call are those on which bodies are large
--- a/internal/agent/generations.go
+++ b/internal/agent/generations.go
@@ -14,6 +14,7 @@
 	"appleledge/internal/generation"
 	"appleledge/internal/intake"
 	"appleledge/internal/store"
+	"appleledge/internal/wire"
 	"appleledge/logic"
 )
 
@@ -35,21 +36,14 @@
 
 // govern puts the configuration in force that the state has, and opens the operators' socket. It is called before the engine
 // runs; the result is nil where nothing is switched on.
-func (x Extras) govern(core *engine.Engine, clk engine.Clock, cfg Config, log *slog.Logger) (*governing, error) {
+func (x Extras) govern(core *engine.Engine, clk engine.Clock, cfg Config, s *sections, log *slog.Logger) (*governing, error) {
 	if x.Generations == nil {
 		return nil, nil
 	}
-	names := generation.Names{Tenants: cfg.Site.Tenants, Zones: cfg.Site.Zones, Headers: intake.Routable}
-	var keyed []string
-	for _, c := range cfg.Site.Logic.Classes {
-		names.Classes = append(names.Classes, generation.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline})
-		if c.Effect == logic.Keyed {
-			keyed = append(keyed, c.Name)
-		}
-	}
+	names := namesOf(cfg.Site, cfg.Site.Logic.Classes)
 	manager := generation.New(generation.Options{Names: names, MaxAfter: cfg.Site.Logic.MaxRetryAfter,
 		UnixMS: func(t time.Duration) int64 { return clk.At(t).UnixMilli() }, Observe: func(r generation.Record) { logRecord(log, r) }})
-	changes := &admin.Changes{Agent: cfg.Name, Engine: core, Names: names, Keyed: keyed, Log: log, Now: time.Now,
+	changes := &admin.Changes{Agent: cfg.Name, Engine: core, Names: s.names, Log: log, Now: time.Now,
 		Encode: func(s *generation.State) ([]byte, error) { return json.Marshal(s) }}
 	g := &governing{with: *x.Generations, changes: changes, server: &admin.Server{Changes: changes, Log: log}}
 	if err := g.open(manager, x.link != nil && !x.link.Alone(), clk, log); err != nil {
@@ -60,6 +54,18 @@
 	return g, nil
 }
 
+// namesOf are the platform's names, with these classes by their numbers. Those that were dropped keep theirs.
+func namesOf(site wire.Site, classes []logic.Class) generation.Names {
+	names := generation.Names{Tenants: site.Tenants, Zones: site.Zones, Headers: intake.Routable}
+	for _, c := range classes {
+		names.Classes = append(names.Classes, generation.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline})
+		if c.Effect == logic.Keyed {
+			names.Keyed = append(names.Keyed, c.Name)
+		}
+	}
+	return names
+}
+
 // open takes up the state and opens the socket. Where another process of the agent has them, its state is followed until it ends.
 func (g *governing) open(m *generation.Manager, beside bool, clk engine.Clock, log *slog.Logger) (err error) {
 	if g.with.State != "" {
@@ -68,7 +74,7 @@
 		switch g.release, err = store.Lock(g.with.State); {
 		case errors.Is(err, store.ErrLocked) && beside:
 			g.kept = &kept{file: file}
-			if err := g.kept.first(m, g.changes.Names, clk.Now()); err != nil {
+			if err := g.kept.first(m, g.changes.Names(), clk.Now()); err != nil {
 				return fmt.Errorf("the configuration of the process that runs already: %w", err)
 			}
 			return nil
--- a/internal/agent/join.go
+++ b/internal/agent/join.go
@@ -32,9 +32,7 @@
 		return nil, fmt.Errorf("joining like requests: %w", err)
 	}
 	j := &joining{logEvery: set.LogEvery, atFront: httpfront.Joins{Identity: identity, Apart: set.Apart}}
-	for _, c := range set.Options.Classes {
-		j.atFront.Classes = append(j.atFront.Classes, c.Joined)
-	}
+	j.atFront.Classes.Store(joined(set.Options.Classes))
 	after := site.MaxRetryAfter
 	for _, c := range site.Classes { // as the module words its refusals
 		after = min(after, c.Aim/2)
@@ -43,6 +41,15 @@
 	return j, nil
 }
 
+// joined says of classes, by number, whether they are.
+func joined(classes []join.Class) *[]bool {
+	out := make([]bool, len(classes))
+	for i, c := range classes {
+		out[i] = c.Joined
+	}
+	return &out
+}
+
 func (j *joining) front() *httpfront.Joins {
 	if j == nil {
 		return nil
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -26,6 +26,7 @@
 	terms  *terms.Terms
 	rules  *intake.InForce
 	keys   keys // of the file in force
+	own    *sections
 	counts reloadCounts
 	log    *slog.Logger
 }
@@ -64,7 +65,8 @@
 	r.keys = c.keys
 	rules := r.terms.Rules()
 	r.core.Name(tell.Classes)
-	r.core.Tell(engine.Retuned{Retune: tell, Number: rules.Number})
+	changed, misfit := r.own.tell(engine.Retuned{Retune: tell, Number: rules.Number})
+	r.core.Tell(changed)
 	r.rules.Put(rules)
 	r.disco.Move(c.Discovery)
 	var names []string
@@ -75,6 +77,9 @@
 	}
 	r.log.Info("configuration reloaded", "discovery", c.Discovery, "settings", rules.Number, "classes", strings.Join(names, " "),
 		"attempts", tell.MaxAttempts)
+	if misfit != nil {
+		r.log.Warn("a setting of the agent's own does not fit the classes any more", "error", misfit)
+	}
 	if len(later) > 0 {
 		r.log.Warn("some settings have changed that take effect at the next start only", "settings", strings.Join(later, ", "))
 	}
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -28,11 +28,11 @@
 }
 
 func startReloading(t *testing.T, discovery string) *reloading {
-	return startReloadingFor(t, discovery, "")
+	return startReloadingFor(t, discovery, "", Extras{})
 }
 
-// startReloadingFor is startReloading with an address for operators.
-func startReloadingFor(t *testing.T, discovery, operator string) *reloading {
+// startReloadingFor is startReloading with an address for operators, and what the agent's own settings switch on.
+func startReloadingFor(t *testing.T, discovery, operator string, with Extras) *reloading {
 	t.Helper()
 	a := &reloading{running: &running{done: make(chan error, 1)}, t: t, file: filepath.Join(t.TempDir(), "config.json"),
 		hup: make(chan os.Signal, 1)}
@@ -49,7 +49,7 @@
 	a.addr, a.url = l.Addr().String(), "http://"+l.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	reloads := Reloads{Signals: a.hup, Load: func() (Config, error) { return ReloadConfig(getenv) }}
-	go func() { a.done <- serve(ctx, cfg, reloads, l, slog.New(slog.NewTextHandler(&a.log, nil)), Extras{}) }()
+	go func() { a.done <- serve(ctx, cfg, reloads, l, slog.New(slog.NewTextHandler(&a.log, nil)), with) }()
 	t.Cleanup(func() { stop(); <-a.done })
 	eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
 	return a
@@ -169,7 +169,7 @@
 	b := newBackend(t, says(served))
 	d := newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0))
 	o := operators{t, testbed.Refusing(t)}
-	a := startReloadingFor(t, d.Addr().String(), o.addr)
+	a := startReloadingFor(t, d.Addr().String(), o.addr, Extras{})
 	text := string(configText(d.Addr().String(), "null"))
 	named := func(i int) []byte {
 		return []byte(strings.Replace(text, `"Name":"pay"`, fmt.Sprintf(`"Name":"pay-%d"`, i), 1))
--- /dev/null
+++ b/internal/agent/sections.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"sync/atomic"
+
+	"appleledge/internal/engine"
+	"appleledge/internal/generation"
+	"appleledge/internal/wire"
+	"appleledge/logic"
+)
+
+// sections are the parts that the agent's own settings switch on and that know of the platform's classes, as these change.
+type sections struct {
+	site    wire.Site
+	joins   func([]logic.Class) (Joins, error) // nil: none is joined
+	atFront *joining                           // nil: likewise
+	current atomic.Pointer[generation.Names]
+}
+
+func newSections(site wire.Site, joins func([]logic.Class) (Joins, error)) *sections {
+	s := &sections{site: site, joins: joins}
+	names := namesOf(site, site.Logic.Classes)
+	s.current.Store(&names)
+	return s
+}
+
+// names are the platform's names as they are now.
+func (s *sections) names() generation.Names { return *s.current.Load() }
+
+// tell adds what the sections have to hear of classes that change. The error names a setting that does not fit them any more:
+// it says what is not done for that.
+func (s *sections) tell(r engine.Retuned) (engine.Retuned, error) {
+	r.Names = namesOf(s.site, r.Classes)
+	s.current.Store(&r.Names)
+	r.Door = stormClasses(r.Classes)
+	if s.joins == nil {
+		return r, nil
+	}
+	set, err := s.joins(r.Classes)
+	r.Joins = set.Options.Classes
+	s.atFront.atFront.Classes.Store(joined(r.Joins))
+	return r, err
+}
--- a/internal/agent/storm.go
+++ b/internal/agent/storm.go
@@ -15,16 +15,24 @@
 func newStorm(cfg Config, set Storm) *storm.Watch {
 	site := cfg.Site.Logic
 	o := storm.Options{Shares: site.Shares, MaxAfter: site.MaxRetryAfter, Remember: set.Remember, Seed: cfg.Seed}
-	for _, c := range site.Classes {
-		o.Classes = append(o.Classes, storm.Class{Worth: c.Worth, Aim: c.Aim, Safe: c.Effect == logic.Safe})
-	}
+	o.Classes = stormClasses(site.Classes)
 	return storm.New(o)
 }
 
+func stormClasses(classes []logic.Class) (out []storm.Class) {
+	for _, c := range classes {
+		if c.Dropped {
+			c.Worth = 0
+		}
+		out = append(out, storm.Class{Worth: c.Worth, Aim: c.Aim, Safe: c.Effect == logic.Safe})
+	}
+	return out
+}
+
 const stormLook = 250 * time.Millisecond // between two looks at the state, for the log
 
 // logStorms logs each change of state, and every so often how it stands while it is not calm.
-func logStorms(ctx context.Context, core *engine.Engine, clk engine.Clock, classes []logic.Class, interval time.Duration, log *slog.Logger) {
+func logStorms(ctx context.Context, core *engine.Engine, clk engine.Clock, interval time.Duration, log *slog.Logger) {
 	last, logged := storm.Counts{}, time.Duration(0)
 	every(ctx, stormLook, func() {
 		c, now := core.Load().Door, clk.Now()
@@ -33,8 +41,9 @@
 			logged = now
 			attrs := []any{"state", c.State.String(), "for", (now - c.Since).Round(time.Millisecond), "why", c.Why,
 				"limit", math.Round(c.Limit*10) / 10, "in_flight", c.InFlight, "storms", c.Storms, "too_late", c.Late, "bound", c.Bound}
+			names := core.Tally().Classes // read later than the counts: it has them all
 			for i, class := range c.Refused {
-				attrs = append(attrs, slog.Group(classes[i].Name, "refused_first", class[0], "refused_again", class[1]))
+				attrs = append(attrs, slog.Group(names[i], "refused_first", class[0], "refused_again", class[1]))
 			}
 			log.Info("storm watch", attrs...)
 		}
--- a/internal/engine/door.go
+++ b/internal/engine/door.go
@@ -17,12 +17,15 @@
 	Counts() storm.Counts
 }
 
+// retuner is a Door that takes the classes as they are from now on, by their numbers.
+type retuner interface{ Retune([]storm.Class) }
+
 // Guard puts a door before the module. It is called before Run.
 func (e *Engine) Guard(d Door) { e.door = d }
 
 // admit lets a call in, or answers it.
 func (e *Engine) admit(c *Call) bool {
-	if e.door == nil || !e.old(c) {
+	if e.door == nil {
 		return true
 	}
 	a := storm.Ask{Class: c.Class, Tenant: c.Tenant, Key: c.RepeatKey, Again: c.Again, Bound: c.Try > 1 || c.before.May, Deadline: c.Deadline}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -216,10 +216,14 @@
 	}
 	// ListUnavailable says that a subscription ended or could not be had.
 	ListUnavailable struct{}
-	// Retuned brings settings that have changed, and their number.
+	// Retuned brings settings that have changed, and their number; what is switched on beside the module hears of the classes
+	// as it needs them.
 	Retuned struct {
 		logic.Retune
 		Number int
+		Joins  []join.Class
+		Door   []storm.Class
+		Names  generation.Names
 	}
 	// uploaded says that the last byte of an attempt was written.
 	uploaded struct {
@@ -271,7 +275,6 @@
 	ties     *ties                     // nil where none are kept
 	held     *held                     // nil where operators hold out nothing
 	settings int                       // the number of those in force
-	known    int                       // classes at the start, which joins, doors and configurations know; 0: all that come
 }
 
 const eventQueue = 1024
@@ -446,8 +449,7 @@
 	case ListUnavailable:
 		e.decide(logic.ListUnavailable{})
 	case Retuned:
-		e.settings = ev.Number
-		e.decide(ev.Retune)
+		e.retuned(ev)
 	case uploaded:
 		e.uploaded(ev)
 	case commanded:
@@ -528,8 +530,20 @@
 	return min(a, b)
 }
 
-// old reports whether a call's class was there at the start.
-func (e *Engine) old(c *Call) bool { return e.known == 0 || c.Class < e.known }
+// retuned puts settings in force for what comes from now on.
+func (e *Engine) retuned(r Retuned) {
+	e.settings = r.Number
+	e.decide(r.Retune)
+	if e.joins != nil {
+		e.joins.table.Retune(r.Joins)
+	}
+	if d, ok := e.door.(retuner); ok {
+		d.Retune(r.Door)
+	}
+	if e.governed != nil {
+		e.governed.manager.Retune(r.Names)
+	}
+}
 
 // reject answers a call that the module never sees.
 func (e *Engine) reject(c *Call, a Answer) {
--- a/internal/engine/governed.go
+++ b/internal/engine/governed.go
@@ -59,9 +59,6 @@
 // bind ties a new call to the configuration in force, or answers it where a limit turns it away. Nothing of the call was
 // sent, and a chooser's call comes here only as a new request, so that trying again is harmless.
 func (e *Engine) bind(c *Call) bool {
-	if !e.old(c) {
-		return true
-	}
 	a := generation.Ask{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Path: c.Path, Header: c.Header, Key: c.Key,
 		RepeatKey: c.RepeatKey, Deadline: c.Deadline}
 	told, ok := e.governed.manager.Bind(e.clock.Now(), &a, &c.bound)
--- a/internal/engine/tally.go
+++ b/internal/engine/tally.go
@@ -54,13 +54,13 @@
 	t := e.tally
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.counts.Classes == nil {
-		e.known = len(classes)
-	}
 	t.counts.Classes = nil
 	for i, c := range classes {
 		t.counts.Classes = append(t.counts.Classes, c.Name)
 		t.room(i)
+		if len(t.windows) > 0 && i == len(t.windows) {
+			t.windows = append(t.windows, latency.New(c.Deadline, tallyTurn, 0))
+		}
 	}
 }
 
--- a/internal/generation/compile.go
+++ b/internal/generation/compile.go
@@ -25,6 +25,7 @@
 	Tenants []string
 	Zones   []string
 	Headers []string // that routes may ask for, canonical
+	Keyed   []string // names of the classes whose repeats pods remember
 }
 
 // Known are the names for a configuration's check.
@@ -154,6 +155,7 @@
 type Bound struct {
 	of       *tenure
 	limits   [4]*limit
+	class    int
 	pair     int // of the traffic
 	began    time.Duration
 	touched  bool // the change under watch concerns it
--- a/internal/generation/manager.go
+++ b/internal/generation/manager.go
@@ -77,6 +77,15 @@
 		traffic: newTraffic(len(o.Names.Classes), len(o.Names.Tenants))}
 }
 
+// Retune takes the platform's names as they are from now on. Classes keep their numbers; new ones come behind.
+func (m *Manager) Retune(names Names) {
+	m.options.Names = names
+	m.traffic.grow(len(names.Classes))
+	if m.watch != nil {
+		m.watch.grow(len(m.traffic.pairs), m.traffic.classes())
+	}
+}
+
 // Listed takes servers that have come, changed or gone; those that are nil have gone.
 func (m *Manager) Listed(changed Servers) {
 	m.version++
@@ -135,7 +144,7 @@
 		told.After = m.comeBack(a.ID, told.After)
 		return told, false
 	}
-	b.pair, b.touched = pair, touched
+	b.class, b.pair, b.touched = a.Class, pair, touched
 	return told, true
 }
 
@@ -158,7 +167,7 @@
 		}
 	}
 	class := m.traffic.class(b.pair)
-	bad := end != Served || now-b.began > m.options.Names.Classes[class].Aim
+	bad := end != Served || now-b.began > m.options.Names.Classes[b.class].Aim
 	m.traffic.ended(now, b.pair, end != Left, bad)
 	if m.watch != nil && c == m.force && end != Left { // what was bound before the switch says nothing of either
 		m.watch.ended(b.pair, class, b.touched, bad)
@@ -316,7 +325,7 @@
 		lasts += time.Duration(steps) * time.Duration(r.Wait)
 		m.stepAt = now + time.Duration(r.Wait)
 	}
-	m.watch = newWatch(now, lasts, set.FalseAlarms, before, limited, len(m.options.Names.Classes))
+	m.watch = newWatch(now, lasts, set.FalseAlarms, before, limited, m.traffic.classes())
 }
 
 // Due is when Tick is to be called next, if at all.
--- a/internal/generation/manager_test.go
+++ b/internal/generation/manager_test.go
@@ -549,3 +549,34 @@
 		t.Errorf("after it took over: watches %v, %d drained", due, len(follower.drained))
 	}
 }
+
+// Classes that come while a change is watched are watched as well; there are rows for no more of them than memory is meant for, and
+// what comes over that is counted with the last.
+func TestClassesThatComeUnderWatch(t *testing.T) {
+	m := newManager()
+	now := time.Second
+	apply(t, m, now, normal(fleetconfig.Config{Routes: []fleetconfig.Route{{Name: "r", Priority: 1, To: []fleetconfig.Target{{Pool: fleetconfig.All, Weight: 1}}}}}))
+	more := names
+	more.Classes = slices.Clone(names.Classes)
+	for i := range 2 * mostPairs {
+		more.Classes = append(more.Classes, Class{fmt.Sprint("c", i), 600 * time.Millisecond, 2 * time.Second})
+	}
+	m.Retune(more)
+	if n := len(m.traffic.pairs); n > 2*mostPairs {
+		t.Fatalf("%d rows", n)
+	}
+	for i := 0; m.watch != nil; i++ { // a class that came behind is harmed
+		var b Bound
+		if _, ok := m.Bind(now, &Ask{ID: fmt.Sprint(i), Class: len(more.Classes) - 1, Tenant: i % 3, Deadline: now + time.Second}, &b); !ok {
+			t.Fatal("refused")
+		}
+		m.Done(now, &b, Failed)
+		now += 10 * time.Millisecond
+		if m.Tick(now); i > 10_000 {
+			t.Fatal("no harm is found")
+		}
+	}
+	if s := m.Status(now); s.Counts[Harmed] != 1 {
+		t.Errorf("%v", s.Counts)
+	}
+}
--- a/internal/generation/traffic.go
+++ b/internal/generation/traffic.go
@@ -7,7 +7,7 @@
 
 const (
 	trafficSeconds = 60   // that are remembered
-	mostPairs      = 1024 // of class and tenant; further tenants of a class are counted together
+	mostPairs      = 1024 // of class and tenant; further tenants of a class are counted together, and further classes
 )
 
 // second is what one pair did in one second.
@@ -31,7 +31,17 @@
 }
 
 func (t *traffic) pair(class, tenant int) int {
-	return class*t.tenants + min(max(tenant, 0), t.tenants-1)
+	return min(class, t.classes()-1)*t.tenants + min(max(tenant, 0), t.tenants-1)
+}
+
+// classes is how many are told apart.
+func (t *traffic) classes() int { return len(t.pairs) / t.tenants }
+
+// grow makes room for classes that have come, as far as there may be any.
+func (t *traffic) grow(classes int) {
+	for len(t.pairs) < classes*t.tenants && len(t.pairs)+t.tenants <= 2*mostPairs {
+		t.pairs = append(t.pairs, make([]pairTraffic, t.tenants)...)
+	}
 }
 
 // class is that of a pair.
@@ -90,8 +100,8 @@
 // class and tenant at the most, so that all of them together look at each pair four times.
 func (t *traffic) matching(w who) iter.Seq[int] {
 	return func(yield func(int) bool) {
-		for class := range len(t.pairs) / t.tenants {
-			if w.class != anyone && w.class != class {
+		for class := range t.classes() {
+			if w.class != anyone && min(w.class, t.classes()-1) != class {
 				continue
 			}
 			first, last := 0, t.tenants-1
--- a/internal/generation/watch.go
+++ b/internal/generation/watch.go
@@ -66,6 +66,16 @@
 		pairs: make([]watched, len(before)), byClass: make([]watched, classes), next: now + lookEvery}
 }
 
+// grow makes room for pairs and classes that have come: before the switch there was nothing of them.
+func (w *watch) grow(pairs, classes int) {
+	for len(w.pairs) < pairs {
+		w.before, w.limited, w.pairs = append(w.before, Share{}), append(w.limited, 0), append(w.pairs, watched{})
+	}
+	for len(w.byClass) < classes {
+		w.byClass = append(w.byClass, watched{})
+	}
+}
+
 func (w *watch) ended(pair, class int, touched, bad bool) {
 	s := Share{Done: 1}
 	if bad {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -49,8 +49,8 @@
 // Joins says which requests say what they ask, so that the engine may answer like ones together.
 type Joins struct {
 	Identity *join.Identity
-	Classes  []bool // by number
-	Apart    bool   // requests of two tenants are never alike
+	Classes  atomic.Pointer[[]bool] // by number, as they are now
+	Apart    bool                   // requests of two tenants are never alike
 }
 
 // Server is the side that faces the clients.
@@ -292,7 +292,10 @@
 // like is what a request asks, or nil of one that is not to be joined. All counts that goes on to a backend but for who
 // asks. A client that wants an answer made for itself gets it (RFC 9111, sections 5.2.1.4 and 5.2.1.5).
 func (j *Joins) like(c *engine.Call, r *http.Request, body []byte) *join.Digest {
-	if j == nil || c.Class >= len(j.Classes) || !j.Classes[c.Class] || intake.Directs(r.Header, "no-cache", "no-store") {
+	if j == nil {
+		return nil
+	}
+	if joined := *j.Classes.Load(); c.Class >= len(joined) || !joined[c.Class] || intake.Directs(r.Header, "no-cache", "no-store") {
 		return nil
 	}
 	tenant := ""
--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -139,12 +139,24 @@
 func New[T any](o Options) *Table[T] {
 	t := &Table[T]{set: o, times: make([]*times, len(o.Classes)), pauses: make([]time.Duration, len(o.Classes)),
 		groups: map[Digest]*group[T]{}, open: newQuota(o.MostGroups), waiting: newQuota(o.MostWaiting)}
-	for i, c := range o.Classes {
-		if c.Joined {
+	t.set.Classes = nil
+	t.Retune(o.Classes)
+	return t
+}
+
+// Retune takes the classes as they are from now on; each keeps its number. Groups of one that is joined no more come to their end,
+// and nobody joins them.
+func (t *Table[T]) Retune(classes []Class) {
+	before := t.set.Classes
+	t.set.Classes = classes
+	for i, c := range classes {
+		if i >= len(t.times) {
+			t.times, t.pauses = append(t.times, nil), append(t.pauses, 0)
+		}
+		if c.Joined && (t.times[i] == nil || i >= len(before) || before[i] != c) {
 			t.times[i] = newTimes(c.Aim, c.Deadline)
 		}
 	}
-	return t
 }
 
 // Counts returns what the table has done and holds.
@@ -156,7 +168,7 @@
 
 // Arrive says what becomes of a request. The member is nil of one that goes alone.
 func (t *Table[T]) Arrive(now time.Duration, a Ask[T]) (*Member[T], Verdict) {
-	if a.Class < 0 || a.Class >= len(t.times) || t.times[a.Class] == nil {
+	if a.Class < 0 || a.Class >= len(t.set.Classes) || !t.set.Classes[a.Class].Joined {
 		return nil, Alone
 	}
 	g := t.groups[a.What]
--- a/internal/program/join.go
+++ b/internal/program/join.go
@@ -24,7 +24,7 @@
 			Options: join.Options{MostGroups: set.MaxGroups, MostWaiting: set.MaxWaiting, Pause: time.Duration(set.Pause)}}
 		var safe []string
 		for _, c := range classes {
-			joined := c.Effect == logic.Safe && slices.Contains(set.Classes, c.Name)
+			joined := !c.Dropped && c.Effect == logic.Safe && slices.Contains(set.Classes, c.Name)
 			with.Options.Classes = append(with.Options.Classes, join.Class{Joined: joined, Aim: c.Aim, Deadline: c.Deadline})
 			if c.Effect == logic.Safe {
 				safe = append(safe, c.Name)
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -179,22 +179,32 @@
 
 // New returns a calm Watch.
 func New(o Options) *Watch {
-	w := &Watch{set: o, rng: rand.New(rand.NewPCG(o.Seed, 5)), filled: make([]float64, len(o.Classes)),
-		asked: make([]float64, len(o.Shares)), quickest: make([]float64, len(o.Classes)),
-		unserved: recent.New[*owed](o.Remember), ran: recent.New[struct{}](o.Remember), counts: Counts{Refused: make([][2]uint64, len(o.Classes))}, why: "start"}
-	order := make([]int, len(o.Classes))
+	w := &Watch{set: o, rng: rand.New(rand.NewPCG(o.Seed, 5)), asked: make([]float64, len(o.Shares)),
+		unserved: recent.New[*owed](o.Remember), ran: recent.New[struct{}](o.Remember), why: "start"}
+	w.Retune(o.Classes)
+	return w
+}
+
+// Retune takes the classes as they are from now on; each keeps its number, and what is known of it. One that was dropped has no worth
+// and may fill least.
+func (w *Watch) Retune(classes []Class) {
+	w.set.Classes = classes
+	w.filled = make([]float64, len(classes))
+	for len(w.quickest) < len(classes) {
+		w.quickest, w.counts.Refused = append(w.quickest, 0), append(w.counts.Refused, [2]uint64{})
+	}
+	order := make([]int, len(classes))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(o.Classes[b].Worth, o.Classes[a].Worth) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(classes[b].Worth, classes[a].Worth) })
 	part := 1.0
 	for i, class := range order {
-		if i > 0 && o.Classes[class].Worth < o.Classes[order[i-1]].Worth {
+		if i > 0 && classes[class].Worth < classes[order[i-1]].Worth {
 			part *= classStep
 		}
 		w.filled[class] = part
 	}
-	return w
 }
 
 // Counts returns what the Watch has done, and how it stands.
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -290,3 +290,20 @@
 		}
 	}
 }
+
+// A class that comes while the watch runs has its place by its worth, and one that goes gives way to all.
+func TestClassesThatComeAndGo(t *testing.T) {
+	w := New(Options{Classes: []Class{{Worth: 1, Aim: time.Second, Safe: true}, {Worth: 10, Aim: time.Second}}, Remember: 10})
+	if w.filled[1] != 1 || w.filled[0] >= 1 {
+		t.Fatalf("parts of the limit %v", w.filled)
+	}
+	w.Retune([]Class{{Worth: 0, Aim: time.Second, Safe: true}, {Worth: 10, Aim: time.Second}, {Worth: 100, Aim: time.Second}})
+	if w.filled[2] != 1 || w.filled[1] >= 1 || w.filled[0] >= w.filled[1] {
+		t.Errorf("parts of the limit %v", w.filled)
+	}
+	p, _ := w.Arrive(time.Second, Ask{Class: 2, Deadline: 2 * time.Second})
+	w.Done(time.Second, p, Served)
+	if n := len(w.Counts().Refused); n != 3 {
+		t.Errorf("%d classes are counted", n)
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,10 +36,9 @@
 
 // Server shows the figures of an agent.
 type Server struct {
-	Engine  *engine.Engine
-	Pool    *pool.Pool
-	Classes []logic.Class
-	Log     *slog.Logger
+	Engine *engine.Engine
+	Pool   *pool.Pool
+	Log    *slog.Logger
 }
 
 // Serve answers GET /metrics until the context ends.
@@ -75,7 +74,7 @@
 	}
 	s.tally(page, l.Tally)
 	s.joins(page, l)
-	s.door(page, l.Door)
+	s.door(page, l.Door, l.Tally.Classes)
 	s.generation(page, l.Generation)
 	s.ties(page, l.Ties)
 	metrics.WriteProcessMetrics(w)
@@ -97,7 +96,7 @@
 		}
 		p.count("appleledge_clients_left_total", fmt.Sprintf("class=%q", name), t.Left[class])
 		if class >= len(t.Times) {
-			continue // it came while the agent ran
+			continue // nobody has asked for times
 		}
 		times := t.Times[class]
 		for _, q := range slices.Sorted(maps.Keys(times.Quantiles)) {
@@ -128,7 +127,7 @@
 	p.gauge("appleledge_join_groups", "", float64(c.Groups))
 }
 
-func (s *Server) door(p page, c storm.Counts) {
+func (s *Server) door(p page, c storm.Counts, classes []string) {
 	for state := storm.Calm; state <= storm.Recovering; state++ {
 		p.gauge("appleledge_storm_state", fmt.Sprintf("state=%q", state), bit(c.State == state))
 	}
@@ -138,8 +137,8 @@
 	p.count("appleledge_storm_too_late_total", "", c.Late)
 	p.count("appleledge_storm_bound_total", "", c.Bound)
 	for class, n := range c.Refused {
-		p.count("appleledge_storm_refused_total", fmt.Sprintf(`class=%q,try="first"`, s.Classes[class].Name), n[0])
-		p.count("appleledge_storm_refused_total", fmt.Sprintf(`class=%q,try="again"`, s.Classes[class].Name), n[1])
+		p.count("appleledge_storm_refused_total", fmt.Sprintf(`class=%q,try="first"`, classes[class]), n[0])
+		p.count("appleledge_storm_refused_total", fmt.Sprintf(`class=%q,try="again"`, classes[class]), n[1])
 	}
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	core, conns, ended := newEngine(t, site)
-	s := &Server{Engine: core, Pool: conns, Classes: site.Logic.Classes, Log: slog.New(slog.DiscardHandler)}
+	s := &Server{Engine: core, Pool: conns, Log: slog.New(slog.DiscardHandler)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
