A restart serves the connections that clients have until an aim before its end

Ruled out: the door, the module, a wait for places; of what reaches an agent all is served. Change: connections stay open until an aim before the end, each request has its last word 60 ms before it, answers close in the last 0.3 s, and nobody is waited for when nobody is connected.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -266,7 +266,12 @@
 			}
 		})
 	}
-	return front.Serve(ctx, func() time.Duration { return rules.Longest() + drainMost })
+	return front.Serve(ctx, func() (usually, longest time.Duration) {
+		if longest = rules.Longest() + drainMost; cfg.linger {
+			return rules.Aim(), longest
+		}
+		return longest, longest
+	})
 }
 
 // open opens the sources of members, the platform's list among them.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -30,6 +30,7 @@
 	known     listing.List
 	keys      keys // that the file states
 	acceptFor time.Duration
+	linger    bool // kept connections are served through a drain
 }
 
 // configFile is the form of the file that PROXY_CONFIG names.
@@ -95,7 +96,7 @@
 	}
 	cfg = Config{keys: cfg.keys, Name: prefer("PROXY_NAME", f.Name), Listen: prefer("PROXY_LISTEN", f.Listen),
 		Discovery: prefer("PROXY_DISCOVERY", f.Discovery), Operator: prefer("PROXY_OPERATOR", f.Operator), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, acceptFor: acceptOn}
+		Sockets: f.Limits.Sockets, acceptFor: acceptOn, linger: true}
 	if cfg.Sockets <= 0 {
 		cfg.Sockets = defaultSockets
 	}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -58,6 +58,8 @@
 	Options
 	held    atomic.Int64 // requests that are open
 	leaving atomic.Bool
+	closing atomic.Bool  // answers close their connections
+	until   atomic.Int64 // when all has to be answered, on the clock, once it is leaving
 	clients *places.Listener
 }
 
@@ -74,8 +76,8 @@
 }
 
 // Serve answers clients until the context ends and what was taken by then is answered. That takes for as long as it
-// accepts and longest more, at most, as it is by then.
-func (s *Server) Serve(ctx context.Context, longest func() time.Duration) error {
+// accepts and longest more, at most; waits says by then how long clients wait, as they would like to and at most.
+func (s *Server) Serve(ctx context.Context, waits func() (usually, longest time.Duration)) error {
 	srv := s.httpServer()
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(s.clients) }()
@@ -85,9 +87,11 @@
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.AcceptFor+longest())
+	usually, longest := waits()
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.AcceptFor+longest)
 	defer cancel()
-	err := s.drain(limited, srv)
+	s.until.Store(int64(s.Clock.Now() + s.AcceptFor + longest - lastWord))
+	err := s.drain(limited, srv, s.AcceptFor+max(0, longest-usually))
 	srv.Close()
 	if errors.Is(err, context.DeadlineExceeded) {
 		s.Log.Warn("drained, but some connections were still open")
@@ -122,7 +126,7 @@
 // ServeHTTP gives each request its one answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.Clock.Now()
-	if s.leaving.Load() || s.clients.Crowded() {
+	if s.closing.Load() || !s.leaving.Load() && s.clients.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if s.Large != nil {
@@ -145,6 +149,9 @@
 		turnAway(w, err)
 		return
 	}
+	if until := s.until.Load(); until > 0 && up == nil { // what has no answer by then gets its last word
+		c.Deadline = min(c.Deadline, time.Duration(until))
+	}
 	places.Hold(r.Context())
 	defer s.held.Add(-1)
 	if s.full(s.held.Add(1)) { // nothing was sent yet, so a refusal's promise holds
@@ -329,27 +336,47 @@
 	return body, nil
 }
 
+// lastWord is how long an answer may take to be written, before a process that is told to end does so.
+const lastWord = 60 * time.Millisecond
+
 // keepFor is how long idle connections are kept once another process serves. What crosses their close is lost, so each ends
 // with its next answer; what comes later than this might not be answered before the process is killed.
 const keepFor = 600 * time.Millisecond
 
-// drain stops taking requests in the order in which the clients stop sending them: idle connections close and
-// answers close theirs at once, while new connections are still accepted; then what is open is answered. Where another
-// process serves, clients notice nothing: what connects goes there, and what is idle may bring one more request.
-func (s *Server) drain(ctx context.Context, srv *http.Server) error {
+// lastAnswers is for how long answers close their connections before those that are idle are closed, as a close may cross a request.
+const lastAnswers = 300 * time.Millisecond
+
+// linger waits, for AcceptFor in any case and no longer than anybody is connected. At the end answers close their connections.
+func (s *Server) linger(ctx context.Context, wait time.Duration) {
+	look := time.NewTicker(10 * time.Millisecond)
+	defer look.Stop()
+	for began := s.Clock.Now(); ctx.Err() == nil; {
+		if gone := s.Clock.Now() - began; gone >= wait || gone >= s.AcceptFor && s.clients.Open() == 0 {
+			return
+		} else if gone >= wait-lastAnswers {
+			s.closing.Store(true)
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// drain stops taking requests in the order in which the clients stop sending them. They stop to connect first, and go on using
+// what they have for as long as that stays open, while nobody else answers for this agent: so connections stay open, and requests are
+// taken, for wait, as long as an answer may be in time; each has its last word by the end. Where another process serves, clients notice
+// nothing: what connects goes there, and what is idle may bring one more request.
+func (s *Server) drain(ctx context.Context, srv *http.Server, wait time.Duration) error {
 	s.leaving.Store(true)
 	succeeded := s.Leave != nil && s.Leave()
 	s.Log.Info("draining", "succeeded", succeeded)
-	wait := s.AcceptFor
 	if succeeded {
 		wait = keepFor
-	} else {
-		srv.SetKeepAlivesEnabled(false)
-	}
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
+		s.closing.Store(true)
 	}
+	s.linger(ctx, wait)
+	s.closing.Store(true)
 	srv.SetKeepAlivesEnabled(false)
 	return srv.Shutdown(ctx)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -98,6 +98,16 @@
 	return longest
 }
 
+// Aim is within what time any client wants its answer.
+func (f *InForce) Aim() (aim time.Duration) {
+	for _, c := range f.rules.Load().Classes {
+		if !c.Dropped {
+			aim = max(aim, c.Aim)
+		}
+	}
+	return aim
+}
+
 // Head is a request's head. Header has canonical names.
 type Head struct {
 	Method, Path  string // Path with no query
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -97,6 +97,13 @@
 	return t.most
 }
 
+// Open is how many connections it holds.
+func (t *Listener) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
 // crowdedPart of the places taken is many: then connections close with their answers, so that clients which keep theirs
 // for good leave places to others, who could not open any more.
 const crowdedPart = 0.4
