What is in flight is a jam from half of the aim on, as long as answers come

Ruled out: late answers (they refuse in 2 of 28 half seconds), the budget for repeats, no server. Change: it counts from 0.5 while an answer has come in the last half of a horizon, from 0.4 as before where none has (a silent fleet). The test fails either way without its line.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -769,7 +769,11 @@
 	b.busy = busy
 	part := min(1, max(0, (busy-busyFrom)/(busyFull-busyFrom)))
 	jam := min(1, max(0, (busy-idleTo)/(busyFrom-idleTo)))
-	b.shed = shedSlope * max(0, part*(b.late-lateFrom), jam*(b.waiting-shedFrom))
+	from := shedFrom
+	if b.now-b.lateAt < time.Duration(usualWait*float64(b.horizon)) {
+		from = lateFrom // answers come, and tell themselves what they take
+	}
+	b.shed = shedSlope * max(0, part*(b.late-lateFrom), jam*(b.waiting-from))
 }
 
 // faith is what the server's latest report still says, from 1 to 0. In a jam none come: it fades while
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1084,3 +1084,28 @@
 		t.Errorf("capacity %.0f of one that is half used", got)
 	}
 }
+
+// Guards against refusing for what is in flight where answers come, and in time (upgrade+hand+scrape, seed 11: 15 to 20%): a
+// jam it is when they stay away.
+func TestInFlightWhileAnswersCome(t *testing.T) {
+	h := newBench(t, testSettings(), 1, 1, 1, 1)
+	for range 200 {
+		id, to := h.ask(1)
+		h.end(id, to, 0, OK, report(1, 50))
+		h.tick(h.horizon / ticks)
+	}
+	for h.waiting < shedFrom+0.02 {
+		h.ask(1)
+		h.setShed()
+	}
+	if h.waiting > lateFrom {
+		t.Fatalf("what is in flight is at %.2f of the aim: the test says nothing", h.waiting)
+	}
+	if h.shed > 0 {
+		t.Errorf("shed level %.2f at %.2f of the aim while answers come", h.shed, h.waiting)
+	}
+	h.now += h.horizon / 2
+	if h.setShed(); h.shed == 0 {
+		t.Errorf("shed level 0 at %.2f of the aim when none has come for half a horizon", h.waiting)
+	}
+}
