A state that another process leaves torn is told apart from one that was taken over

Found on a second reading: where the state could not be used at the end of the other process the log said that it was taken over, and a state that could not be followed once was not read again before it changed. Test: the state is torn while it is followed and when it is taken over; in both cases requests go by what is in force.

--- a/cmd/appleledge/upgrade_generations_test.go
+++ b/cmd/appleledge/upgrade_generations_test.go
@@ -145,3 +145,31 @@
 	}
 	g.retire(old)
 }
+
+// A state that can't be read changes nothing: it is followed again when it can, and whoever takes it over keeps what is in force.
+func TestAStateThatIsTornDuringAnUpgrade(t *testing.T) {
+	t.Parallel()
+	g := govern(t)
+	old := g.next()
+	if err := g.apply("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	now := g.next()
+	tear := func() {
+		if err := os.WriteFile(filepath.Join(g.dir, "state"), []byte("appleledge-document 1 torn"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tear()
+	testbed.Eventually(t, "the log tells of it", func() bool { return now.log.Count("configuration can't be followed") == 1 })
+	g.all(g.one, "the state is torn")
+	if err := g.apply("s-2"); err != nil {
+		t.Fatal(err)
+	}
+	g.follows(now, 2)
+	g.all(g.two, "it is whole again")
+	tear()
+	g.retire(old)
+	testbed.Eventually(t, "the log tells of it", func() bool { return now.log.Count("this one keeps what is in force") == 1 })
+	g.all(g.two, "a torn state was taken over")
+}
--- a/internal/agent/followed.go
+++ b/internal/agent/followed.go
@@ -90,15 +90,16 @@
 		return locked
 	}
 	s, err := g.kept.read()
+	if err == nil && s != nil {
+		err = g.changes.Adopt(ctx, s, locked == nil)
+	}
 	switch {
 	case err != nil && locked == nil: // nobody else will mend it
-		log.Error("the state of the configuration can't be read; this process keeps what is in force", "error", err)
+		log.Error("the state that the other process has left can't be used; this one keeps what is in force", "error", err)
 	case err != nil:
+		g.kept.seen = nil // it is read again
 		return err
 	case s != nil:
-		if err := g.changes.Adopt(ctx, s, locked == nil); err != nil && locked != nil {
-			return err
-		}
 		log.Info("configuration taken over", "generation", s.Number, "hash", s.Hash[:min(12, len(s.Hash))], "followed", locked != nil)
 	}
 	if locked == nil {
