--- a/cmd/appleledge/upgrade_generations_test.go
+++ b/cmd/appleledge/upgrade_generations_test.go
@@ -14,6 +14,7 @@
 	"appleledge/internal/admin"
 	"appleledge/internal/fleetconfig"
 	"appleledge/internal/plan"
+	"appleledge/internal/store"
 	"appleledge/internal/testbed"
 )
 
@@ -59,6 +60,16 @@
 	return nil
 }
 
+// bothServe is an old and a new version that serve, with the first server's configuration in force.
+func bothServe(t *testing.T) (g *governed, old, now *version) {
+	g = govern(t)
+	old = g.next()
+	if err := g.apply("s-1"); err != nil {
+		t.Fatal(err)
+	}
+	return g, old, g.next()
+}
+
 // all checks that the next requests go to one server, whichever process takes them.
 func (g *governed) all(to *testbed.Backend, when string) {
 	g.t.Helper()
@@ -99,12 +110,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g := govern(t)
-			old := g.next()
-			if err := g.apply("s-1"); err != nil {
-				t.Fatal(err)
-			}
-			now := g.next()
+			g, old, now := bothServe(t)
 			g.all(g.one, "both serve")
 			if err := g.apply("s-2"); err != nil { // the old one has the socket
 				t.Fatal(err)
@@ -149,12 +155,7 @@
 // A state that can't be read changes nothing: it is followed again when it can, and whoever takes it over keeps what is in force.
 func TestAStateThatIsTornDuringAnUpgrade(t *testing.T) {
 	t.Parallel()
-	g := govern(t)
-	old := g.next()
-	if err := g.apply("s-1"); err != nil {
-		t.Fatal(err)
-	}
-	now := g.next()
+	g, old, now := bothServe(t)
 	tear := func() {
 		if err := os.WriteFile(filepath.Join(g.dir, "state"), []byte("appleledge-document 1 torn"), 0o600); err != nil {
 			t.Fatal(err)
@@ -172,4 +173,8 @@
 	g.retire(old)
 	testbed.Eventually(t, "the log tells of it", func() bool { return now.log.Count("this one keeps what is in force") == 1 })
 	g.all(g.two, "a torn state was taken over")
+	testbed.Eventually(t, "what is in force is kept anew", func() bool {
+		_, err := store.File{Path: filepath.Join(g.dir, "state"), FS: store.OS{}}.Load()
+		return err == nil
+	})
 }
--- a/internal/agent/generations.go
+++ b/internal/agent/generations.go
@@ -147,10 +147,13 @@
 // serve serves operators until the context ends, as soon as the socket is to be had: another process of the agent lets go of it
 // when it is told to end.
 func (g *governing) serve(ctx context.Context, log *slog.Logger) (err error) {
-	for g.socket == nil {
+	for told := false; g.socket == nil; told = true {
 		if g.socket, err = admin.Listen(g.with.Socket); err == nil {
 			break
 		}
+		if !told {
+			log.Warn("operators can't be served yet; the socket is tried again", "error", err)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/generation/state.go
+++ b/internal/generation/state.go
@@ -173,6 +173,7 @@
 		m.force = &tenure{Compiled: p.force, number: s.Number}
 	}
 	m.before, m.watch, m.step, m.history = p.before, nil, 0, slices.Clone(s.History)
+	m.changes++ // what is on disk may not be whole when this process is the one to keep it
 	if s.Watching != nil {
 		m.step = s.Watching.Step
 	}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -149,8 +149,14 @@
 		turnAway(w, err)
 		return
 	}
-	if until := s.until.Load(); until > 0 && up == nil { // what has no answer by then gets its last word
-		c.Deadline = min(c.Deadline, time.Duration(until))
+	if until := time.Duration(s.until.Load()); until > 0 {
+		if up != nil && s.Clock.Now()+up.Patience > until { // its time begins with its last byte; nothing was sent yet
+			s.refuse(w, c, true)
+			return
+		}
+		if up == nil { // what has no answer by then gets its last word
+			c.Deadline = min(c.Deadline, until)
+		}
 	}
 	places.Hold(r.Context())
 	defer s.held.Add(-1)
