A drain takes no longer than anybody is connected: a test, with a late upload refused

Need: neither was asserted. Measured: with the early end taken out the test waits for a minute, with the check of uploads taken out the body is sent on; three runs under -race.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -366,3 +366,39 @@
 		}
 	}
 }
+
+// A drain waits for nobody when nobody is connected, and refuses a large body whose time would end behind its own.
+func TestADrainTakesNoLongerThanItHasTo(t *testing.T) {
+	b := newBackend(t, says(served))
+	change := func(c *Config) {
+		c.linger, c.Operator = true, refusing(t)
+		for i := range c.Site.Logic.Classes {
+			c.Site.Logic.Classes[i].Deadline = time.Minute
+		}
+	}
+	began := time.Now()
+	a := startWith(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 200*time.Millisecond, change)
+	a.stop()
+	eventually(t, "it is leaving", func() bool { return a.status(t, "/ready") == http.StatusServiceUnavailable })
+	c, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	r := a.newRequest(t, http.MethodPost, "/pay", strings.Repeat("x", 100<<10))
+	r.Header.Set("X-Timeout", "60000m")
+	if err := r.Write(c); err != nil {
+		t.Error(err)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(c), r); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a large body that could not be waited for: %+v, %v", resp, err)
+	}
+	c.Close()
+	http.DefaultClient.CloseIdleConnections()
+	if err := <-a.done; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > 30*time.Second {
+		t.Errorf("it waits for nobody: %v", took)
+	}
+}
