Test addresses are their holder's own, and a test says what its agent ended with

The harness dropped the error.

- internal/rig/loopback: a host of 127.77/16 that is made of a port which its holder keeps open, so that the kernel gives it once; all its ports, TCP and UDP, are the holder's. testbed.Refusing, rehearse and measure take theirs from it.
- Harnesses of the agent and of upgrades say what a process ended with, and stop waiting.
Bytes are now due at fixed times.
- handover: the model brings old phases late; a stranger's process is turned away, with a test.

--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -89,9 +89,14 @@
 // address waits for the line of the log that ends in one.
 func (v *version) address(line string) (addr string) {
 	v.t.Helper()
-	testbed.Eventually(v.t, line+"\n"+v.log.String(), func() bool {
+	testbed.Eventually(v.t, line, func() bool {
 		_, rest, ok := strings.Cut(v.log.String(), line)
 		if !ok {
+			select {
+			case err := <-v.ended:
+				v.t.Fatalf("a version has ended before it said %q: %v\n%s", line, err, v.log)
+			default:
+			}
 			return false
 		}
 		addr, _, ok = strings.Cut(rest, "\n")
--- a/internal/agent/bodies_test.go
+++ b/internal/agent/bodies_test.go
@@ -281,14 +281,14 @@
 	stated := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(large))
 	cut := func(text string, size int, pause time.Duration) func(net.Conn) {
 		return func(c net.Conn) {
-			text := text
+			text, next := text, time.Now() // a piece that comes late does not delay those behind it: a busy machine sleeps long
 			for len(text) > 0 {
 				n := min(size, len(text))
 				if _, err := io.WriteString(c, text[:n]); err != nil {
 					return
 				}
-				text = text[n:]
-				time.Sleep(pause)
+				text, next = text[n:], next.Add(pause)
+				time.Sleep(time.Until(next))
 			}
 		}
 	}
@@ -316,7 +316,7 @@
 		{"large", cut(stated+large, 1<<20, 0), large, false, 200},
 		{"large, in chunks", cut("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunked(large[:100], large[100:2*million], large[2*million:]), 1<<20, 0), large, false, 200},
 		{"small, in chunks", cut("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunked("fi", "ne"), 1<<20, 0), "fine", false, 200},
-		{"small, byte by byte for over half a second", cut("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"+large[:20], 1, 15*time.Millisecond), large[:20], false, 200},
+		{"small, byte by byte for over half a second", cut("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"+large[:20], 1, 9*time.Millisecond), large[:20], false, 200},
 		{"large, in slow pieces", cut(stated+large, 100_000, 20*time.Millisecond), large, false, 200},
 		{"large, reset midway", func(c net.Conn) {
 			cut(stated+large[:million], 1<<20, 0)(c)
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -74,10 +74,23 @@
 		a.done <- serve(ctx, cfg, Reloads{}, l, log, with)
 	}()
 	t.Cleanup(func() { stop(); <-finished })
-	eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
+	a.wait(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
 	return a
 }
 
+// wait waits until ok holds, and says what the agent ended with if it did.
+func (a *running) wait(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	eventually(t, what, func() bool {
+		select {
+		case err := <-a.done:
+			t.Fatalf("the agent has ended while a test waited: %s; it ended with: %v", what, err)
+		default:
+		}
+		return ok()
+	})
+}
+
 func (a *running) status(t testing.TB, path string) int {
 	t.Helper()
 	resp, err := http.Get(a.url + path)
--- a/internal/agent/operator_test.go
+++ b/internal/agent/operator_test.go
@@ -30,7 +30,7 @@
 	addr := testbed.Refusing(t)
 	a := startOn(t, d, 0, func(c *Config) { c.Operator = addr }, Extras{}, slog.New(slog.DiscardHandler))
 	o := operators{t, addr}
-	eventually(t, "operators can call", func() bool { status, _ := o.call("GET", "/ops/readiness"); return status == 200 })
+	a.wait(t, "operators can call", func() bool { status, _ := o.call("GET", "/ops/readiness"); return status == 200 })
 	return a, o
 }
 
--- a/internal/agent/reload_test.go
+++ b/internal/agent/reload_test.go
@@ -49,9 +49,13 @@
 	a.addr, a.url = l.Addr().String(), "http://"+l.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	reloads := Reloads{Signals: a.hup, Load: func() (Config, error) { return ReloadConfig(getenv) }}
-	go func() { a.done <- serve(ctx, cfg, reloads, l, slog.New(slog.NewTextHandler(&a.log, nil)), with) }()
-	t.Cleanup(func() { stop(); <-a.done })
-	eventually(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		a.done <- serve(ctx, cfg, reloads, l, slog.New(slog.NewTextHandler(&a.log, nil)), with)
+	}()
+	t.Cleanup(func() { stop(); <-finished })
+	a.wait(t, "the agent is ready", func() bool { return a.status(t, "/ready") == http.StatusOK })
 	return a
 }
 
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -65,6 +65,7 @@
 	log  *slog.Logger
 	dir  *os.File          // where the sockets are
 	own  *net.UnixListener // nil: nobody can join
+	user int               // whose processes may join
 	gate *Gate
 	host Host // set by Run
 
@@ -92,7 +93,7 @@
 // from all others, as its name and address. Where one has a listener for clients it is taken
 // over; else listen opens one. A folder in which no socket can be made leaves the process alone.
 func Join(dir, agent string, listen func() (net.Listener, error), log *slog.Logger) (*Link, error) {
-	l := &Link{log: log, process: NewProcess(), peers: map[int]*peer{}, wait: map[int]chan<- struct{}{}}
+	l := &Link{log: log, user: os.Geteuid(), process: NewProcess(), peers: map[int]*peer{}, wait: map[int]chan<- struct{}{}}
 	var err error
 	if l.dir, err = os.Open(dir); err != nil {
 		return nil, fmt.Errorf("the folder for temporary files, in which an old and a new version meet: %w", err)
@@ -397,7 +398,7 @@
 
 // welcome gives a new process the listener and the bans. No order is carried out meanwhile, so that it misses none.
 func (l *Link) welcome(ctx context.Context, p *peer) error {
-	if err := sameOwner(p.conn); err != nil {
+	if err := ownedBy(p.conn, l.user); err != nil {
 		return err
 	}
 	raw, err := l.gate.SyscallConn()
@@ -433,8 +434,8 @@
 	return nil
 }
 
-// sameOwner reports an error of a peer that runs as somebody else.
-func sameOwner(c *net.UnixConn) error {
+// ownedBy reports an error of a peer that runs as another user.
+func ownedBy(c *net.UnixConn, user int) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
@@ -446,7 +447,7 @@
 	}); err != nil || got != nil {
 		return errors.Join(err, got)
 	}
-	if int(cred.Uid) != os.Geteuid() {
+	if int(cred.Uid) != user {
 		return fmt.Errorf("user %d is not the agent's", cred.Uid)
 	}
 	return nil
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -176,6 +176,31 @@
 	}
 }
 
+// A process of another user gets neither the clients' socket nor the bans, and counts for nothing.
+func TestAStrangerDoesNotJoin(t *testing.T) {
+	dir := t.TempDir()
+	log := &testbed.LockedBuffer{}
+	open := func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+	link, err := Join(dir, "n0", open, slog.New(slog.NewTextHandler(log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	link.user++ // so that this user is a stranger to it
+	h := &host{Link: link, set: bans.New(10)}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); link.Run(ctx, h) }()
+	defer func() { stop(); <-done; link.gate.Close() }()
+	link.Enter(t.Context(), Serving)
+	if stranger := process(t, dir, true); !stranger.Alone() || stranger.Gate().Addr().String() == link.Gate().Addr().String() {
+		t.Error("it was let in")
+	}
+	testbed.Eventually(t, "the log says why", func() bool { return log.Count("is not the agent's") == 1 })
+	if !link.Alone() || !h.has(1)() {
+		t.Error("it counts as a process of the agent")
+	}
+}
+
 // One that hangs, or is no process of ours, must not keep a new one from starting.
 func TestAPeerThatSaysNothing(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/handover/process_test.go
+++ b/internal/handover/process_test.go
@@ -48,6 +48,14 @@
 			},
 			"ready": func(t *rapid.T) { enter(some(t), Serving) },
 			"leave": func(t *rapid.T) { enter(some(t), Leaving) },
+			"an old word comes late": func(t *rapid.T) {
+				id := some(t)
+				for other, p := range live {
+					if other != id {
+						p.Met(id, Phase(rapid.IntRange(0, int(live[id].Phase())).Draw(t, "phase")))
+					}
+				}
+			},
 			"die": func(t *rapid.T) {
 				id := some(t)
 				delete(live, id)
--- a/internal/rehearsal/live.go
+++ b/internal/rehearsal/live.go
@@ -20,6 +20,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"appleledge/internal/emulator"
+	"appleledge/internal/rig/loopback"
 	"appleledge/logic"
 )
 
@@ -81,6 +82,7 @@
 // liveAgent is an agent's process.
 type liveAgent struct {
 	number int
+	place  *loopback.Host // held from its first start to the end of the day
 	addr   string
 	client *http.Client
 
@@ -325,24 +327,25 @@
 
 // startAgent starts an agent and waits until it is ready.
 func (l *live) startAgent(number int, seed uint64) error {
-	addr, err := freeAddr()
+	place, err := loopback.Hold()
 	if err != nil {
 		return err
 	}
-	text, err := configuration(l.discovery.Addr, addr, number, l.script.Fleet.Agents, seed)
+	text, err := configuration(l.discovery.Addr, place.Addr(), number, l.script.Fleet.Agents, seed)
 	if err != nil {
+		place.Close()
 		return err
 	}
-	a := &liveAgent{number: number, addr: addr, client: &http.Client{Timeout: deadline + answerLate,
+	a := &liveAgent{number: number, place: place, addr: place.Addr(), client: &http.Client{Timeout: deadline + answerLate,
 		Transport: &http.Transport{MaxIdleConnsPerHost: mostOpen, IdleConnTimeout: time.Second}}}
+	l.agents = append(l.agents, a)
 	if err := os.WriteFile(l.config(a), text, 0o600); err != nil {
 		return err
 	}
-	l.agents = append(l.agents, a)
 	if err := l.exec(a); err != nil {
 		return err
 	}
-	if err := waitReady(addr); err != nil {
+	if err := waitReady(a.addr); err != nil {
 		return err
 	}
 	a.ready()
@@ -415,6 +418,7 @@
 	for _, a := range l.agents {
 		a.client.CloseIdleConnections()
 		a.end(syscall.SIGTERM)
+		a.place.Close()
 	}
 	for _, s := range l.servers {
 		if !s.dead {
--- a/internal/rehearsal/quickstart.go
+++ b/internal/rehearsal/quickstart.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
 	"appleledge/internal/agent"
+	"appleledge/internal/rig/loopback"
 )
 
 // Quickstart is a small installation to look at.
@@ -76,10 +76,12 @@
 
 // agent starts a real agent in front of the fleet and waits until it is ready.
 func (q Quickstart) agent(fleet *Fleet, dir string) (addr string, ended <-chan error, stop context.CancelFunc, err error) {
-	addr, err = freeAddr()
+	place, err := loopback.Hold()
 	if err != nil {
 		return "", nil, nil, err
 	}
+	defer place.Close() // the agent listens there by then
+	addr = place.Addr()
 	text, err := configuration(fleet.Discovery.Addr, addr, 0, 1, q.Seed)
 	if err != nil {
 		return "", nil, nil, err
@@ -133,16 +135,6 @@
 	return with
 }
 
-// freeAddr finds a loopback address that nobody listens at.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("a place for the agent to listen: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // watch shows how the clients do, once a second, until they are done.
 func (q Quickstart) watch(c *Clients, done <-chan struct{}) {
 	began := time.Now()
--- a/internal/rig/measure/measure.go
+++ b/internal/rig/measure/measure.go
@@ -24,6 +24,7 @@
 
 	"appleledge/internal/emulator"
 	"appleledge/internal/rig/fleetgen"
+	"appleledge/internal/rig/loopback"
 )
 
 // Options say what is measured.
@@ -74,10 +75,12 @@
 		return Result{}, err
 	}
 	defer os.RemoveAll(dir)
-	addr, err := freeAddr()
+	place, err := loopback.Hold()
 	if err != nil {
 		return Result{}, err
 	}
+	defer place.Close()
+	addr := place.Addr()
 	config := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(config, configuration(addr, d.Addr), 0o600); err != nil {
 		return Result{}, err
@@ -98,10 +101,12 @@
 	if err != nil {
 		return Result{}, err
 	}
-	addr, err := freeAddr()
+	place, err := loopback.Hold()
 	if err != nil {
 		return Result{}, err
 	}
+	defer place.Close()
+	addr := place.Addr()
 	var to []string
 	for _, s := range fleet.Servers() {
 		to = append(to, net.JoinHostPort(s.Host, strconv.Itoa(s.Port)))
@@ -148,15 +153,6 @@
 	return f, b, nil
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // configuration is the platform's, of an agent of one core that is the only one of its tier.
 func configuration(listen, discovery string) []byte {
 	return fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1.0,"memory_mb":512,"sockets":8192},
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"appleledge/internal/membership"
+	"appleledge/internal/rig/loopback"
 )
 
 // Patience is how long a test waits for what must come; machines are noisy.
@@ -49,11 +50,15 @@
 	return l
 }
 
-// Refusing is an address at which nothing listens.
+// Refusing is an address at which nothing listens, and which is the test's own until it ends: what the test starts may listen there.
 func Refusing(t testing.TB) string {
-	l := Listen(t)
-	l.Close()
-	return l.Addr().String()
+	t.Helper()
+	h, err := loopback.Hold()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Close)
+	return h.Addr()
 }
 
 // Eventually waits until ok holds.
