--- a/internal/agent/ties_test.go
+++ b/internal/agent/ties_test.go
@@ -87,7 +87,7 @@
 	if err != nil || len(files) < 2 {
 		t.Errorf("%v, %v", files, err)
 	}
-	if err := os.RemoveAll(dir); err != nil { // as a disk that fails: the file that is open can still be written, another can't be begun
+	if err := os.Rename(dir, dir+".gone"); err != nil { // as a disk that fails: the file that is open can still be written, another can't be begun
 		t.Fatal(err)
 	}
 	if status, _ := refund(third, "without a disk", ""); status != http.StatusOK {
--- a/internal/emulator/pod.go
+++ b/internal/emulator/pod.go
@@ -91,6 +91,14 @@
 	return true
 }
 
+// Forget is a loss of power in the whole pod: what it was sent is known no more.
+func (p *Pod) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.since)
+	p.order = nil
+}
+
 // keyMemory is the route keys that a server met lately.
 type keyMemory struct {
 	most   int
--- a/internal/engine/door.go
+++ b/internal/engine/door.go
@@ -38,6 +38,9 @@
 		return false
 	}
 	c.pass = p
+	if e.returning != nil {
+		e.moved()
+	}
 	return true
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"appleledge/internal/affinity"
+	"appleledge/internal/fleet/recovery"
 	"appleledge/internal/generation"
 	"appleledge/internal/join"
 	"appleledge/internal/recent"
@@ -137,6 +138,9 @@
 	Until   time.Duration // when to stop waiting
 	WriteBy time.Duration // when it is too late to begin: at Until, or earlier for a keyed request sent before
 
+	Barred    bool          // it must not be sent: nobody may be left who would drop it as a repeat
+	OnlySince time.Duration // only over a connection that was there then already; 0: over any
+
 	over   bool        // its outcome is known
 	tied   bool        // the table of ties counts it
 	expiry *time.Timer // of a chooser's: tells that Until has come
@@ -261,20 +265,22 @@
 	done      chan struct{} // closed when the engine has ended
 	ready     atomic.Bool   // there is a server to send to
 
-	ctx      context.Context // of the attempts
-	attempts sync.WaitGroup
-	calls    map[string]*Call // open, or with attempts in flight
-	timers   timers
-	ended    *recent.Table[AnswerKind] // how choosers' calls ended that may have run; nil where there are no choosers
-	neverRan *recent.Table[struct{}]   // those that ended, and of which no try can have run
-	keep     time.Duration             // for how long they are remembered
-	joins    *joins                    // nil where nothing is joined
-	door     Door                      // nil where all are let in
-	tally    *tally                    // what is counted
-	governed *governed                 // nil where no configuration is in force
-	ties     *ties                     // nil where none are kept
-	held     *held                     // nil where operators hold out nothing
-	settings int                       // the number of those in force
+	ctx       context.Context // of the attempts
+	attempts  sync.WaitGroup
+	calls     map[string]*Call // open, or with attempts in flight
+	timers    timers
+	ended     *recent.Table[AnswerKind] // how choosers' calls ended that may have run; nil where there are no choosers
+	neverRan  *recent.Table[struct{}]   // those that ended, and of which no try can have run
+	keep      time.Duration             // for how long they are remembered
+	joins     *joins                    // nil where nothing is joined
+	door      Door                      // nil where all are let in
+	tally     *tally                    // what is counted
+	governed  *governed                 // nil where no configuration is in force
+	ties      *ties                     // nil where none are kept
+	held      *held                     // nil where operators hold out nothing
+	settings  int                       // the number of those in force
+	returning *returning                // nil where no recovery is switched on
+	drop      float64                   // the share of requests that the list wants turned away
 }
 
 const eventQueue = 1024
@@ -312,6 +318,7 @@
 	Picture        logic.Picture
 	Generation     generation.Status
 	Ties           affinity.Counts
+	Recovery       *recovery.Status // nil where none is switched on
 }
 
 // Load returns what the engine holds; it is empty once the engine has ended.
@@ -341,6 +348,7 @@
 	if e.ties != nil {
 		l.Ties = e.ties.table.Counts()
 	}
+	l.Recovery = e.recovery()
 	if e.governed != nil {
 		l.Generation = e.governed.manager.Status(e.clock.Now())
 	}
@@ -563,6 +571,9 @@
 		a.expiry.Stop()
 	}
 	e.tally.attempt(o.Result)
+	if e.returning != nil {
+		e.returned(o)
+	}
 	served := o.Result == logic.OK
 	if o.Elsewhere {
 		o.Result, o.Report = logic.Cancelled, logic.NoReport
@@ -615,6 +626,9 @@
 		e.ties.listed(l)
 	}
 	ready := e.fleet.Update(l.Full, l.Members)
+	if e.drop = l.Drop; e.returning != nil {
+		l = e.returning.listed(e.clock.Now(), l)
+	}
 	servers := make([]logic.Server, len(l.Members))
 	for i, m := range l.Members {
 		servers[i] = m.Server
@@ -649,7 +663,11 @@
 func (e *Engine) send(act logic.Action) {
 	c := e.calls[act.Request]
 	e.tally.sent(c, act.Cold)
+	before := c.ranSince
 	a := c.attempt(act, e.clock.Now())
+	if e.returning != nil {
+		e.returning.repeats(c, a, before)
+	}
 	a.Life, a.tally, a.tell = e.fleet.Life(act.Server), e.tally, e.Tell
 	var tie TieCommit
 	if e.ties != nil {
--- a/internal/httpcarrier/carrier.go
+++ b/internal/httpcarrier/carrier.go
@@ -64,6 +64,9 @@
 // Carry makes the attempt and returns its outcome, which is exact: what may have run is never said not to have.
 func (s *Carrier) Carry(ctx context.Context, a *engine.Attempt) engine.Outcome {
 	out := engine.Outcome{Attempt: a, Result: logic.NotSent, Report: logic.NoReport}
+	if a.Barred {
+		return out
+	}
 	ctx, cancel := context.WithDeadline(ctx, s.Clock.At(a.Until))
 	defer cancel()
 	c, err := s.Pool.Get(ctx, life(a))
@@ -73,7 +76,7 @@
 	case err != nil:
 		out.Result = logic.ConnectFailed
 		return out
-	case !s.stillWanted(a):
+	case !s.stillWanted(c, a):
 		s.Pool.Put(c, true)
 		return out
 	}
@@ -91,8 +94,9 @@
 
 // stillWanted is asked just before the first byte goes out. A dial may have taken long: meanwhile the backend
 // may have begun to drain or started anew, the request may have ended, or the backends may have forgotten its key.
-func (s *Carrier) stillWanted(a *engine.Attempt) bool {
-	return s.Clock.Now() < a.WriteBy && !a.Call.Closed() && s.Pool.TakesNew(life(a))
+func (s *Carrier) stillWanted(c *pool.Conn, a *engine.Attempt) bool {
+	return s.Clock.Now() < a.WriteBy && !a.Call.Closed() && s.Pool.TakesNew(life(a)) &&
+		(a.OnlySince == 0 || c.Opened.Before(s.Clock.At(a.OnlySince)))
 }
 
 // exchange writes the request and reads the answer; keep says whether the connection is in order then, and passed that the
--- a/internal/httpcarrier/carrier_test.go
+++ b/internal/httpcarrier/carrier_test.go
@@ -186,6 +186,8 @@
 		"ended":     func(f *fixture, a *engine.Attempt) { a.Call.Close() },
 		"late":      func(f *fixture, a *engine.Attempt) { a.Until, a.WriteBy = 0, 0 },
 		"forgotten": func(f *fixture, a *engine.Attempt) { a.WriteBy = 0 },
+		"barred":    func(f *fixture, a *engine.Attempt) { a.Barred = true },
+		"new":       func(f *fixture, a *engine.Attempt) { a.OnlySince = f.Clock.Now() }, // the connection
 		"unknown":   func(f *fixture, a *engine.Attempt) { a.Life = nil },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -196,13 +198,27 @@
 			if out := f.Carry(context.Background(), a); out.Result != logic.NotSent {
 				t.Errorf("result %v", out.Result)
 			}
-			if f.stillWanted(a) || b.Requests() != before {
-				t.Error("it was sent, or would have been")
+			if b.Requests() != before {
+				t.Error("it was sent")
 			}
 		})
 	}
 }
 
+// A repeat that only who remembers the first may get goes over a connection that was there before the first.
+func TestOnlyOverAConnectionFromBefore(t *testing.T) {
+	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
+	f := newFixture(t, b.Addr().String(), 100)
+	if out := f.Carry(t.Context(), f.attempt(testbed.Patience)); out.Result != logic.OK {
+		t.Fatal(out.Result)
+	}
+	a := f.attempt(testbed.Patience)
+	a.OnlySince = f.Clock.Now()
+	if out := f.Carry(t.Context(), a); out.Result != logic.OK || b.Connections() != 1 {
+		t.Errorf("result %v, %d connections", out.Result, b.Connections())
+	}
+}
+
 func TestListChangesCloseConnections(t *testing.T) {
 	b := testbed.NewBackend(t, testbed.Says(testbed.Served))
 	addr := b.Addr().String()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,7 @@
 	Reader     *bufio.Reader
 	left       *io.LimitedReader // under Reader: what an answer may still bring
 	backend    *Backend
+	Opened     time.Time
 	idleSince  time.Time
 	next, prev *Conn // in the ring of those that wait for use; nil outside
 }
@@ -257,7 +258,7 @@
 		return nil, fmt.Errorf("connecting to %s: %w", b.id, err)
 	}
 	left := &io.LimitedReader{R: raw}
-	c = &Conn{Conn: raw, Reader: bufio.NewReader(left), left: left, backend: b}
+	c = &Conn{Conn: raw, Reader: bufio.NewReader(left), left: left, backend: b, Opened: time.Now()}
 	p.open[c] = struct{}{}
 	return c, nil
 }
--- a/internal/rehearsal/carry.go
+++ b/internal/rehearsal/carry.go
@@ -47,6 +47,11 @@
 	r.tries++
 	r.answers = 0
 	began := w.now
+	if !r.agent.up && r.key == "" && r.tries == 1 && w.script.Clients.Retry { // as on sockets: nobody has taken it
+		r.waits = true
+		w.after(ownWait, func() { r.waits = false; w.send(r) })
+		return
+	}
 	if !r.agent.up {
 		r.end, r.took = failed, w.now-r.arrived
 		return
@@ -131,7 +136,7 @@
 			a.step(engine.Outcome{Attempt: at, Result: result, Report: report})
 		}
 	}
-	if s == nil || a.knows[s.id].state == logic.Gone {
+	if s == nil || a.knows[s.id].state == logic.Gone || a.barred(at) {
 		w.after(0, func() { ended(logic.NotSent, logic.NoReport) })
 		return
 	}
--- a/internal/rehearsal/events.go
+++ b/internal/rehearsal/events.go
@@ -62,8 +62,10 @@
 		}
 	case "agent_kill":
 		for _, number := range st.chooseAgents(e) {
-			st.in.killAgent(number)
+			st.in.killAgent(number, agentDown)
 		}
+	case "power_loss":
+		st.powerLoss(e, lasts)
 	case "rolling_deploy":
 		st.deploy(e)
 	case "kill":
@@ -83,6 +85,52 @@
 	}
 }
 
+// powerLoss takes power away from servers and agents, and gives it back to each at its time. A pod of which no server runs on has
+// forgotten what it was sent. While servers are dark the list, which hears late, goes on naming them.
+func (st *stage) powerLoss(e Event, dark time.Duration) {
+	if list := e.List.draw(st.random); e.List.To > 0 {
+		if st.outage++; st.outage == 1 {
+			st.in.reach(true)
+		}
+		st.after(dark+list, func() {
+			if st.outage--; st.outage == 0 {
+				st.in.reach(false)
+			}
+		})
+	}
+	var lost []*member
+	if e.Share > 0 {
+		lost = st.choose(e)
+	}
+	for _, s := range lost {
+		s.at.die()
+	}
+	for _, s := range lost {
+		st.forgotten(s.pod, lost)
+		st.after(dark+e.Apart.draw(st.random), func() {
+			if st.current[s.id] == s {
+				st.start(s.id, s.kind, s.pod, false)
+				st.in.changed()
+			}
+		})
+	}
+	if e.Agents > 0 {
+		for _, number := range st.chooseAgents(e) {
+			st.in.killAgent(number, dark+e.Apart.draw(st.random))
+		}
+	}
+}
+
+// forgotten lets a pod forget if all of its servers are among those that are lost.
+func (st *stage) forgotten(pod int, lost []*member) {
+	for _, s := range st.current {
+		if s.pod == pod && s.state != logic.Gone && !slices.Contains(lost, s) {
+			return
+		}
+	}
+	st.in.forget(pod)
+}
+
 // swingStep is how often a load that swings is set anew.
 const swingStep = 100 * time.Millisecond
 
--- a/internal/rehearsal/live.go
+++ b/internal/rehearsal/live.go
@@ -293,11 +293,14 @@
 }
 
 // killAgent is of installation.
-func (l *live) killAgent(number int) {
+func (l *live) killAgent(number int, down time.Duration) {
 	l.agents[number].end(syscall.SIGKILL)
-	l.restart(l.agents[number])
+	l.restart(l.agents[number], down)
 }
 
+// forget is of installation.
+func (l *live) forget(pod int) { l.pods[pod].Forget() }
+
 // endAgent is of installation. Clients go on for a moment, as they do at a planned restart; what the agent takes until
 // then it has to answer, and its life ends with the process.
 func (l *live) endAgent(number int) {
@@ -306,13 +309,13 @@
 	l.after(noticeTime, a.leave)
 	l.after(noticeTime+deadline+answerLate, func() {
 		a.end(syscall.SIGTERM)
-		l.restart(a)
+		l.restart(a, agentDown)
 	})
 }
 
 // restart starts an agent again, a while later.
-func (l *live) restart(a *liveAgent) {
-	l.after(agentDown, func() {
+func (l *live) restart(a *liveAgent, down time.Duration) {
+	l.after(down, func() {
 		if err := l.exec(a); err != nil {
 			l.day.Notes = append(l.day.Notes, err.Error())
 			return
--- a/internal/rehearsal/script.go
+++ b/internal/rehearsal/script.go
@@ -46,8 +46,9 @@
 
 // Agents is what the agents' own settings switch on.
 type Agents struct {
-	Join []string `toml:"join"` // classes of which like requests are answered together
-	Door string   `toml:"door"` // who says which requests are let in: "storm", or in simulated time one of its rivals
+	Join     []string `toml:"join"`     // classes of which like requests are answered together
+	Recovery bool     `toml:"recovery"` // they keep what they know over a power loss, and come back by it
+	Door     string   `toml:"door"`     // who says which requests are let in: "storm", or in simulated time one of its rivals
 }
 
 // Event is something that happens. Which of its figures count depends on what it does (see verbs).
@@ -65,6 +66,8 @@
 	Every   Span     `toml:"every"`   // after that time again
 	Agent   int      `toml:"agent"`   // its number, from 1; or
 	Agents  float64  `toml:"agents"`  // so much of all agents, drawn
+	List    Span     `toml:"list"`    // how much later the server list is back
+	Apart   Span     `toml:"apart"`   // how much later than the first each part is back, drawn one by one
 }
 
 // Assert is what must hold: a least service, a recovery, or the most that a server holds. The four rules always must.
@@ -127,6 +130,7 @@
 // verb says which figures an event needs.
 type verb struct {
 	servers, lasting, to, over, batch, agent bool
+	power                                    bool // servers, agents or both, by share
 	means                                    string
 }
 
@@ -151,6 +155,7 @@
 	"ramp":           {lasting: true, to: true, over: true, means: "the load rises evenly to `to` times the usual over that time, and stays"},
 	"wave":           {lasting: true, to: true, over: true, means: "the load swings between the usual and `to` times, `over` from crest to crest"},
 	"agent_sigterm":  {agent: true, means: "an agent drains, ends and starts anew, as at a planned restart"},
+	"power_loss":     {power: true, lasting: true, means: "servers (share), agents (agents) or both lose power, and with it what was not kept"},
 	"agent_kill":     {agent: true, means: "an agent ends and starts anew, with what it knew lost"},
 }
 
@@ -258,9 +263,13 @@
 	switch {
 	case e.At.From >= s.Length.To:
 		return fmt.Errorf("at: %v is after the day's end", e.At.From)
+	case v.power && (len(e.Servers) > 0 || e.Kind != "" || e.Share == 0 && e.Agents == 0):
+		return fmt.Errorf("%s: say how much of the servers by share, of the agents by agents, or both", e.Do)
+	case !v.power && (e.List.To > 0 || e.Apart.To > 0):
+		return fmt.Errorf("list, apart: %s has none", e.Do)
 	case v.servers && chosen != 1:
 		return fmt.Errorf("%s: say which by one of servers, kind and share", e.Do)
-	case !v.servers && chosen != 0:
+	case !v.servers && !v.power && chosen != 0:
 		return fmt.Errorf("%s: concerns no servers", e.Do)
 	case e.Share < 0 || e.Share > 1:
 		return errors.New("share: from 0 to 1")
@@ -276,7 +285,7 @@
 		return fmt.Errorf("to: %s", need(v.to, e.Do))
 	case v.to && !v.loads() && e.To > 1:
 		return errors.New("to: a share, at most 1")
-	case v.agent != (e.Agent > 0 || e.Agents > 0) || e.Agent > s.Fleet.Agents:
+	case !v.power && v.agent != (e.Agent > 0 || e.Agents > 0) || e.Agent > s.Fleet.Agents:
 		return fmt.Errorf("agent: %s, or agents, a share; there are %d", need(v.agent, e.Do), s.Fleet.Agents)
 	case e.Agents < 0 || e.Agents > 1 || e.Agent > 0 && e.Agents > 0:
 		return errors.New("agents: a share from 0 to 1, in place of agent")
--- a/internal/rehearsal/simulate.go
+++ b/internal/rehearsal/simulate.go
@@ -10,6 +10,7 @@
 
 	"appleledge/internal/emulator"
 	"appleledge/internal/engine"
+	"appleledge/internal/fleet/recovery"
 	"appleledge/internal/join"
 	"appleledge/internal/rig/doors"
 	"appleledge/internal/settings"
@@ -162,7 +163,7 @@
 }
 
 // killAgent is of installation: an agent ends, with all that it held, and is back later.
-func (w *world) killAgent(number int) {
+func (w *world) killAgent(number int, down time.Duration) {
 	a := w.agents[number]
 	if !a.up {
 		return
@@ -175,14 +176,17 @@
 		}
 		if r.key == "" && r.tries == 1 && w.script.Clients.Retry { // its connection broke; this one may be sent again
 			r.waits = true
-			w.after(agentDown+ownWait, func() { r.waits = false; w.send(r) })
+			w.after(down+ownWait, func() { r.waits = false; w.send(r) })
 			continue
 		}
 		r.end, r.took = failed, w.now-r.arrived
 	}
-	w.after(agentDown, a.boot)
+	w.after(down, a.boot)
 }
 
+// forget is of installation.
+func (w *world) forget(pod int) { w.pods[pod].Forget() }
+
 // simAgent is an agent: the real engine round the real module, with no sockets.
 type simAgent struct {
 	w      *world
@@ -191,9 +195,13 @@
 	door   engine.Door // nil without one
 	life   int         // counts its restarts
 	up     bool
-	knows  map[string]known         // of the list, as it was told
-	told   map[string]time.Duration // when it was told that a server drains or is gone
-	due    time.Duration            // when the engine is stepped next; 0: not planned
+	knows  map[string]known              // of the list, as it was told
+	told   map[string]time.Duration      // when it was told that a server drains or is gone
+	due    time.Duration                 // when the engine is stepped next; 0: not planned
+	back   *recovery.Recovery            // nil where none is switched on
+	disk   disk                          // what outlasts its lives
+	heard  bool                          // the list has told it something in this life
+	met    map[engine.Life]time.Duration // when it had its first connection to a server's life
 }
 
 // known is what an agent was told of a server.
@@ -207,6 +215,7 @@
 	w := a.w
 	a.life++
 	a.up, a.due, a.knows, a.told = true, 0, map[string]known{}, map[string]time.Duration{}
+	a.heard, a.met = false, map[engine.Life]time.Duration{}
 	set := w.settings()
 	set.Me = a.number
 	b, err := logic.New(set, w.random.Uint64())
@@ -222,8 +231,12 @@
 		a.door = doors.New(w.script.Agents.Door, stormOptions(set, uint64(a.number*1000+a.life)))
 		a.engine.Guard(a.door)
 	}
+	if w.script.Agents.Recovery {
+		a.comeBack(set)
+	}
 	a.engine.Begin()
 	a.step(nil)
+	a.restore()
 	a.list(true)
 }
 
@@ -273,7 +286,8 @@
 	if a.w.outage > 0 || !a.up {
 		return
 	}
-	l := engine.Listed{Full: full}
+	l := engine.Listed{Full: full || !a.heard} // what is from before is not in force any more
+	full, a.heard = l.Full, true
 	for _, s := range a.w.servers {
 		if a.w.byID[s.id] != s { // it has started anew since
 			continue
@@ -293,6 +307,7 @@
 	}
 	if len(l.Members) > 0 {
 		a.step(l)
+		a.save()
 	}
 }
 
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -62,6 +62,17 @@
 	filling bool // it came near what its kind may fill of the limit
 	overdue bool // has not ended within the aim
 	ended   bool
+
+	Among []string // ids of the servers that it may go to, sorted; nil: any
+	apart bool     // let in by another door, which counts it itself
+}
+
+// NewPass is a pass of another door.
+func NewPass(now time.Duration, a Ask) *Pass { return &Pass{class: a.Class, began: now, apart: true} }
+
+// Ended says of a pass of NewPass its class and how long it took; own is false of any other.
+func (p *Pass) Ended(now time.Duration) (class int, took time.Duration, own bool) {
+	return p.class, now - p.began, p.apart
 }
 
 // State is what a Watch takes the times for.
