Agents keep what they know over a loss of power: section [recovery], off here

Torn, foreign, unreadable or full: the agent starts, says so and serves by the list. - run_file names the run of the machine, for ties as well. - rehearse plays power_loss on sockets: servers keep their addresses, machines get new runs, what an agent ended with is said.

Found by the tests: bans were kept as drains of the list, which no operator could take back; a fleet that is warm again but asked for more than three times the usual stayed in recovery.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"appleledge/internal/admin"
 	"appleledge/internal/engine"
+	"appleledge/internal/fleet/recovery"
 	"appleledge/internal/handover"
 	"appleledge/internal/httpcarrier"
 	"appleledge/internal/httpfront"
@@ -79,10 +80,11 @@
 	Membership membership.Options
 	// Join says, for the classes of the platform's configuration, which requests are answered together; nil: none. An
 	// error is a setting that does not fit them.
-	Join    func([]logic.Class) (Joins, error)
-	Storm   *Storm        // nil: storms are not noticed
-	Ties    *Ties         // nil: where refunds go is not remembered
-	Figures time.Duration // between two lines of the log with what is counted; 0: none
+	Join     func([]logic.Class) (Joins, error)
+	Storm    *Storm        // nil: storms are not noticed
+	Ties     *Ties         // nil: where refunds go is not remembered
+	Figures  time.Duration // between two lines of the log with what is counted; 0: none
+	Recovery *Recovery     // nil: nothing is kept over a loss of power, and service returns by no plan
 	// Generations are configurations of the fleet that operators plan and apply; nil: none is in force.
 	Generations *Generations
 	// Memory limits the process to a part of the agent's memory, while another process of the agent runs; nil: nothing does.
@@ -117,6 +119,9 @@
 	if x.Ties != nil {
 		n += tieFiles
 	}
+	if x.Recovery != nil {
+		n += recoveryFiles
+	}
 	return n
 }
 
@@ -155,7 +160,11 @@
 	clk := engine.NewClock()
 	conns := pool.New(cfg.Site.ConnectTimeout, cfg.Site.ConnIdle, toBackends)
 	core := engine.New(balancer, clk, conns, log)
-	disco := platform.New(platform.Options{Addr: cfg.Discovery, Zones: cfg.Site.Zones, Known: cfg.known,
+	keep, err := with.openKept(cfg, clk, log)
+	if err != nil {
+		return err
+	}
+	disco := platform.New(platform.Options{Addr: cfg.Discovery, Zones: cfg.Site.Zones, Known: keep.known(cfg.known), Wait: keep.wait(),
 		Asked: cfg.Site.Logic.Subscribe}, clk, log)
 	core.OnSubscribe(disco.Ask)
 	sources, names := with.open(disco, clk, cfg.Site, log)
@@ -188,10 +197,15 @@
 	if governed != nil {
 		parts.Go(func() { governed.run(ctx, core.Done(), log) })
 	}
+	var door recovery.Door
 	if with.Storm != nil {
-		core.Guard(newStorm(cfg, *with.Storm))
+		door = newStorm(cfg, *with.Storm)
+		core.Guard(door)
 		parts.Go(func() { logStorms(inner, core, clk, with.Storm.LogEvery, log) })
 	}
+	if keep != nil {
+		keep.attach(core, clk, cfg, door, with.heard(disco))
+	}
 	core.Name(cfg.Site.Logic.Classes)
 	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, own: own, log: log}
 	var large *httpfront.Large
@@ -206,10 +220,10 @@
 	var twin *upgrade
 	if with.link != nil {
 		twin = &upgrade{link: with.link, core: core, clock: clk, conns: conns, clients: clients, toBackends: toBackends, large: large,
-			fromClients: fromClients, memory: with.Memory}
+			fromClients: fromClients, memory: with.Memory, keep: keep}
 		ready = func() bool { return core.Ready() && ctx.Err() == nil && twin.serving.Load() }
 	}
-	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, link: with.link, ready: ready}, clk, log)
+	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, link: with.link, ready: ready, keep: keep}, clk, log)
 	if err != nil {
 		return err
 	}
@@ -218,6 +232,10 @@
 		look := counters{core, conns, disco}
 		parts.Go(func() { look.log(inner, with.Figures, log) })
 	}
+	if keep != nil {
+		parts.Go(func() { keep.run(ctx) })
+		parts.Go(func() { keep.say(inner, clk) })
+	}
 	parts.Go(func() { core.Run(inner) })
 	if joined != nil {
 		parts.Go(func() { logJoins(inner, core, joined.logEvery, log) })
@@ -274,6 +292,14 @@
 	})
 }
 
+// heard says whether the list is one of now: a source other than the platform's tells nothing from before.
+func (x Extras) heard(disco *platform.Discovery) func() bool {
+	if len(x.Sources) > 0 && x.Sources[0].Name != Platform {
+		return func() bool { return true }
+	}
+	return disco.Heard
+}
+
 // open opens the sources of members, the platform's list among them.
 func (x Extras) open(platform membership.Source, c engine.Clock, site wire.Site, log *slog.Logger) (sources []membership.Source, names []string) {
 	if len(x.Sources) == 0 {
--- a/internal/agent/operator.go
+++ b/internal/agent/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -26,6 +27,7 @@
 	reloads *reloadCounts
 	link    *handover.Link // to other processes of the agent; nil where there can be none
 	ready   func() bool
+	keep    *keeping // nil: bans end with the agent's last process
 }
 
 func (o operating) Ready() bool { return o.ready() }
@@ -41,10 +43,19 @@
 // Hold carries an operator's order out, here and in the other processes of the agent.
 func (o operating) Hold(ctx context.Context, server string, out bool) error {
 	do := func() error { return hold(ctx, o.core, server, out) }
+	var err error
 	if o.link == nil {
-		return do()
+		err = do()
+	} else {
+		err = o.link.Give(ctx, handover.Order{Server: server, Out: out}, do)
 	}
-	return o.link.Give(ctx, handover.Order{Server: server, Out: out}, do)
+	if err != nil || o.keep == nil {
+		return err
+	}
+	if err := o.keep.keep(ctx); err != nil && !(errors.Is(err, errElsewhere) && o.link != nil && !o.link.Alone()) {
+		return fmt.Errorf("the order is in force, and a loss of power would end it: %w", err)
+	}
+	return nil
 }
 
 func hold(ctx context.Context, core *engine.Engine, server string, out bool) error {
@@ -70,6 +81,7 @@
 	if o.link != nil {
 		set.Restore(o.link.Inherited(), clk.FromUnix)
 	}
+	set.Restore(o.keep.bans(), clk.FromUnix)
 	o.core.Hold(set)
 	s := &operator.Server{Agent: o, Log: log}
 	return func(ctx context.Context) error { return s.Serve(ctx, l) }, nil
--- /dev/null
+++ b/internal/agent/recovery.go
@@ -0,0 +1,317 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"appleledge/internal/affinity/tielog"
+	"appleledge/internal/bans"
+	"appleledge/internal/engine"
+	ondisk "appleledge/internal/fleet/kept"
+	"appleledge/internal/fleet/recovery"
+	"appleledge/internal/membership/listing"
+	"appleledge/internal/store"
+	"appleledge/logic"
+)
+
+// Recovery says how what the agent knows is kept over a loss of power.
+type Recovery struct {
+	Dir      string        // that keeps it
+	RunFile  string        // names the run of the machine
+	Every    time.Duration // between two writes of what changes all the time
+	ListWait time.Duration // for the list at a start, before the servers from before are used
+	LogEvery time.Duration // between two lines while service has not returned
+	FS       store.FS      // nil: the machine's
+}
+
+const (
+	knowledge     = "knowledge"            // the file's name
+	recoveryFiles = 4                      // descriptors: the lock, and what is written and read
+	soonAfter     = 10 * time.Millisecond  // what has to be kept at once is written; what comes meanwhile goes with it
+	lockAgain     = time.Second            // between two tries to write where another process of the agent does
+	staleWrite    = 10 * time.Second       // for which nothing is written where nothing has changed
+	troubleLog    = 10 * time.Second       // between two lines on what can't be kept
+	statusLook    = 100 * time.Millisecond // between two looks at how recovery stands, for the log
+)
+
+// keeping is what an agent keeps on disk, and what it was before.
+type keeping struct {
+	set    Recovery
+	file   store.File
+	reader listing.Reader
+	agent  string
+	log    *slog.Logger
+	trust  ondisk.Trust
+	before ondisk.Document
+	off    string        // why nothing is kept; empty: it is
+	wake   chan struct{} // holds one wake-up: something has to be kept at once
+	core   *engine.Engine
+
+	mu      sync.Mutex // one write at a time
+	release func() error
+	last    ondisk.Document
+	written time.Time
+	logged  time.Time
+}
+
+// openKept reads what an earlier life of the agent has kept. It is nil where nothing is kept. What can't be read is no reason not to
+// start: the agent begins with nothing, and says so.
+func (x Extras) openKept(cfg Config, clk engine.Clock, log *slog.Logger) (*keeping, error) {
+	if x.Recovery == nil {
+		return nil, nil
+	}
+	k := &keeping{set: *x.Recovery, reader: listing.Reader{Zones: cfg.Site.Zones, Clock: clk}, agent: cfg.Name + " " + cfg.Listen, log: log,
+		wake: make(chan struct{}, 1)}
+	if k.set.FS == nil {
+		k.set.FS = store.OS{}
+		if err := os.MkdirAll(k.set.Dir, 0o700); err != nil {
+			return nil, fmt.Errorf("recovery: the folder for what is kept: %w", err)
+		}
+	}
+	k.file = store.File{Path: filepath.Join(k.set.Dir, knowledge), FS: k.set.FS}
+	now, err := k.now()
+	if err != nil {
+		return nil, fmt.Errorf("recovery: the run of the machine: %w", err)
+	}
+	text, err := k.file.Load()
+	if err == nil {
+		k.before, err = ondisk.Parse(text)
+	}
+	switch {
+	case errors.Is(err, store.ErrNone):
+		log.Info("nothing is kept from before")
+		return k, nil
+	case errors.Is(err, os.ErrPermission):
+		log.Error("what is kept can't be read: the agent begins with nothing", "file", k.file.Path, "error", err)
+		return k, nil
+	case err != nil:
+		aside, failed := k.file.SetAside(time.Now())
+		log.Error("what is kept is not whole: the agent begins with nothing", "file", k.file.Path, "error", err, "kept_as", aside, "not_set_aside", failed)
+		return k, nil
+	}
+	why := ""
+	if k.trust, why = k.before.Judge(now); k.trust == ondisk.None {
+		k.off, k.before = why, ondisk.Document{}
+		log.Error("the folder for what is kept is another agent's: nothing of it is used, and nothing is kept", "dir", k.set.Dir, "why", why)
+		return k, nil
+	}
+	log.Info("knowledge from before", "trusted", k.trust.String(), "why", why, "servers", len(k.before.Servers), "held_out", len(k.before.Bans.Out))
+	return k, nil
+}
+
+func (k *keeping) now() (ondisk.Now, error) {
+	run, err := k.set.run()
+	if err != nil {
+		return ondisk.Now{}, err
+	}
+	_, since, err := tielog.SinceBoot()
+	return ondisk.Now{Agent: k.agent, Run: run, SinceBoot: since}, err
+}
+
+// run names the present run of the machine.
+func (r Recovery) run() (string, error) {
+	text, err := os.ReadFile(r.RunFile)
+	return strings.TrimSpace(string(text)), err
+}
+
+// known is the list to begin with: what was kept, or what the platform says if that is newer.
+func (k *keeping) known(platform listing.List) listing.List {
+	if k == nil || k.trust == ondisk.None || len(k.before.Servers) == 0 || platform.Version > k.before.Version {
+		return platform
+	}
+	return k.before.List(k.trust)
+}
+
+// wait is how long the list is waited for before the known one is used; 0: as usual.
+func (k *keeping) wait() time.Duration {
+	if k == nil {
+		return 0
+	}
+	return max(k.set.ListWait, time.Millisecond)
+}
+
+// bans are those from before.
+func (k *keeping) bans() (st bans.State) {
+	if k != nil {
+		st = k.before.Bans
+	}
+	return st
+}
+
+// attach puts the recovery at the engine's door, before it runs.
+func (k *keeping) attach(core *engine.Engine, clk engine.Clock, cfg Config, behind recovery.Door, heard func() bool) {
+	k.core = core
+	site := cfg.Site.Logic
+	o := recovery.Options{Agents: site.Balancers, Self: site.Me, ColdFrom: site.ColdFrom, ColdFor: site.ColdFor, Overload: site.Overload,
+		MaxAfter: site.MaxRetryAfter, Seed: cfg.Seed}
+	for _, c := range site.Classes {
+		o.Classes = append(o.Classes, recovery.Class{Name: c.Name, Worth: c.Worth, Aim: c.Aim, Safe: c.Effect == logic.Safe})
+	}
+	r := recovery.New(o, behind)
+	before := k.before.Before(k.classes(site.Classes))
+	switch k.trust {
+	case ondisk.Names:
+		r.Begin(clk.Now(), before, "the machine has started anew")
+	case ondisk.Complete: // the servers have run on, as the machine has
+		r.Resume(before)
+	default:
+		r.Begin(clk.Now(), recovery.Before{}, "nothing is known from before")
+	}
+	core.Return(r, heard, func() {
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+	})
+}
+
+func (k *keeping) classes(classes []logic.Class) (names []string) {
+	for _, c := range classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// run keeps what the agent knows until the context ends, and once more then.
+func (k *keeping) run(ctx context.Context) {
+	defer k.close()
+	tick := time.NewTicker(k.set.Every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			k.save(context.WithoutCancel(ctx))
+			return
+		case <-tick.C:
+		case <-k.wake:
+			select {
+			case <-ctx.Done():
+			case <-time.After(soonAfter):
+			}
+		}
+		k.save(ctx)
+	}
+}
+
+// save writes what the agent knows now, if that is news, and logs what keeps it from that.
+func (k *keeping) save(ctx context.Context) {
+	err := k.keep(ctx)
+	if err == nil || errors.Is(err, errElsewhere) || ctx.Err() != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if time.Since(k.logged) > troubleLog {
+		k.logged = time.Now()
+		k.log.Error("what the agent knows can't be kept: after a loss of power it would begin with what was kept before", "error", err)
+	}
+}
+
+// errElsewhere says that another process of the agent keeps what it knows: that of the version before, until it has ended.
+var errElsewhere = errors.New("another process of the agent writes")
+
+// keep writes what the agent knows now. When it returns without an error that lasts.
+func (k *keeping) keep(ctx context.Context) error {
+	if k.off != "" {
+		return errors.New(k.off)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.release == nil {
+		release, err := store.Lock(k.file.Path)
+		if errors.Is(err, store.ErrLocked) {
+			return errElsewhere
+		}
+		if err != nil {
+			return err
+		}
+		k.release = release
+	}
+	d, ok, err := k.document(ctx)
+	if err != nil || !ok {
+		return err
+	}
+	if d.Same(k.last) && time.Since(k.written) < staleWrite {
+		return nil
+	}
+	d.Writes = max(k.last.Writes, k.before.Writes) + 1
+	text, err := d.Text()
+	if err != nil {
+		return err
+	}
+	if err := k.file.Save(text); err != nil {
+		return err
+	}
+	k.last, k.written = d, time.Now()
+	return nil
+}
+
+// document is what the agent knows now; ok is false before it has been told of any server.
+func (k *keeping) document(ctx context.Context) (d ondisk.Document, ok bool, err error) {
+	known, err := k.core.Known(ctx)
+	if err != nil || len(known.Members) == 0 && len(known.Bans.Out) == 0 {
+		return d, false, err
+	}
+	now, err := k.now()
+	if err != nil {
+		return d, false, err
+	}
+	d = ondisk.Document{Agent: now.Agent, Run: now.Run, SinceBoot: now.SinceBoot.Milliseconds(), Capacity: map[string]float64{},
+		Usual: map[string]float64{}, Use: rounded(known.Before.Use), Bans: known.Bans}
+	for _, m := range known.Members {
+		d.Servers = append(d.Servers, k.reader.Entry(m))
+	}
+	for _, s := range known.Before.Servers {
+		if s.Capacity > 0 {
+			d.Capacity[s.ID] = rounded(s.Capacity)
+		}
+	}
+	names := k.core.Tally().Classes
+	for class, rate := range known.Before.Usual {
+		if class < len(names) && rate > 0 {
+			d.Usual[names[class]] = rounded(rate)
+		}
+	}
+	return d, true, nil
+}
+
+// rounded is a figure to two places, so that what hardly moves is not written again.
+func rounded(x float64) float64 {
+	scale := math.Pow(10, 1-math.Floor(math.Log10(max(math.Abs(x), 1e-9))))
+	return math.Round(x*scale) / scale
+}
+
+func (k *keeping) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.release != nil {
+		k.release()
+		k.release = nil
+	}
+}
+
+// say logs each change of the phase, and every so often how it stands while service has not returned.
+func (k *keeping) say(ctx context.Context, clk engine.Clock) {
+	last, logged := recovery.Status{}, time.Duration(0)
+	every(ctx, statusLook, func() {
+		st := k.core.Load().Recovery
+		if st == nil {
+			return
+		}
+		now := clk.Now()
+		if st.Phase != last.Phase || st.Phase != recovery.Full && now-logged >= k.set.LogEvery {
+			logged = now
+			k.log.Info("recovery", "phase", st.Phase.String(), "why", st.Why, "let_in", rounded(st.Rate), "warm", rounded(st.Warm),
+				"servers", st.Servers, "answered", st.Heard, "trials", st.Counts.Trials, "in_vain", st.Counts.Vain)
+		}
+		last = *st
+	})
+}
--- a/internal/agent/ties.go
+++ b/internal/agent/ties.go
@@ -61,7 +61,7 @@
 		return nil, nil
 	}
 	o := tielog.Options{Dir: set.Dir, FS: store.OS{}, Sync: set.Sync, Lasts: window + set.Tail, Now: clk.Now}
-	if err := sinceBoot(&o, clk); err != nil {
+	if err := x.sinceBoot(&o, clk); err != nil {
 		return nil, fmt.Errorf("ties: %w", err)
 	}
 	secret, err := tielog.Secret(o)
@@ -86,8 +86,11 @@
 }
 
 // sinceBoot sets times since the machine has started, which two processes have in common.
-func sinceBoot(o *tielog.Options, clk engine.Clock) error {
+func (x Extras) sinceBoot(o *tielog.Options, clk engine.Clock) error {
 	boot, now, err := tielog.SinceBoot()
+	if err == nil && x.Recovery != nil {
+		boot, err = x.Recovery.run()
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/agent/upgrade.go
+++ b/internal/agent/upgrade.go
@@ -55,6 +55,7 @@
 	large                   *httpfront.Large
 	toBackends, fromClients int                // connections of the whole agent
 	memory                  func(part float64) // limits the process to a part of the agent's memory; nil: nothing does
+	keep                    *keeping           // nil: nothing is kept over a loss of power
 	serving                 atomic.Bool
 }
 
@@ -75,7 +76,11 @@
 	}); err != nil {
 		return err
 	}
-	return hold(ctx, u.core, o.Server, o.Out)
+	err := hold(ctx, u.core, o.Server, o.Out)
+	if err == nil && u.keep != nil {
+		u.keep.save(ctx)
+	}
+	return err
 }
 
 // Share is for handover.Host.
--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -64,6 +64,7 @@
 
 // Listening are the limits of a form server's connections.
 type Listening struct {
+	Addr      string        // host and port; empty: a free one
 	IdleClose time.Duration // a connection idle for so long is closed
 	MaxConns  int           // open at a time; further ones are closed at once. 0: no limit
 }
@@ -71,9 +72,12 @@
 // hour is when timers that nothing is due for are set to.
 const hour = time.Hour
 
-// Listen starts a form server on a loopback address of its own. Times of the model count from the epoch.
+// Listen starts a form server on a loopback address. Times of the model count from the epoch.
 func Listen(name string, model *Server, classes []Class, seed uint64, epoch time.Time, limits Listening) (*FormServer, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if limits.Addr == "" {
+		limits.Addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", limits.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("form server %s: %w", name, err)
 	}
--- a/internal/engine/door.go
+++ b/internal/engine/door.go
@@ -39,7 +39,7 @@
 	}
 	c.pass = p
 	if e.returning != nil {
-		e.moved()
+		e.remask()
 	}
 	return true
 }
--- a/internal/engine/returning.go
+++ b/internal/engine/returning.go
@@ -1,8 +1,12 @@
 package engine
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"appleledge/internal/bans"
 	"appleledge/internal/fleet/recovery"
 	"appleledge/logic"
 )
@@ -12,19 +16,48 @@
 type returning struct {
 	*recovery.Recovery
 	heard func() bool // the list is of now, and not from before
+	moved func()      // is told of what has to be kept at once; never nil
 	told  map[string]Member
 }
 
-// Return puts a recovery at the door. heard says whether the list has been confirmed since the start. It is called before Run, and
-// in place of Guard.
-func (e *Engine) Return(r *recovery.Recovery, heard func() bool) {
-	e.returning = &returning{Recovery: r, heard: heard, told: map[string]Member{}}
+// Return puts a recovery at the door. heard says whether the list has been confirmed since the start; moved is called on the engine's
+// goroutine when the list tells of another server, or of one that drains or is gone. It is called before Run, and in place of Guard.
+func (e *Engine) Return(r *recovery.Recovery, heard func() bool, moved func()) {
+	e.returning = &returning{Recovery: r, heard: heard, moved: moved, told: map[string]Member{}}
 	e.Guard(r)
 }
 
+// Known is what an agent has to remember over a loss of power.
+type Known struct {
+	Members []Member // as the list has them, by id
+	Before  recovery.Before
+	Bans    bans.State
+}
+
+// Known returns what the engine knows. It waits for the engine, and is for one that has a recovery.
+func (e *Engine) Known(ctx context.Context) (k Known, err error) {
+	err = e.command(ctx, func(time.Duration) {
+		told := e.returning.told
+		switch { // as the list has them: what lies over it is kept for itself
+		case e.governed != nil:
+			told = e.governed.told
+		case e.held != nil:
+			told = e.held.told
+		}
+		for _, id := range slices.Sorted(maps.Keys(told)) {
+			k.Members = append(k.Members, told[id])
+		}
+		k.Before = e.returning.Before()
+		if e.held != nil {
+			k.Bans = e.held.set.State(func(t time.Duration) int64 { return e.clock.At(t).UnixMilli() })
+		}
+	})
+	return k, err
+}
+
 // listed takes a list over and returns it as the module is to see it.
 func (r *returning) listed(now time.Duration, l Listed) Listed {
-	heard := r.heard()
+	heard, changed := r.heard(), false
 	if l.Full {
 		named := make(map[string]bool, len(l.Members))
 		for _, m := range l.Members {
@@ -33,11 +66,14 @@
 		for id := range r.told {
 			if !named[id] {
 				delete(r.told, id)
+				changed = true
 				r.Recovery.Listed(now, recovery.Server{ID: id, Gone: true}, heard)
 			}
 		}
 	}
 	for _, m := range l.Members {
+		was, there := r.told[m.ID]
+		changed = changed || !there && m.State != logic.Gone || there && was.State != m.State
 		if m.State == logic.Gone {
 			delete(r.told, m.ID)
 		} else {
@@ -46,7 +82,9 @@
 		r.Recovery.Listed(now, recovery.Server{ID: m.ID, Cell: m.Cell, Ready: m.State == logic.Ready, Gone: m.State == logic.Gone,
 			Started: m.Started}, heard)
 	}
-	r.Settled(now)
+	if r.Settled(now); changed {
+		r.moved()
+	}
 	out := Listed{Full: l.Full, Drop: l.Drop, Members: make([]Member, 0, len(l.Members))}
 	for _, m := range l.Members {
 		m.Started = r.Started(m.ID, m.Started)
@@ -55,8 +93,8 @@
 	return out
 }
 
-// moved tells the module of servers whose start is seen otherwise than before.
-func (e *Engine) moved() {
+// remask tells the module of servers whose start is seen otherwise than before.
+func (e *Engine) remask() {
 	var servers []logic.Server
 	for _, id := range e.returning.Moved() {
 		if m, there := e.returning.told[id]; there {
@@ -74,7 +112,7 @@
 	broke := o.Result == logic.ConnectFailed || o.Result == logic.Reset
 	answered := o.Result == logic.OK || o.Result == logic.Failed || o.Result == logic.Rejected
 	e.returning.Outcome(e.clock.Now(), o.Attempt.Server, answered, broke, o.Report.Rate, o.Report.Util)
-	e.moved()
+	e.remask()
 }
 
 // repeats says of a repeat of what may have run whether it may go out at all, and if so, that only over a connection from before:
--- a/internal/fleet/recovery/habits.go
+++ b/internal/fleet/recovery/habits.go
@@ -133,6 +133,16 @@
 	return b
 }
 
+// Resume goes on with what is known from before, where it is known that nothing has lost power since.
+func (r *Recovery) Resume(before Before) {
+	copy(r.habits.usual, before.Usual)
+	r.habits.use = before.Use
+	for _, s := range before.Servers {
+		own := r.server(s.ID)
+		own.cell, own.ready, own.capacity = s.Cell, s.Ready, s.Capacity
+	}
+}
+
 // Before is what is to be kept: what is usual, or, while a recovery is under way, what that goes by.
 func (r *Recovery) Before() Before {
 	b := r.habits.before(r)
--- a/internal/fleet/recovery/recovery.go
+++ b/internal/fleet/recovery/recovery.go
@@ -256,14 +256,15 @@
 	Started time.Duration // 0 for long ago
 }
 
-// Listed takes what the own list says of a server. heard is false of a list from before, which nobody has confirmed.
+// Listed takes what the own list says of a server. heard is false of a list from before, which nobody has confirmed: where it
+// names a start all the same, that is known otherwise.
 func (r *Recovery) Listed(now time.Duration, l Server, heard bool) {
 	if l.Gone {
 		delete(r.servers, l.ID)
 		return
 	}
 	s := r.server(l.ID)
-	if s.cell, s.ready = l.Cell, l.Ready; !heard {
+	if s.cell, s.ready = l.Cell, l.Ready; !heard && l.Started == 0 {
 		return
 	}
 	s.birth = max(s.birth, l.Started)
@@ -739,8 +740,8 @@
 	switch {
 	case now-r.refused > steady && (s > 0.9 || r.gain > 1):
 		r.become(now, Full, "all that is asked is let in")
-	case now-r.began > 3*r.set.ColdFor && s > 0.99:
-		r.become(now, Full, "all servers have been warm for long")
+	case s > 0.99: // what is too much for a warm fleet is the module's to refuse
+		r.become(now, Full, "all servers are warm")
 	case r.rate(now) > top*room:
 		r.become(now, Proving, "the worthiest class has what it asks")
 	default:
--- a/internal/membership/listing/listing.go
+++ b/internal/membership/listing/listing.go
@@ -37,7 +37,10 @@
 	err error
 }
 
-var states = map[string]logic.State{"Ready": logic.Ready, "Terminating": logic.Draining, "Gone": logic.Gone}
+// Ready is the state of a server that takes requests.
+const Ready = "Ready"
+
+var states = map[string]logic.State{Ready: logic.Ready, "Terminating": logic.Draining, "Gone": logic.Gone}
 
 // Parse reads a list. Its errors name the line. It goes through the text once and holds nothing of it but the entries: a
 // list of 10,000 servers has over a megabyte, and an agent may have 32.
@@ -159,5 +162,22 @@
 		Weight: e.Weight, Started: r.Clock.FromUnix(e.StartedMS)}}, nil
 }
 
+// Entry writes a member as an entry, as Members reads it.
+func (r Reader) Entry(m engine.Member) Entry {
+	e := Entry{ID: m.ID, Addr: m.Addr, Kind: m.Kind, Cell: m.Cell, Weight: m.Weight}
+	for name, state := range states {
+		if state == m.State {
+			e.State = name
+		}
+	}
+	if m.Zone >= 0 && m.Zone < len(r.Zones) {
+		e.Zone = r.Zones[m.Zone]
+	}
+	if m.Started != 0 {
+		e.StartedMS = r.Clock.At(m.Started).UnixMilli()
+	}
+	return e
+}
+
 // kind is the one copy of a kind's name: a list has few of them, and names each thousands of times.
 func kind(name string) string { return unique.Make(name).Value() }
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -46,6 +46,7 @@
 	client    *http.Client
 	reader    listing.Reader
 	known     listing.List    // of an earlier life of the agent
+	firstWait time.Duration   // for the first list, before that is used
 	asked     bool            // watch only when the module subscribes
 	longWait  time.Duration   // of a watch on an asked list, at most
 	subscribe chan struct{}   // holds one subscription
@@ -71,10 +72,11 @@
 
 // Options says where discovery is and how its lists are to be read.
 type Options struct {
-	Addr  string       // host and port
-	Zones []string     // names, in the order of the module's numbers
-	Known listing.List // what an earlier life of the agent had; may be empty
-	Asked bool         // watch only when the module subscribes
+	Addr  string        // host and port
+	Zones []string      // names, in the order of the module's numbers
+	Known listing.List  // what an earlier life of the agent had; may be empty
+	Asked bool          // watch only when the module subscribes
+	Wait  time.Duration // for the first list, before the known one is used; 0: firstWait
 }
 
 // New returns a follower of the list.
@@ -86,6 +88,7 @@
 		client:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext}},
 		reader:    listing.Reader{Zones: src.Zones, Clock: c},
 		known:     src.Known,
+		firstWait: src.Wait,
 		asked:     src.Asked,
 		longWait:  askedWait,
 		subscribe: make(chan struct{}, 1),
@@ -132,7 +135,7 @@
 		return
 	}
 	if !d.asked { // else the module says when to ask
-		soon, cancel := context.WithTimeout(ctx, firstWait)
+		soon, cancel := context.WithTimeout(ctx, d.firstWait)
 		defer cancel()
 		if d.call(soon, "", 0) == nil {
 			return
@@ -152,6 +155,9 @@
 // Run follows the list until the context ends, from wherever discovery is. In an outage the last list stays in force.
 func (d *Discovery) Run(ctx context.Context, to membership.Sink) {
 	d.to = to
+	if d.firstWait == 0 {
+		d.firstWait = firstWait
+	}
 	defer d.client.CloseIdleConnections()
 	d.first(ctx)
 	for ctx.Err() == nil {
--- a/internal/rehearsal/comeback.go
+++ b/internal/rehearsal/comeback.go
@@ -13,7 +13,7 @@
 type disk struct {
 	before  recovery.Before
 	members []engine.Member
-	written bool
+	lost    bool // the machine has lost power since
 }
 
 // saveEvery is between two writes of what changes all the time.
@@ -32,9 +32,11 @@
 		behind = a.door
 	}
 	a.back = recovery.New(o, behind)
-	a.engine.Return(a.back, func() bool { return a.heard })
-	if a.life > 1 {
+	a.engine.Return(a.back, func() bool { return a.heard }, func() {})
+	if a.disk.lost {
 		a.back.Begin(w.now, a.disk.before, "the machine has started anew")
+	} else {
+		a.back.Resume(a.disk.before)
 	}
 	life := a.life
 	var save func()
@@ -54,10 +56,13 @@
 	}
 	l := engine.Listed{Full: true}
 	for _, m := range a.disk.members {
-		m.Started = 0
-		a.knows[m.ID] = known{m.State, 0}
+		if a.disk.lost {
+			m.Started = 0
+		}
+		a.knows[m.ID] = known{m.State, m.Started}
 		l.Members = append(l.Members, m)
 	}
+	a.disk.lost = false
 	a.step(l)
 }
 
--- a/internal/rehearsal/events.go
+++ b/internal/rehearsal/events.go
@@ -62,7 +62,7 @@
 		}
 	case "agent_kill":
 		for _, number := range st.chooseAgents(e) {
-			st.in.killAgent(number, agentDown)
+			st.in.killAgent(number, agentDown, false)
 		}
 	case "power_loss":
 		st.powerLoss(e, lasts)
@@ -116,7 +116,7 @@
 	}
 	if e.Agents > 0 {
 		for _, number := range st.chooseAgents(e) {
-			st.in.killAgent(number, dark+e.Apart.draw(st.random))
+			st.in.killAgent(number, dark+e.Apart.draw(st.random), true)
 		}
 	}
 }
--- a/internal/rehearsal/live.go
+++ b/internal/rehearsal/live.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -50,7 +51,7 @@
 	epoch     time.Time // the agenda's time 0
 	dir       string
 	program   string
-	flags     []string
+	places    map[string]*loopback.Host // of servers, by id
 	discovery *emulator.Discovery
 	ledger    *emulator.Ledger
 	pods      map[int]*emulator.Pod
@@ -82,6 +83,8 @@
 // liveAgent is an agent's process.
 type liveAgent struct {
 	number int
+	flags  []string
+	runs   int            // of its machine
 	place  *loopback.Host // held from its first start to the end of the day
 	addr   string
 	client *http.Client
@@ -109,14 +112,11 @@
 		return Day{}, err
 	}
 	defer d.Close()
-	l := &live{dir: dir, program: lv.Agent, discovery: d, ledger: emulator.NewLedger(), pods: map[int]*emulator.Pod{},
+	l := &live{dir: dir, program: lv.Agent, discovery: d, ledger: emulator.NewLedger(), pods: map[int]*emulator.Pod{}, places: map[string]*loopback.Host{},
 		epoch: time.Now().Add(-dayStart), fleet: time.Now(), waits: rand.New(rand.NewPCG(lv.Seed, 4))}
 	l.stage = newStage(lv.Script, lv.Seed, l)
 	defer l.close()
 	l.day.Length = lv.Script.Length.draw(l.random)
-	if err := l.ownSettings(); err != nil {
-		return Day{}, err
-	}
 	l.open()
 	if l.err != nil {
 		return Day{}, l.err
@@ -133,8 +133,8 @@
 	return l.day, nil
 }
 
-// ownSettings writes the agents' own settings, where the script asks for any.
-func (l *live) ownSettings() error {
+// ownSettings writes an agent's own settings, where the script asks for any.
+func (l *live) ownSettings(a *liveAgent) error {
 	own := map[string]any{}
 	if len(l.script.Agents.Join) > 0 {
 		own["join"] = map[string]any{"classes": l.script.Agents.Join}
@@ -146,6 +146,18 @@
 	default:
 		return fmt.Errorf("the door %q is for simulated time alone: agents on sockets have \"storm\" or none", l.script.Agents.Door)
 	}
+	if l.script.Agents.Recovery {
+		dir := filepath.Join(l.dir, a.name("kept"))
+		own["recovery"] = map[string]any{"dir": dir, "run_file": l.runFile(a)}
+		ties := filepath.Join(l.dir, a.name("ties"))
+		if err := os.Mkdir(ties, 0o700); err != nil {
+			return err
+		}
+		own["affinity"] = map[string]any{"dir": ties, "sync": true}
+		if err := l.newRun(a); err != nil {
+			return err
+		}
+	}
 	if len(own) == 0 {
 		return nil
 	}
@@ -153,11 +165,21 @@
 	if err != nil {
 		return fmt.Errorf("the agents' own settings: %w", err)
 	}
-	path := filepath.Join(l.dir, "own.toml")
-	l.flags = []string{"-settings", path}
+	path := filepath.Join(l.dir, a.name("own.toml"))
+	a.flags = []string{"-settings", path}
 	return os.WriteFile(path, text, 0o600)
 }
 
+func (a *liveAgent) name(of string) string { return fmt.Sprintf("agent-%d.%s", a.number, of) }
+
+func (l *live) runFile(a *liveAgent) string { return filepath.Join(l.dir, a.name("run")) }
+
+// newRun begins another run of an agent's machine.
+func (l *live) newRun(a *liveAgent) error {
+	a.runs++
+	return os.WriteFile(l.runFile(a), fmt.Appendf(nil, "run-%d\n", a.runs), 0o600)
+}
+
 // play lets the day happen and sums it up.
 func (l *live) play(ctx context.Context) {
 	begin := dayStart + settleTime
@@ -215,7 +237,14 @@
 		s.entry.StartedMS = time.Now().UnixMilli()
 	}
 	model := emulator.NewServer(m.id, spec, l.pods[m.pod], seed, time.Since(l.fleet), warm)
-	srv, err := emulator.Listen(m.id, model, classes, 0, l.fleet, emulator.Listening{IdleClose: idleClose, MaxConns: 400 * m.kind.cores})
+	place, err := l.place(m.id)
+	if err != nil {
+		s.dead = true
+		l.err = err
+		return s
+	}
+	srv, err := emulator.Listen(m.id, model, classes, 0, l.fleet,
+		emulator.Listening{Addr: place.Addr(), IdleClose: idleClose, MaxConns: 400 * m.kind.cores})
 	if err != nil {
 		s.dead = true
 		l.err = err
@@ -226,6 +255,18 @@
 	return s
 }
 
+// place is where a server listens: one that starts anew does so where it was.
+func (l *live) place(id string) (*loopback.Host, error) {
+	if l.places[id] == nil {
+		h, err := loopback.Hold()
+		if err != nil {
+			return nil, err
+		}
+		l.places[id] = h
+	}
+	return l.places[id], nil
+}
+
 func (s *liveServer) apply(e effects) {
 	if s.dead {
 		return
@@ -293,8 +334,11 @@
 }
 
 // killAgent is of installation.
-func (l *live) killAgent(number int, down time.Duration) {
+func (l *live) killAgent(number int, down time.Duration, power bool) {
 	l.agents[number].end(syscall.SIGKILL)
+	if power {
+		l.newRun(l.agents[number])
+	}
 	l.restart(l.agents[number], down)
 }
 
@@ -342,6 +386,9 @@
 	a := &liveAgent{number: number, place: place, addr: place.Addr(), client: &http.Client{Timeout: deadline + answerLate,
 		Transport: &http.Transport{MaxIdleConnsPerHost: mostOpen, IdleConnTimeout: time.Second}}}
 	l.agents = append(l.agents, a)
+	if err := l.ownSettings(a); err != nil {
+		return err
+	}
 	if err := os.WriteFile(l.config(a), text, 0o600); err != nil {
 		return err
 	}
@@ -349,12 +396,24 @@
 		return err
 	}
 	if err := waitReady(a.addr); err != nil {
-		return err
+		return fmt.Errorf("%w; its log ends with %q", err, l.lastLine(a))
 	}
 	a.ready()
 	return nil
 }
 
+func (l *live) logFile(a *liveAgent) string { return filepath.Join(l.dir, a.name("log")) }
+
+// lastLine is the last line of an agent's log.
+func (l *live) lastLine(a *liveAgent) string {
+	text, err := os.ReadFile(l.logFile(a))
+	if err != nil {
+		return err.Error()
+	}
+	text = bytes.TrimRight(text, "\n")
+	return string(text[bytes.LastIndexByte(text, '\n')+1:])
+}
+
 func (l *live) config(a *liveAgent) string {
 	return filepath.Join(l.dir, fmt.Sprintf("agent-%d.json", a.number))
 }
@@ -363,8 +422,14 @@
 func (l *live) exec(a *liveAgent) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	cmd := exec.Command(l.program, l.flags...)
+	cmd := exec.Command(l.program, a.flags...)
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+l.config(a))
+	log, err := os.OpenFile(l.logFile(a), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("agent %d: %w", a.number+1, err)
 	}
@@ -428,6 +493,9 @@
 			s.srv.Close()
 		}
 	}
+	for _, h := range l.places {
+		h.Close()
+	}
 }
 
 // sample notes how many requests each server holds, once a second.
--- a/internal/rehearsal/simulate.go
+++ b/internal/rehearsal/simulate.go
@@ -163,7 +163,7 @@
 }
 
 // killAgent is of installation: an agent ends, with all that it held, and is back later.
-func (w *world) killAgent(number int, down time.Duration) {
+func (w *world) killAgent(number int, down time.Duration, power bool) {
 	a := w.agents[number]
 	if !a.up {
 		return
@@ -181,6 +181,7 @@
 		}
 		r.end, r.took = failed, w.now-r.arrived
 	}
+	a.disk.lost = a.disk.lost || power
 	w.after(down, a.boot)
 }
 
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -77,12 +77,12 @@
 // installation is what a script happens to: in simulated time, or on sockets.
 type installation interface {
 	boot(m *member, spec emulator.Spec, seed uint64, warm bool) host
-	changed()                                 // the list's servers have
-	reach(out bool)                           // the list goes out of reach, or comes back
-	late(time.Duration)                       // by which the list's changes come
-	killAgent(number int, down time.Duration) // it is back so much later
-	forget(pod int)                           // a pod's memory of repeats is lost
-	endAgent(number int)                      // by SIGTERM: it drains, ends and starts anew
+	changed()                                             // the list's servers have
+	reach(out bool)                                       // the list goes out of reach, or comes back
+	late(time.Duration)                                   // by which the list's changes come
+	killAgent(number int, down time.Duration, power bool) // it is back so much later; power: its machine lost that
+	forget(pod int)                                       // a pod's memory of repeats is lost
+	endAgent(number int)                                  // by SIGTERM: it drains, ends and starts anew
 }
 
 // stage is where a script is played.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	Generations       *Generations       `toml:"generations"`
 	Affinity          *Affinity          `toml:"affinity"`
 	Figures           *Figures           `toml:"figures"`
+	Recovery          *Recovery          `toml:"recovery"`
 
 	name  string
 	lines map[string]int
@@ -37,7 +38,8 @@
 	return reflect.DeepEqual(f.ExternalProcessor, other.ExternalProcessor) && reflect.DeepEqual(f.Membership, other.Membership) &&
 		reflect.DeepEqual(f.Join, other.Join) && reflect.DeepEqual(f.Storm, other.Storm) &&
 		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations) &&
-		reflect.DeepEqual(f.Affinity, other.Affinity) && reflect.DeepEqual(f.Figures, other.Figures)
+		reflect.DeepEqual(f.Affinity, other.Affinity) && reflect.DeepEqual(f.Figures, other.Figures) &&
+		reflect.DeepEqual(f.Recovery, other.Recovery)
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
@@ -72,6 +74,9 @@
 	if f.Figures != nil {
 		out["figures"] = f.Figures
 	}
+	if f.Recovery != nil {
+		out["recovery"] = f.Recovery
+	}
 	return out
 }
 
@@ -172,6 +177,10 @@
 		section := DefaultFigures()
 		f.Figures = &section
 	}
+	if _, there := f.lines["recovery"]; there {
+		section := DefaultRecovery()
+		f.Recovery = &section
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
 		return File{}, Located(name, text, err)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,10 @@
 		"tenants in between":  {"[join]\nclasses = [\"a\"]\ntenants = \"both\"\n", "f.toml:3: join.tenants: \"both\" must be \"together\" or \"apart\""},
 		"waiting without end": {"[join]\nclasses = [\"a\"]\nmax_waiting = 0\n", "f.toml:3: join.max_waiting: 0 must be from 1 to 65536"},
 
+		"nowhere to keep":     {"[recovery]\n", "f.toml:1: recovery.dir: it must name a folder"},
+		"no run":              {"[recovery]\ndir = \"d\"\nrun_file = \"\"\n", "f.toml:3: recovery.run_file: it must name a file"},
+		"written without end": {"[recovery]\ndir = \"d\"\nevery = \"1ms\"\n", "f.toml:3: recovery.every: 1ms must be from 100ms to 1h0m0s"},
+
 		"no source":         {"[membership.file]\npath = \"x\"\n", "f.toml:1: membership.sources: no source"},
 		"unknown source":    {"[membership]\n\nsources = [\"dns\"]\n", "f.toml:3: membership.sources: \"dns\" is no source"},
 		"a source twice":    {"[membership]\nsources = [\"file\", \"file\"]\n", "f.toml:2: membership.sources: \"file\" is named twice"},
