--- a/cmd/appleledge/main_test.go
+++ b/cmd/appleledge/main_test.go
@@ -9,17 +9,40 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"appleledge/internal/agent"
+	"appleledge/internal/program"
+	"appleledge/internal/rig/processes"
+	"appleledge/internal/settings"
 )
 
 // TestMain lets the test binary stand in for the program, in a process of its own that takes real signals.
 func TestMain(m *testing.M) {
-	if os.Getenv("APPLELEDGE_AS_PROGRAM") != "" {
-		main()
+	if os.Getenv(processes.AsProgram) != "" {
+		standIn()
 		return
 	}
 	os.Exit(m.Run())
 }
 
+// standIn is main, on a disk that may lose what was not synced.
+func standIn() {
+	at := os.Getenv(processes.DiskAt)
+	if at == "" {
+		main()
+		return
+	}
+	program.Main("appleledge", func(f settings.File) (agent.Extras, error) {
+		disk, err := processes.OpenDisk(at)
+		if err != nil {
+			return agent.Extras{}, err
+		}
+		with, err := extras(f)
+		with.Disk = disk
+		return with, err
+	})
+}
+
 const config = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"settings":{"Balancers":1,"Me":0,"TickNs":5000000,
  "WeightKind":"silent","Discovery":"automatic","Zones":["z"],"Report":{"Fields":["util"],"Via":"piggyback"},
--- a/cmd/appleledgectl/console.go
+++ b/cmd/appleledgectl/console.go
@@ -57,7 +57,7 @@
 	f.StringVar(&c.socket, "socket", os.Getenv(socketVariable), "the agent's operators' socket (default $"+socketVariable+")")
 	f.BoolVar(&c.json, "json", false, "write JSON")
 	f.StringVar(&c.by, "by", whoami(), "who is asking, for the history and the lock")
-	root.AddCommand(c.validate(), c.plan(), c.show(), c.apply(), c.rollback(), c.status(), c.history(), c.diff(), c.lock(), c.affinityCommands(), c.figures())
+	root.AddCommand(c.validate(), c.plan(), c.show(), c.apply(), c.rollback(), c.status(), c.history(), c.diff(), c.lock(), c.affinityCommands(), c.figures(), c.fleet())
 	return root
 }
 
--- /dev/null
+++ b/cmd/appleledgectl/fleet.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"appleledge/internal/operator"
+)
+
+// agentVariable names the agent's operators' address where no flag does.
+const agentVariable = "APPLELEDGE_AGENT"
+
+const mostView = 4 << 20 // bytes of an agent's answer
+
+// fleet shows the fleet as one agent sees it.
+func (c *console) fleet() *cobra.Command {
+	agent := os.Getenv(agentVariable)
+	cmd := &cobra.Command{
+		Use:   "fleet",
+		Short: "Show the fleet as an agent sees it: who lives, how service returns, what is trusted",
+		Long: `Asks an agent at its operators' address (PROXY_OPERATOR) how it sees the fleet. The agent has a section [recovery] or [peers] in its
+settings. Phases of recovery: full (nothing is held back), dark (no server is known), asking (the others are asked), trying (first requests are
+out), worthiest (the class that is worth most is let in), proving (the others follow as capacity is proven).`,
+		Example: "  appleledgectl fleet --agent 127.0.0.1:9090\n  appleledgectl fleet --agent 127.0.0.1:9090 --json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if agent == "" {
+				return fmt.Errorf("no agent is named: --agent HOST:PORT, or %s", agentVariable)
+			}
+			f, err := askFleet(cmd.Context(), agent)
+			if err != nil {
+				return err
+			}
+			if c.json {
+				return c.writeJSON(f)
+			}
+			return writeFleet(c.out, f)
+		},
+	}
+	cmd.Flags().StringVar(&agent, "agent", agent, "the agent's operators' `address` (default $"+agentVariable+")")
+	return cmd
+}
+
+func askFleet(ctx context.Context, agent string) (f operator.Fleet, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+agent+"/ops/fleet", nil)
+	if err != nil {
+		return f, err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return f, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return f, fmt.Errorf("the agent at %s has no view of a fleet: neither [recovery] nor [peers] is in its settings", agent)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostView))
+	if err != nil {
+		return f, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return f, fmt.Errorf("the agent at %s answered %s: %.200s", agent, resp.Status, text)
+	}
+	return f, json.Unmarshal(text, &f)
+}
+
+// writeFleet writes the view as text.
+func writeFleet(out io.Writer, f operator.Fleet) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "agent\t%s\n", f.Agent)
+	if r := f.Recovery; r != nil {
+		fmt.Fprintf(w, "recovery\t%s for %.1f s: %s\n", r.Phase, r.ForS, r.Why)
+		if r.LetIn > 0 {
+			fmt.Fprintf(w, "let in\t%v requests a second, at %v of the fleet's capacity\n", r.LetIn, r.Warm)
+		}
+		fmt.Fprintf(w, "servers\t%d known, %d answered; %d trials, %d in vain\n", r.Servers, r.Answered, r.Trials, r.InVain)
+		var refused []string
+		for _, class := range slices.Sorted(maps.Keys(r.Refused)) {
+			refused = append(refused, fmt.Sprintf("%s %d", class, r.Refused[class]))
+		}
+		fmt.Fprintf(w, "refused\t%s\n", strings.Join(refused, ", "))
+		fmt.Fprintf(w, "from before\ttrusted: %s\n", r.Trusted)
+		fmt.Fprintf(w, "on disk\t%s\n", r.Keeping)
+	}
+	if p := f.Peers; p != nil {
+		fmt.Fprintf(w, "agents\t%d of %d live\n", p.Alive, len(p.States))
+		by := map[string][]string{}
+		for number, state := range p.States {
+			if number != p.Self && state != "alive" {
+				by[state] = append(by[state], fmt.Sprint(number))
+			}
+		}
+		for _, state := range slices.Sorted(maps.Keys(by)) {
+			fmt.Fprintf(w, "%s\t%s\n", state, strings.Join(by[state], " "))
+		}
+		fmt.Fprintf(w, "word\t%d claims heard, %d out of bounds; held out: %s\n", p.Claims, p.Bounded, strings.Join(p.HeldOut, " "))
+		fmt.Fprintf(w, "datagrams\t%d sent (%d bytes), %d taken\n", p.Sent, p.Bytes, p.Taken)
+		for _, why := range slices.Sorted(maps.Keys(p.Dropped)) {
+			fmt.Fprintf(w, "\t%d dropped: %s\n", p.Dropped[why], why)
+		}
+	}
+	return w.Flush()
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 	"appleledge/internal/membership/platform"
 	"appleledge/internal/places"
 	"appleledge/internal/pool"
+	"appleledge/internal/store"
 	"appleledge/internal/terms"
 	"appleledge/internal/wire"
 	"appleledge/logic"
@@ -84,6 +85,8 @@
 	Storm    *Storm        // nil: storms are not noticed
 	Ties     *Ties         // nil: where refunds go is not remembered
 	Figures  time.Duration // between two lines of the log with what is counted; 0: none
+	Disk     store.FS      // for what is kept; nil: the machine's
+	Peers    *Peers        // nil: the agent knows of no other
 	Recovery *Recovery     // nil: nothing is kept over a loss of power, and service returns by no plan
 	// Generations are configurations of the fleet that operators plan and apply; nil: none is in force.
 	Generations *Generations
@@ -122,6 +125,9 @@
 	if x.Recovery != nil {
 		n += recoveryFiles
 	}
+	if x.Peers != nil {
+		n += peerSockets
+	}
 	return n
 }
 
@@ -155,6 +161,8 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
+	leaving, left := context.WithCancel(ctx) // from the beginning of the drain on, or where it never comes to serving
+	defer left()
 
 	toBackends, fromClients := shareSockets(cfg.Sockets - with.sockets() - cfg.operatorSockets())
 	clk := engine.NewClock()
@@ -204,7 +212,15 @@
 		parts.Go(func() { logStorms(inner, core, clk, with.Storm.LogEvery, log) })
 	}
 	if keep != nil {
-		keep.attach(core, clk, cfg, door, with.heard(disco))
+		keep.attach(core, clk, cfg, door, with.heard(disco), with.askFor())
+	}
+	others, err := with.openPeers(cfg, clk, log)
+	if err != nil {
+		return err
+	}
+	if others != nil {
+		core.Heed(with.heard(disco), others.Tell)
+		parts.Go(func() { others.Run(leaving, core) })
 	}
 	core.Name(cfg.Site.Logic.Classes)
 	reloading := reload{clock: clk, core: core, disco: disco, terms: settled, rules: rules, keys: cfg.keys, own: own, log: log}
@@ -223,7 +239,8 @@
 			fromClients: fromClients, memory: with.Memory, keep: keep}
 		ready = func() bool { return core.Ready() && ctx.Err() == nil && twin.serving.Load() }
 	}
-	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, link: with.link, ready: ready, keep: keep}, clk, log)
+	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, link: with.link, ready: ready, keep: keep,
+		fleet: fleetView{cfg.Name, cfg.Site.Logic.Me, core, clk, keep, others}.calls()}, clk, log)
 	if err != nil {
 		return err
 	}
@@ -233,7 +250,7 @@
 		parts.Go(func() { look.log(inner, with.Figures, log) })
 	}
 	if keep != nil {
-		parts.Go(func() { keep.run(ctx) })
+		parts.Go(func() { keep.run(leaving) })
 		parts.Go(func() { keep.say(inner, clk) })
 	}
 	parts.Go(func() { core.Run(inner) })
@@ -275,10 +292,10 @@
 		Log:       log,
 		Joins:     joined.front(),
 	}, clients)
-	var others sync.WaitGroup
-	defer others.Wait() // before the engine stops: what they hold is still answered
+	var fronts sync.WaitGroup
+	defer fronts.Wait() // before the engine stops: what they hold is still answered
 	for i, serveFront := range beside {
-		others.Go(func() {
+		fronts.Go(func() {
 			if err := serveFront(ctx); err != nil { // the platform's own front goes on
 				log.Error("a front has ended", "front", with.Fronts[i].Name, "error", err)
 			}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -27,6 +27,10 @@
 	Sockets   int // file descriptors that the process may hold
 	Site      wire.Site
 
+	PeerListen string   // where other agents' datagrams come; empty: nowhere
+	Peers      []string // all agents' addresses, by number
+	MayTell    bool     // the platform lets agents send each other datagrams
+
 	known     listing.List
 	keys      keys // that the file states
 	acceptFor time.Duration
@@ -43,6 +47,9 @@
 	}
 	Known    json.RawMessage
 	Settings json.RawMessage
+
+	PeerListen string `json:"peer_listen"`
+	Peers      []string
 }
 
 // Limits that hold where the configuration states none.
@@ -118,6 +125,11 @@
 	if cfg.Site, err = decodeSite(f.Settings); err != nil {
 		return cfg, fmt.Errorf("settings: %w", err)
 	}
+	var may struct{ Ceilings struct{ Peers bool } }
+	if err := json.Unmarshal(f.Settings, &may); err != nil {
+		return cfg, fmt.Errorf("settings: %w", err)
+	}
+	cfg.PeerListen, cfg.Peers, cfg.MayTell = f.PeerListen, f.Peers, may.Ceilings.Peers
 	if len(f.Known) > 0 {
 		if cfg.known, err = listing.Parse(f.Known); err != nil {
 			return cfg, fmt.Errorf("known: %w", err)
--- a/internal/agent/operator.go
+++ b/internal/agent/operator.go
@@ -27,7 +27,8 @@
 	reloads *reloadCounts
 	link    *handover.Link // to other processes of the agent; nil where there can be none
 	ready   func() bool
-	keep    *keeping // nil: bans end with the agent's last process
+	fleet   func(context.Context) (operator.Fleet, error) // nil: there is none to see
+	keep    *keeping                                      // nil: bans end with the agent's last process
 }
 
 func (o operating) Ready() bool { return o.ready() }
@@ -83,6 +84,6 @@
 	}
 	set.Restore(o.keep.bans(), clk.FromUnix)
 	o.core.Hold(set)
-	s := &operator.Server{Agent: o, Log: log}
+	s := &operator.Server{Agent: o, Fleet: o.fleet, Log: log}
 	return func(ctx context.Context) error { return s.Serve(ctx, l) }, nil
 }
--- a/internal/agent/recovery.go
+++ b/internal/agent/recovery.go
@@ -29,14 +29,13 @@
 	Every    time.Duration // between two writes of what changes all the time
 	ListWait time.Duration // for the list at a start, before the servers from before are used
 	LogEvery time.Duration // between two lines while service has not returned
-	FS       store.FS      // nil: the machine's
 }
 
 const (
 	knowledge     = "knowledge"            // the file's name
 	recoveryFiles = 4                      // descriptors: the lock, and what is written and read
 	soonAfter     = 10 * time.Millisecond  // what has to be kept at once is written; what comes meanwhile goes with it
-	lockAgain     = time.Second            // between two tries to write where another process of the agent does
+	clientsReturn = 10 * time.Second       // after its deadline and window, that a client may come back with a request
 	staleWrite    = 10 * time.Second       // for which nothing is written where nothing has changed
 	troubleLog    = 10 * time.Second       // between two lines on what can't be kept
 	statusLook    = 100 * time.Millisecond // between two looks at how recovery stands, for the log
@@ -44,22 +43,24 @@
 
 // keeping is what an agent keeps on disk, and what it was before.
 type keeping struct {
-	set    Recovery
-	file   store.File
-	reader listing.Reader
-	agent  string
-	log    *slog.Logger
-	trust  ondisk.Trust
-	before ondisk.Document
-	off    string        // why nothing is kept; empty: it is
-	wake   chan struct{} // holds one wake-up: something has to be kept at once
-	core   *engine.Engine
+	set     Recovery
+	file    store.File
+	reader  listing.Reader
+	agent   string
+	log     *slog.Logger
+	trust   ondisk.Trust
+	before  ondisk.Document
+	off     string        // why nothing is kept; empty: it is
+	wake    chan struct{} // holds one wake-up: something has to be kept at once
+	core    *engine.Engine
+	repeats time.Duration // for which a client may come back with a request from before
 
 	mu      sync.Mutex // one write at a time
 	release func() error
 	last    ondisk.Document
 	written time.Time
 	logged  time.Time
+	trouble error // of the last try to write
 }
 
 // openKept reads what an earlier life of the agent has kept. It is nil where nothing is kept. What can't be read is no reason not to
@@ -70,13 +71,17 @@
 	}
 	k := &keeping{set: *x.Recovery, reader: listing.Reader{Zones: cfg.Site.Zones, Clock: clk}, agent: cfg.Name + " " + cfg.Listen, log: log,
 		wake: make(chan struct{}, 1)}
-	if k.set.FS == nil {
-		k.set.FS = store.OS{}
-		if err := os.MkdirAll(k.set.Dir, 0o700); err != nil {
-			return nil, fmt.Errorf("recovery: the folder for what is kept: %w", err)
-		}
+	if err := os.MkdirAll(k.set.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("recovery: the folder for what is kept: %w", err)
+	}
+	k.file = store.File{Path: filepath.Join(k.set.Dir, knowledge), FS: x.disk()}
+	k.repeats = clientsReturn
+	for _, c := range cfg.Site.Logic.Classes {
+		k.repeats = max(k.repeats, c.Deadline+c.Window+clientsReturn)
+	}
+	if x.Ties == nil || x.Ties.Dir == "" || !x.Ties.Sync {
+		log.Warn("a loss of power loses where refunds went, as [affinity] does not keep it with sync: repeats that clients do not mark may run twice then")
 	}
-	k.file = store.File{Path: filepath.Join(k.set.Dir, knowledge), FS: k.set.FS}
 	now, err := k.now()
 	if err != nil {
 		return nil, fmt.Errorf("recovery: the run of the machine: %w", err)
@@ -107,6 +112,14 @@
 	return k, nil
 }
 
+// disk is where what is kept goes.
+func (x Extras) disk() store.FS {
+	if x.Disk == nil {
+		return store.OS{}
+	}
+	return x.Disk
+}
+
 func (k *keeping) now() (ondisk.Now, error) {
 	run, err := k.set.run()
 	if err != nil {
@@ -147,11 +160,11 @@
 }
 
 // attach puts the recovery at the engine's door, before it runs.
-func (k *keeping) attach(core *engine.Engine, clk engine.Clock, cfg Config, behind recovery.Door, heard func() bool) {
+func (k *keeping) attach(core *engine.Engine, clk engine.Clock, cfg Config, behind recovery.Door, heard func() bool, askFor time.Duration) {
 	k.core = core
 	site := cfg.Site.Logic
 	o := recovery.Options{Agents: site.Balancers, Self: site.Me, ColdFrom: site.ColdFrom, ColdFor: site.ColdFor, Overload: site.Overload,
-		MaxAfter: site.MaxRetryAfter, Seed: cfg.Seed}
+		MaxAfter: site.MaxRetryAfter, AskFor: askFor, Seed: cfg.Seed}
 	for _, c := range site.Classes {
 		o.Classes = append(o.Classes, recovery.Class{Name: c.Name, Worth: c.Worth, Aim: c.Aim, Safe: c.Effect == logic.Safe})
 	}
@@ -171,6 +184,9 @@
 		default:
 		}
 	})
+	if k.trust != ondisk.Complete { // whatever is on the disk: it may be a backup's, or of before the last that was sent
+		core.Forgot(clk.Now() + k.repeats)
+	}
 }
 
 func (k *keeping) classes(classes []logic.Class) (names []string) {
@@ -204,6 +220,11 @@
 // save writes what the agent knows now, if that is news, and logs what keeps it from that.
 func (k *keeping) save(ctx context.Context) {
 	err := k.keep(ctx)
+	k.mu.Lock()
+	if k.trouble = err; errors.Is(err, errElsewhere) {
+		k.trouble = nil
+	}
+	k.mu.Unlock()
 	if err == nil || errors.Is(err, errElsewhere) || ctx.Err() != nil {
 		return
 	}
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -41,8 +41,8 @@
 func (m *machine) start(d *testbed.Discovery) (*running, operators) {
 	m.t.Helper()
 	addr := testbed.Refusing(m.t)
-	with := Extras{Recovery: &Recovery{Dir: m.dir, RunFile: filepath.Join(m.dir, "run"), Every: 100 * time.Millisecond,
-		ListWait: 50 * time.Millisecond, LogEvery: time.Second, FS: m.fs}}
+	with := Extras{Disk: m.fs, Recovery: &Recovery{Dir: m.dir, RunFile: filepath.Join(m.dir, "run"), Every: 100 * time.Millisecond,
+		ListWait: 50 * time.Millisecond, LogEvery: time.Second}}
 	a := startOn(m.t, d, 0, func(c *Config) { c.Operator, c.Listen = addr, "127.0.0.1:0" }, with, slog.New(slog.NewTextHandler(m.log, nil)))
 	o := operators{m.t, addr}
 	a.wait(m.t, "operators can call", func() bool { status, _ := o.call("GET", "/ops/readiness"); return status == 200 })
--- a/internal/agent/ties.go
+++ b/internal/agent/ties.go
@@ -10,7 +10,6 @@
 	"appleledge/internal/affinity"
 	"appleledge/internal/affinity/tielog"
 	"appleledge/internal/engine"
-	"appleledge/internal/store"
 	"appleledge/logic"
 )
 
@@ -60,7 +59,7 @@
 		core.Tie(table, secret, nil)
 		return nil, nil
 	}
-	o := tielog.Options{Dir: set.Dir, FS: store.OS{}, Sync: set.Sync, Lasts: window + set.Tail, Now: clk.Now}
+	o := tielog.Options{Dir: set.Dir, FS: x.disk(), Sync: set.Sync, Lasts: window + set.Tail, Now: clk.Now}
 	if err := x.sinceBoot(&o, clk); err != nil {
 		return nil, fmt.Errorf("ties: %w", err)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -280,6 +280,7 @@
 	held      *held                     // nil where operators hold out nothing
 	settings  int                       // the number of those in force
 	returning *returning                // nil where no recovery is switched on
+	worded    *worded                   // nil where no word of others is heeded
 	drop      float64                   // the share of requests that the list wants turned away
 }
 
@@ -469,6 +470,12 @@
 		e.ties.table.Undurable()
 	case kept:
 		e.handOver(ev.attempt)
+	case spoken:
+		e.hear(ev)
+	case living:
+		if e.returning != nil {
+			e.returning.Lives(ev.alive)
+		}
 	}
 }
 
@@ -622,6 +629,14 @@
 	if e.held != nil {
 		l = e.held.listed(l)
 	}
+	if e.worded != nil {
+		l = e.worded.listed(e.clock.Now(), l)
+	}
+	e.bring(l)
+}
+
+// bring brings what is to be seen of a list to the fleet and to the module.
+func (e *Engine) bring(l Listed) {
 	if e.ties != nil {
 		e.ties.listed(l)
 	}
@@ -750,6 +765,9 @@
 	if e.joins != nil {
 		e.settle()
 	}
+	if now := e.clock.Now(); e.worded != nil && now-e.worded.looked >= wordEvery {
+		e.settleWord(now)
+	}
 	if e.governed != nil {
 		e.governed.manager.Tick(e.clock.Now())
 		e.tellMoved()
--- a/internal/engine/returning.go
+++ b/internal/engine/returning.go
@@ -18,6 +18,31 @@
 	heard func() bool // the list is of now, and not from before
 	moved func()      // is told of what has to be kept at once; never nil
 	told  map[string]Member
+
+	forgot time.Duration       // until when a client's repeat of a keyed request may have run before the start, unremembered
+	first  map[string]struct{} // keys whose first try came since the start; only until then
+}
+
+// mostFirst is how many keys are known to have come first since the start; a repeat of any other counts as one from before.
+const mostFirst = 1 << 14
+
+// unremembered reports whether a keyed request is the client's repeat of one that may have run before the start: whatever is on the
+// disk, it may be of before that.
+func (r *returning) unremembered(now time.Duration, c *Call) bool {
+	if now >= r.forgot {
+		r.first = nil
+		return false
+	}
+	if _, since := r.first[c.RepeatKey]; since || c.RepeatKey == "" {
+		return false
+	}
+	if c.Again {
+		return true
+	}
+	if len(r.first) < mostFirst {
+		r.first[c.RepeatKey] = struct{}{}
+	}
+	return false
 }
 
 // Return puts a recovery at the door. heard says whether the list has been confirmed since the start; moved is called on the engine's
@@ -27,6 +52,12 @@
 	e.Guard(r)
 }
 
+// Forgot says that what may have run before the start may not be remembered: until then a repeat of a keyed request, which its client
+// marks as one and whose first try did not come since, is not sent anywhere and has failed. It is called before Run, after Return.
+func (e *Engine) Forgot(until time.Duration) {
+	e.returning.forgot, e.returning.first = until, map[string]struct{}{}
+}
+
 // Known is what an agent has to remember over a loss of power.
 type Known struct {
 	Members []Member // as the list has them, by id
@@ -112,6 +143,7 @@
 	broke := o.Result == logic.ConnectFailed || o.Result == logic.Reset
 	answered := o.Result == logic.OK || o.Result == logic.Failed || o.Result == logic.Rejected
 	e.returning.Outcome(e.clock.Now(), o.Attempt.Server, answered, broke, o.Report.Rate, o.Report.Util)
+	e.found()
 	e.remask()
 }
 
--- /dev/null
+++ b/internal/engine/returning_test.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"appleledge/internal/fleet/peer"
+	"appleledge/internal/fleet/recovery"
+	"appleledge/internal/fleet/word"
+	"appleledge/logic"
+)
+
+// returningEngine is an engine with ties and a recovery, whose list is of now.
+func returningEngine(t *testing.T, change func(*tiedEngine)) *tiedEngine {
+	return newTied(t, func(x *tiedEngine) {
+		x.Return(recovery.New(recovery.Options{Agents: 1, ColdFrom: 0.3, ColdFor: time.Second,
+			Classes: []recovery.Class{{Worth: 1, Aim: time.Second, Safe: true}, {Worth: 5, Aim: time.Second}}}, nil), func() bool { return true }, func() {})
+		change(x)
+	})
+}
+
+// A repeat of what may have run goes only over a connection from before it, and nowhere once all servers of its pod broke off.
+func TestARepeatNeedsWhoRemembers(t *testing.T) {
+	x := returningEngine(t, func(*tiedEngine) {})
+	first, _ := x.call("k", nil)
+	pod := cellOf(first)
+	x.end(first, logic.Failed)
+	if again := x.out.attempts[len(x.out.attempts)-1]; again == first || cellOf(again) != pod || again.OnlySince != first.Sent || again.Barred {
+		t.Fatalf("%+v after %+v", again, first)
+	}
+	x.now += 10 * time.Millisecond
+	for i := range 4 {
+		if i/2 == pod {
+			x.returning.Outcome(x.now, "s"+string(rune('0'+i)), false, true, -1, -1)
+		}
+	}
+	x.now += 10 * time.Millisecond
+	if again, _ := x.call("k", nil); again == nil || !again.Barred {
+		t.Errorf("a repeat to a pod that has lost its power: %+v", again)
+	}
+	if other, _ := x.call("new", nil); other == nil || other.Barred || other.OnlySince != 0 {
+		t.Errorf("a new request: %+v", other)
+	}
+}
+
+// For a while after a loss of power a client's repeat whose first try did not come since has failed, whatever the disk says.
+func TestARepeatFromBeforeTheStart(t *testing.T) {
+	again := func(x *tiedEngine, key string, marked bool) (sent bool, heard *ear) {
+		heard = &ear{}
+		x.ids++
+		before := len(x.out.attempts)
+		x.Step(Arrival(&Call{ID: "r" + string(rune('a'+x.ids)), Class: 1, Effect: logic.Keyed, Window: window, Deadline: x.now + deadline, RepeatKey: key,
+			Again: marked, Carrier: x.out, Caller: heard}))
+		return len(x.out.attempts) > before, heard
+	}
+	x := returningEngine(t, func(x *tiedEngine) { x.Forgot(x.now + time.Minute) })
+	if sent, heard := again(x, "from before", true); sent || len(*heard) != 1 || (*heard)[0].Kind != Failed {
+		t.Errorf("sent %v, %+v", sent, heard)
+	}
+	if sent, _ := again(x, "of now", false); !sent {
+		t.Error("a first try is not sent")
+	}
+	x.end(x.out.attempts[len(x.out.attempts)-1], logic.ConnectFailed) // it never ran
+	if sent, _ := again(x, "of now", true); !sent {
+		t.Error("the repeat of a try that came since is not sent")
+	}
+	x.now += 2 * time.Minute
+	if sent, _ := again(x, "long after", true); !sent {
+		t.Error("a repeat long after the start is not sent")
+	}
+}
+
+// A server that another agent says drains gets nothing while that word is fresh, and what the own list says is told to others.
+func TestWordOfADrain(t *testing.T) {
+	var told []peer.Fact
+	x := newTied(t, func(x *tiedEngine) { x.Heed(func() bool { return true }, func(f peer.Fact) { told = append(told, f) }) })
+	uses := func() (n int) {
+		for range 40 {
+			if a, _ := x.call("", nil); a != nil {
+				if a.Server == "s1" {
+					n++
+				}
+				x.end(a, logic.OK)
+			}
+		}
+		return n
+	}
+	if uses() == 0 {
+		t.Fatal("it is not used in calm")
+	}
+	x.now += time.Second
+	x.Step(Spoken(3, peer.Fact{Kind: word.Drains, ID: word.Server("s1")}))
+	if n := uses(); n != 0 {
+		t.Errorf("%d requests went to a server that drains by word", n)
+	}
+	x.now += 20 * time.Second
+	x.Step(nil)
+	if uses() == 0 {
+		t.Error("word holds for ever")
+	}
+	if x.list(Listed{Members: []Member{{Server: logic.Server{ID: "s2", Cell: 1, State: logic.Draining}}}}); len(told) != 1 || told[0].ID != word.Server("s2") {
+		t.Errorf("the others are told %v", told)
+	}
+}
--- a/internal/engine/ties.go
+++ b/internal/engine/ties.go
@@ -66,6 +66,10 @@
 // tied looks up what may have run of a new call under another id. It is asked before any door: what may have run is never
 // refused.
 func (e *Engine) tied(c *Call) {
+	if r := e.returning; r != nil && c.Effect == logic.Keyed && r.unremembered(e.clock.Now(), c) {
+		c.before = logic.Before{May: true, Since: e.clock.Now() - c.Window, Zone: -1, Cell: -1}
+		c.ranSince = max(c.before.Since, 1)
+	}
 	if e.ties == nil || c.Effect != logic.Keyed || c.RepeatKey == "" {
 		return
 	}
--- /dev/null
+++ b/internal/engine/worded.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"appleledge/internal/fleet/peer"
+	"appleledge/internal/fleet/word"
+	"appleledge/logic"
+)
+
+// worded is what the engine keeps for the word of other agents: what they hold servers for, and the list as it was told, since what is
+// held out on their word lies over it.
+type worded struct {
+	holds  *word.Holds
+	heard  func() bool     // the list is of now, and not from before
+	tell   func(peer.Fact) // to the others; must not block
+	told   map[string]Member
+	names  map[uint64]string
+	held   map[uint64]bool
+	looked time.Duration
+}
+
+// Heed makes the engine heed the word of others, and tell them what it knows. It is called before Run.
+func (e *Engine) Heed(heard func() bool, tell func(peer.Fact)) {
+	e.worded = &worded{holds: word.New(), heard: heard, tell: tell, told: map[string]Member{}, names: map[uint64]string{}}
+}
+
+// told is word of another agent; living is which agents live.
+type (
+	spoken struct {
+		from int
+		fact peer.Fact
+	}
+	living struct{ alive []bool }
+)
+
+func (spoken) event() {}
+func (living) event() {}
+
+// Hear takes word of another agent.
+func (e *Engine) Hear(from int, f peer.Fact) { e.Tell(Spoken(from, f)) }
+
+// Lives takes which agents live, by number.
+func (e *Engine) Lives(alive []bool) { e.Tell(living{alive}) }
+
+// Spoken is word of another agent as an event, for Step.
+func Spoken(from int, f peer.Fact) Event { return spoken{from, f} }
+
+// hear takes word of another agent.
+func (e *Engine) hear(s spoken) {
+	switch now := e.clock.Now(); s.fact.Kind {
+	case word.Drains:
+		if e.worded.holds.Hear(now, s.from, s.fact) {
+			e.settleWord(now)
+		}
+	case word.Answers:
+		if name, known := e.worded.names[s.fact.ID]; known && e.returning != nil {
+			e.returning.Heard(now, name)
+		}
+	}
+}
+
+// wordEvery is between two looks at what of the word of others has run out.
+const wordEvery = 250 * time.Millisecond
+
+// settleWord lets what is held out on the word of others be so, and what is not any more.
+func (e *Engine) settleWord(now time.Duration) {
+	w := e.worded
+	w.looked = now
+	before := w.held
+	held, changed := w.holds.Settle(now)
+	if w.held = held; !changed {
+		return
+	}
+	l := Listed{Drop: e.drop}
+	for id, name := range w.names {
+		if m, there := w.told[name]; there && before[id] != held[id] {
+			l.Members = append(l.Members, w.overlay(m))
+		}
+	}
+	if len(l.Members) > 0 {
+		e.bring(l)
+	}
+}
+
+func (w *worded) overlay(m Member) Member {
+	if m.State == logic.Ready && w.held[word.Server(m.ID)] {
+		m.State = logic.Draining
+	}
+	return m
+}
+
+// listed takes a list over, tells the others of what has begun to drain or is gone, and returns the list with what is held out.
+func (w *worded) listed(now time.Duration, l Listed) Listed {
+	heard := w.heard()
+	if l.Full {
+		named := make(map[string]bool, len(l.Members))
+		for _, m := range l.Members {
+			named[m.ID] = true
+		}
+		for id := range w.told {
+			if !named[id] {
+				w.gone(id)
+			}
+		}
+	}
+	for _, m := range l.Members {
+		id := word.Server(m.ID)
+		was, there := w.told[m.ID]
+		switch {
+		case m.State == logic.Gone:
+			w.gone(m.ID)
+			continue
+		case m.State == logic.Draining && (!there || was.State != logic.Draining):
+			w.tell(peer.Fact{Kind: word.Drains, ID: id})
+		case m.State == logic.Ready && heard && (!there || was != m):
+			w.holds.Ready(now, id)
+		}
+		w.told[m.ID], w.names[id] = m, m.ID
+	}
+	if heard {
+		w.holds.Listed(len(w.told))
+	} else {
+		w.holds.Known(len(w.told))
+	}
+	w.held, _ = w.holds.Settle(now)
+	out := Listed{Full: l.Full, Drop: l.Drop, Members: make([]Member, 0, len(l.Members))}
+	for _, m := range l.Members {
+		out.Members = append(out.Members, w.overlay(m))
+	}
+	return out
+}
+
+// gone forgets a server that the list names no more, and tells the others.
+func (w *worded) gone(name string) {
+	if _, there := w.told[name]; !there {
+		return
+	}
+	id := word.Server(name)
+	delete(w.told, name)
+	delete(w.names, id)
+	w.holds.Gone(id)
+	w.tell(peer.Fact{Kind: word.Drains, ID: id})
+}
+
+// Held returns the servers that are held out on the word of others, and what was made of that. It waits for the engine.
+func (e *Engine) Held(ctx context.Context) (ids []string, n word.Counts, err error) {
+	err = e.command(ctx, func(time.Duration) {
+		ids, n = []string{}, e.worded.holds.Counts()
+		for id := range e.worded.held {
+			if name, known := e.worded.names[id]; known {
+				ids = append(ids, name)
+			}
+		}
+		slices.Sort(ids)
+	})
+	return ids, n, err
+}
+
+// found tells the others of servers that have answered for the first time since a loss of power.
+func (e *Engine) found() {
+	for _, id := range e.returning.Found() {
+		if e.worded != nil {
+			e.worded.tell(peer.Fact{Kind: word.Answers, ID: word.Server(id)})
+		}
+	}
+}
--- a/internal/fleet/peer/core.go
+++ b/internal/fleet/peer/core.go
@@ -29,6 +29,7 @@
 	mostRumours   = 4096
 	factTold      = 2 // times as often as rumours, that a fact is told
 	mostHeard     = 1024
+	firstGreeted  = 6
 	mostRequests  = 64 // probes on behalf of others at a time
 )
 
@@ -154,6 +155,16 @@
 	c.rumour(Rumour{Alive, c.set.Self, c.self.incarnation, c.set.Self})
 }
 
+// Greet pings an agent at once, beside the probes: one that is met after a start answers with what it knows.
+func (c *Core) Greet(now time.Duration, agent int) (out []Out) {
+	c.number++
+	c.send(now, &out, Message{Kind: Ping, To: agent, Number: c.number})
+	return out
+}
+
+// First are a few agents to greet at a start, drawn from all.
+func (c *Core) First() []int { return c.order[:min(len(c.order), firstGreeted)] }
+
 // tellings is how often a rumour is told.
 func (c *Core) tellings() int {
 	return retransmit * max(1, int(math.Ceil(math.Log10(float64(len(c.members)+1)))))
--- a/internal/fleet/peer/link.go
+++ b/internal/fleet/peer/link.go
@@ -143,7 +143,9 @@
 	case m.From != from || m.To != l.self:
 		return m, nil, fmt.Errorf("%w: of %d to %d", ErrForged, m.From, m.To)
 	case m.Kind == Hello:
-		return Message{Kind: Hello, From: from, To: l.self}, l.hello(now, from, m, s), nil
+		was := e.proved
+		reply = l.hello(now, from, m, s)
+		return Message{Kind: Hello, From: from, To: l.self, Met: e.proved != was}, reply, nil
 	case s.echo != l.life || s.life != e.proved:
 		e.echo = s.life
 		return m, l.ask(now, from), ErrStale
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -74,6 +74,7 @@
 	Rumours     []Rumour
 	Facts       []Fact
 
+	Met              bool   // of a Hello that was opened: the sender has proved a life that was not known
 	challenge, proof uint64 // of a Hello
 }
 
--- a/internal/fleet/recovery/recovery.go
+++ b/internal/fleet/recovery/recovery.go
@@ -110,7 +110,7 @@
 	why    string
 	since  time.Duration // of the phase
 	began  time.Duration // of the recovery
-	living int           // agents that are heard of, this one among them; 0 where nobody can be
+	alive  []bool        // agents that are heard of, by number; none where nobody can be
 	first  time.Duration // the first answer of this recovery; 0 without one
 	anchor time.Duration // when the first server came back, as far as is known; 0: not
 
@@ -123,6 +123,7 @@
 	inTime     int       // since the last look
 	late       int
 	refused    time.Duration // when one was turned away last
+	found      []string      // that have answered, and others are not told of yet
 	moved      []string      // whose start the module is to be told anew
 	counts     Counts
 }
@@ -388,8 +389,14 @@
 	}
 }
 
-// Living takes how many agents live as far as is known, this one among them, and the hashes of their names are their numbers.
-func (r *Recovery) Living(n int) { r.living = n }
+// Lives takes which agents live as far as is known, by number.
+func (r *Recovery) Lives(alive []bool) { r.alive = alive }
+
+// Found returns the servers that have answered for the first time since the recovery began, since the last call.
+func (r *Recovery) Found() (ids []string) {
+	ids, r.found = r.found, nil
+	return ids
+}
 
 // Arrive is of Door.
 func (r *Recovery) Arrive(now time.Duration, a storm.Ask) (*storm.Pass, storm.Refusal) {
@@ -609,18 +616,29 @@
 	return slices.ContainsFunc(r.set.Classes, func(c Class) bool { return c.Safe })
 }
 
-// mine reports whether a server's first trial falls to this agent: by rendezvous over all agents, so that it needs no word
-// (D. Thaler and C. Ravishankar, 1998).
+// mine reports whether a server's trials fall to this agent: by rendezvous over the agents that live, or over all where no word is
+// heard (D. Thaler and C. Ravishankar, 1998).
 func (r *Recovery) mine(s *server) bool {
 	own := r.mark(s, r.set.Self)
 	for i := range r.set.Agents {
-		if i != r.set.Self && r.mark(s, i) > own {
+		if i != r.set.Self && r.lives(i) && r.mark(s, i) > own {
 			return false
 		}
 	}
 	return true
 }
 
+// lives reports whether an agent may take its turns. Where few are heard of, word may be missing and not the agents: all count.
+func (r *Recovery) lives(agent int) bool {
+	heard := 0
+	for _, is := range r.alive {
+		if is {
+			heard++
+		}
+	}
+	return heard < 2 || agent < len(r.alive) && r.alive[agent]
+}
+
 // mark is what an agent bids for a server.
 func (r *Recovery) mark(s *server, agent int) uint64 {
 	x := s.hash ^ uint64(agent+1)*0x9E3779B97F4A7C15
@@ -669,6 +687,7 @@
 	if answered {
 		if s.vain = 0; s.answered == 0 {
 			s.answered = now
+			r.found = append(r.found, s.id)
 		}
 		if r.first == 0 {
 			r.first = now
--- /dev/null
+++ b/internal/fleet/word/word.go
@@ -0,0 +1,169 @@
+// Package word is the one place that says what the word of other agents is worth. The rule: word may make an agent more careful at
+// once, within bounds; what would make it bolder is confirmed by its own list or its own answers; no server is used that the own list
+// has not named; one that lies, hangs in the past or repeats itself moves nobody further than its bound. It does no I/O and reads no
+// clock.
+package word
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"appleledge/internal/fleet/peer"
+)
+
+// The kinds of facts about servers. The id is that of Server.
+const (
+	Drains  peer.FactKind = 1 // the sender's list said that the server drains, or is gone
+	Answers peer.FactKind = 2 // the server answered the sender
+)
+
+// Server is a server's id in facts.
+func Server(id string) uint64 { return xxhash.Sum64String(id) }
+
+const (
+	// One agent's word holds out at most this part of the servers, and that of all together the other.
+	partOfOne = 0.1
+	partOfAll = 1.0 / 3
+
+	freshFor   = 10 * time.Second // for which word of a drain holds where the own list has been heard since
+	askedFor   = peer.FactFor     // and where it has not
+	mostHeld   = 4096
+	mostVoices = 16 // for one server
+)
+
+// Holds are the servers that are held out on the word of others. It is not safe for concurrent use.
+//
+// Invariants: a server is held only while some agent's word for it is fresh and within that agent's bound, and within the bound of all;
+// what the own list says at a later time than the word ends it.
+type Holds struct {
+	claims map[uint64]map[int]time.Duration // by server, who said it, and since when it holds
+	own    map[uint64]time.Duration         // when the own list named the server as ready last, as news
+	heard  bool                             // the own list was heard in this life
+	listed int                              // servers of the own list
+	held   map[uint64]bool                  // as of the last Settle
+	counts Counts
+}
+
+// Counts are what was done with the word of others.
+type Counts struct {
+	Claims  uint64 // that were news
+	Dropped uint64 // by a bound
+	Held    int
+}
+
+// New returns nothing held.
+func New() *Holds {
+	return &Holds{claims: map[uint64]map[int]time.Duration{}, own: map[uint64]time.Duration{}, held: map[uint64]bool{}}
+}
+
+// Hear takes another agent's word that a server drains. It reports whether that may change what is held.
+func (h *Holds) Hear(now time.Duration, from int, f peer.Fact) bool {
+	at := now - f.Age
+	if f.Kind != Drains || f.Age >= askedFor {
+		return false
+	}
+	by := h.claims[f.ID]
+	if by == nil {
+		if len(h.claims) >= mostHeld {
+			h.counts.Dropped++
+			return false
+		}
+		by = map[int]time.Duration{}
+		h.claims[f.ID] = by
+	}
+	if was, said := by[from]; said && was >= at-time.Second { // the same again, which does not prolong it
+		return false
+	}
+	if _, said := by[from]; !said && len(by) >= mostVoices {
+		return false // they say the same
+	}
+	by[from] = at
+	h.counts.Claims++
+	return true
+}
+
+// Listed takes that the own list was heard, with so many servers. From then on the word of others only bridges what it is late by.
+func (h *Holds) Listed(servers int) { h.heard, h.listed = true, servers }
+
+// Known takes how many servers the agent knows from before.
+func (h *Holds) Known(servers int) { h.listed = servers }
+
+// Ready takes that the own list has news of a server, as ready: it was told later than what others said before.
+func (h *Holds) Ready(now time.Duration, id uint64) {
+	h.own[id] = now
+}
+
+// Gone forgets a server that the own list names no more.
+func (h *Holds) Gone(id uint64) {
+	delete(h.own, id)
+	delete(h.claims, id)
+}
+
+// Settle drops what is old and says which servers are held now. The longest told come first, so that what is held does not move
+// with the latest claim.
+func (h *Holds) Settle(now time.Duration) (held map[uint64]bool, changed bool) {
+	lasts := askedFor
+	if h.heard {
+		lasts = freshFor
+	}
+	type claim struct {
+		id   uint64
+		from int
+		at   time.Duration
+	}
+	var order []claim
+	for id, by := range h.claims {
+		for from, at := range by {
+			ready, named := h.own[id]
+			if now-at >= lasts || named && ready > at {
+				delete(by, from)
+				continue
+			}
+			order = append(order, claim{id, from, at})
+		}
+		if len(by) == 0 {
+			delete(h.claims, id)
+		}
+	}
+	slices.SortFunc(order, func(x, y claim) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.id, y.id), cmp.Compare(x.from, y.from))
+	})
+	mostOne, mostAll := bound(partOfOne, h.listed), bound(partOfAll, h.listed)
+	ofOne, next := map[int]int{}, map[uint64]bool{}
+	dropped := 0
+	for _, c := range order {
+		switch {
+		case next[c.id]:
+		case ofOne[c.from] >= mostOne || len(next) >= mostAll:
+			dropped++
+		default:
+			ofOne[c.from]++
+			next[c.id] = true
+		}
+	}
+	if changed = len(next) != len(h.held); !changed {
+		for id := range next {
+			changed = changed || !h.held[id]
+		}
+	}
+	if changed && dropped > 0 {
+		h.counts.Dropped += uint64(dropped)
+	}
+	h.held, h.counts.Held = next, len(next)
+	return next, changed
+}
+
+// bound is a part of so many servers, one at the least where there are several.
+func bound(part float64, servers int) int {
+	if servers < 2 {
+		return 0
+	}
+	return max(1, int(math.Floor(part*float64(servers))))
+}
+
+// Counts are the figures.
+func (h *Holds) Counts() Counts { return h.counts }
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Fleet is the fleet as one agent sees it.
+type Fleet struct {
+	Agent    string    `json:"agent"`
+	Recovery *Recovery `json:"recovery,omitempty"`
+	Peers    *Peers    `json:"peers,omitempty"`
+}
+
+// Recovery is how service returns, and what is trusted for that.
+type Recovery struct {
+	Phase    string            `json:"phase"`
+	Why      string            `json:"why"`
+	ForS     float64           `json:"for_s"`
+	LetIn    float64           `json:"let_in_a_second"` // requests; 0 where all are
+	Warm     float64           `json:"warm"`            // part of the fleet's capacity that there is at least
+	Servers  int               `json:"servers"`
+	Answered int               `json:"answered"` // of these, since the recovery began
+	Trials   uint64            `json:"trials"`
+	InVain   uint64            `json:"trials_in_vain"`
+	Refused  map[string]uint64 `json:"refused"` // by class
+	Trusted  string            `json:"trusted"` // of what was kept: none, names, complete
+	Keeping  string            `json:"keeping"` // since when what is known now is on disk, or why it is not
+}
+
+// Peers are the other agents.
+type Peers struct {
+	Self     int               `json:"self"`
+	Alive    int               `json:"alive"` // this one among them
+	States   []string          `json:"states"`
+	Sent     uint64            `json:"datagrams_sent"`
+	Bytes    uint64            `json:"bytes_sent"`
+	Taken    uint64            `json:"datagrams_taken"`
+	Dropped  map[string]uint64 `json:"datagrams_dropped,omitempty"`
+	HeldOut  []string          `json:"held_out_on_word"` // servers
+	Claims   uint64            `json:"claims_heard"`
+	Bounded  uint64            `json:"claims_out_of_bounds"`
+	Refuted  uint64            `json:"suspicions_of_this_one"`
+	Suspects uint64            `json:"suspicions_of_others"`
+}
+
+// fleet answers with the fleet as the agent sees it, where it has a view of one.
+func (s *Server) fleet(w http.ResponseWriter, r *http.Request) {
+	f, err := s.Fleet(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.Encode(f) // a caller that has left needs nothing
+}
+
+// Seconds is a time in seconds, for figures.
+func Seconds(d time.Duration) float64 { return d.Round(time.Millisecond).Seconds() }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -52,6 +52,7 @@
 // Server answers the calls.
 type Server struct {
 	Agent Agent
+	Fleet func(context.Context) (Fleet, error) // nil: the agent has no view of one, and there is no such call
 	Log   *slog.Logger
 }
 
@@ -80,6 +81,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", s.readiness)
 	mux.HandleFunc("GET /ops/stats", s.stats)
+	if s.Fleet != nil {
+		mux.HandleFunc("GET /ops/fleet", s.fleet)
+	}
 	mux.HandleFunc("PUT /ops/backends/down/{id}", s.hold(true))
 	mux.HandleFunc("PUT /ops/backends/up/{id}", s.hold(false))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -88,6 +88,9 @@
 	if s := own.Affinity; s != nil {
 		with.Ties = &agent.Ties{Dir: s.Dir, Sync: s.Sync, Most: s.Most, Tail: time.Duration(s.Tail), Budget: time.Duration(s.Budget)}
 	}
+	if s := own.Peers; s != nil {
+		with.Peers = &agent.Peers{Listen: s.Listen, Members: s.Members, KeyFile: s.KeyFile, Period: time.Duration(s.Period), AskFor: time.Duration(s.AskFor)}
+	}
 	if s := own.Recovery; s != nil {
 		with.Recovery = &agent.Recovery{Dir: s.Dir, RunFile: s.RunFile, Every: time.Duration(s.Every), ListWait: time.Duration(s.ListWait),
 			LogEvery: time.Duration(s.LogEvery)}
--- a/internal/rehearsal/comeback.go
+++ b/internal/rehearsal/comeback.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"appleledge/internal/engine"
+	"appleledge/internal/fleet/peer"
 	"appleledge/internal/fleet/recovery"
 	"appleledge/logic"
 )
@@ -16,6 +17,55 @@
 	lost    bool // the machine has lost power since
 }
 
+// askFor is for how long others are asked after a loss of power, as an agent's own settings have it by default.
+const askFor = 100 * time.Millisecond
+
+// meet gives the agent its place among the others. Their network loses nothing, unless a test spoils it.
+func (a *simAgent) meet() {
+	w, life := a.w, a.life
+	core := peer.New(peer.Options{Self: a.number, Agents: w.script.Fleet.Agents, Seed: uint64(a.number*1000 + life)})
+	a.others = core
+	a.engine.Heed(func() bool { return a.heard }, func(f peer.Fact) { core.Tell(w.now, f) })
+	core.Begin(w.now)
+	a.look(core, time.Duration(1<<62))
+}
+
+// look plans the next look of an agent at the others, if that is before what is planned already.
+func (a *simAgent) look(core *peer.Core, planned time.Duration) {
+	w, due := a.w, core.Due()
+	if due >= planned {
+		return
+	}
+	w.plan(due, func() {
+		if a.others == core && a.up {
+			a.pass(core, core.Tick(w.now))
+			a.look(core, time.Duration(1<<62))
+		}
+	})
+}
+
+// pass carries messages to the others, and what was heard to the engine.
+func (a *simAgent) pass(core *peer.Core, out []peer.Out) {
+	w := a.w
+	for _, h := range core.Heard() {
+		a.step(engine.Spoken(h.From, h.Fact))
+	}
+	for _, m := range out {
+		to := w.agents[m.To]
+		life := to.life
+		w.datagrams++
+		if w.mute != nil && w.mute(m) {
+			continue
+		}
+		w.after(w.way(), func() {
+			if to.life == life && to.up && to.others != nil {
+				to.pass(to.others, to.others.Receive(w.now, m))
+				to.look(to.others, w.now+time.Second)
+			}
+		})
+	}
+}
+
 // saveEvery is between two writes of what changes all the time.
 const saveEvery = time.Second
 
@@ -27,6 +77,9 @@
 	for _, c := range set.Classes {
 		o.Classes = append(o.Classes, recovery.Class{Name: c.Name, Worth: c.Worth, Aim: c.Aim, Safe: c.Effect == logic.Safe})
 	}
+	if a.others != nil {
+		o.AskFor = askFor
+	}
 	var behind recovery.Door
 	if a.door != nil {
 		behind = a.door
--- a/internal/rehearsal/script.go
+++ b/internal/rehearsal/script.go
@@ -47,6 +47,7 @@
 // Agents is what the agents' own settings switch on.
 type Agents struct {
 	Join     []string `toml:"join"`     // classes of which like requests are answered together
+	Peers    bool     `toml:"peers"`    // they know each other, and tell what makes others more careful
 	Recovery bool     `toml:"recovery"` // they keep what they know over a power loss, and come back by it
 	Door     string   `toml:"door"`     // who says which requests are let in: "storm", or in simulated time one of its rivals
 }
--- a/internal/rehearsal/simulate.go
+++ b/internal/rehearsal/simulate.go
@@ -10,6 +10,7 @@
 
 	"appleledge/internal/emulator"
 	"appleledge/internal/engine"
+	"appleledge/internal/fleet/peer"
 	"appleledge/internal/fleet/recovery"
 	"appleledge/internal/join"
 	"appleledge/internal/rig/doors"
@@ -47,6 +48,9 @@
 	// What tests spoil, to see that the witnesses notice: where an attempt goes, and which answers are held back.
 	tamper  func(*simAgent, *engine.Attempt, *simServer) *simServer
 	swallow func(*simRequest) bool
+	mute    func(peer.Message) bool // which datagrams between agents are lost
+
+	datagrams int // between agents
 }
 
 // way is the time that a message takes.
@@ -200,6 +204,7 @@
 	told   map[string]time.Duration      // when it was told that a server drains or is gone
 	due    time.Duration                 // when the engine is stepped next; 0: not planned
 	back   *recovery.Recovery            // nil where none is switched on
+	others *peer.Core                    // nil where agents know nobody
 	disk   disk                          // what outlasts its lives
 	heard  bool                          // the list has told it something in this life
 	met    map[engine.Life]time.Duration // when it had its first connection to a server's life
@@ -232,6 +237,9 @@
 		a.door = doors.New(w.script.Agents.Door, stormOptions(set, uint64(a.number*1000+a.life)))
 		a.engine.Guard(a.door)
 	}
+	if w.script.Agents.Peers {
+		a.meet()
+	}
 	if w.script.Agents.Recovery {
 		a.comeBack(set)
 	}
--- /dev/null
+++ b/internal/settings/peers.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Peers is the section [peers]: agents tell each other what makes them more careful, and who of them lives.
+type Peers struct {
+	Listen  string   `toml:"listen"`   // host and port for datagrams; empty: as the platform says
+	Members []string `toml:"members"`  // of all agents, in the order of their numbers; none: as the platform says
+	KeyFile string   `toml:"key_file"` // one key, or two while they change
+	Period  Duration `toml:"period"`   // between two probes
+	AskFor  Duration `toml:"ask_for"`  // for which the others are asked after a loss of power, before anything is sent
+}
+
+// DefaultPeers is the section with nothing set.
+func DefaultPeers() Peers {
+	return Peers{Period: Duration(time.Second), AskFor: Duration(100 * time.Millisecond)}
+}
+
+const mostMembers = 1 << 16
+
+func (p *Peers) check() (key string, err error) {
+	if p.KeyFile == "" {
+		return "key_file", errors.New("it must name a file with a key of 64 hexadecimal digits, such as \"openssl rand -hex 32\" writes")
+	}
+	if (p.Listen == "") != (len(p.Members) == 0) {
+		return "members", errors.New("listen and members are named both, or neither where the platform does")
+	}
+	if len(p.Members) > mostMembers {
+		return "members", fmt.Errorf("%d are more than %d", len(p.Members), mostMembers)
+	}
+	for _, m := range append([]string{p.Listen}, p.Members...) {
+		if at, err := netip.ParseAddrPort(m); m != "" && (err != nil || !at.Addr().Is4()) {
+			return "members", fmt.Errorf("%q is no IPv4 address with a port, such as \"10.0.0.4:7946\"", m)
+		}
+	}
+	return firstOf(nil, times{{"period", p.Period, 100 * time.Millisecond, time.Minute}, {"ask_for", p.AskFor, 0, 10 * time.Second}})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,7 @@
 	Affinity          *Affinity          `toml:"affinity"`
 	Figures           *Figures           `toml:"figures"`
 	Recovery          *Recovery          `toml:"recovery"`
+	Peers             *Peers             `toml:"peers"`
 
 	name  string
 	lines map[string]int
@@ -39,7 +40,7 @@
 		reflect.DeepEqual(f.Join, other.Join) && reflect.DeepEqual(f.Storm, other.Storm) &&
 		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations) &&
 		reflect.DeepEqual(f.Affinity, other.Affinity) && reflect.DeepEqual(f.Figures, other.Figures) &&
-		reflect.DeepEqual(f.Recovery, other.Recovery)
+		reflect.DeepEqual(f.Recovery, other.Recovery) && reflect.DeepEqual(f.Peers, other.Peers)
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
@@ -74,6 +75,9 @@
 	if f.Figures != nil {
 		out["figures"] = f.Figures
 	}
+	if f.Peers != nil {
+		out["peers"] = f.Peers
+	}
 	if f.Recovery != nil {
 		out["recovery"] = f.Recovery
 	}
@@ -177,6 +181,10 @@
 		section := DefaultFigures()
 		f.Figures = &section
 	}
+	if _, there := f.lines["peers"]; there {
+		section := DefaultPeers()
+		f.Peers = &section
+	}
 	if _, there := f.lines["recovery"]; there {
 		section := DefaultRecovery()
 		f.Recovery = &section
