--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,6 +53,10 @@
 		"no run":              {"[recovery]\ndir = \"d\"\nrun_file = \"\"\n", "f.toml:3: recovery.run_file: it must name a file"},
 		"written without end": {"[recovery]\ndir = \"d\"\nevery = \"1ms\"\n", "f.toml:3: recovery.every: 1ms must be from 100ms to 1h0m0s"},
 
+		"no key":              {"[peers]\n", "f.toml:1: peers.key_file: it must name a file"},
+		"half of an address":  {"[peers]\nkey_file = \"k\"\nlisten = \"10.0.0.4:7946\"\n", "f.toml:1: peers.members: listen and members are named both"},
+		"a name for a member": {"[peers]\nkey_file = \"k\"\nlisten = \"10.0.0.4:7946\"\nmembers = [\"here:7946\"]\n", "f.toml:4: peers.members: \"here:7946\" is no IPv4"},
+
 		"no source":         {"[membership.file]\npath = \"x\"\n", "f.toml:1: membership.sources: no source"},
 		"unknown source":    {"[membership]\n\nsources = [\"dns\"]\n", "f.toml:3: membership.sources: \"dns\" is no source"},
 		"a source twice":    {"[membership]\nsources = [\"file\", \"file\"]\n", "f.toml:2: membership.sources: \"file\" is named twice"},
