Process tests wait until what agents know is kept, and show logs where they fail

Cause: with the race detector on two cores 'agents alone, with no list' waited in vain once in one run of the whole table. The rig waits for GET /ops/fleet to say that it is written now.

--- a/cmd/appleledge/fleet_test.go
+++ b/cmd/appleledge/fleet_test.go
@@ -31,11 +31,6 @@
 	for _, broken := range f.Verdict() {
 		t.Error("broken:", broken)
 	}
-	if t.Failed() {
-		for _, a := range f.Agents {
-			t.Logf("agent %d:\n%s", a.Number, a.Log)
-		}
-	}
 }
 
 // back starts servers and agents that lost power.
--- a/internal/rig/processes/fleet.go
+++ b/internal/rig/processes/fleet.go
@@ -134,6 +134,7 @@
 	}
 	for _, a := range f.Agents {
 		a.Ready()
+		a.Keeps()
 	}
 	return f
 }
@@ -153,6 +154,11 @@
 }
 
 func (f *Fleet) close() {
+	if f.t.Failed() {
+		for _, a := range f.Agents {
+			f.t.Logf("agent %d sees %s\nits log:\n%s", a.Number, a.Sees(), a.Log)
+		}
+	}
 	for _, a := range f.Agents {
 		a.Kill()
 	}
@@ -365,6 +371,14 @@
 	})
 }
 
+// Keeps waits until what the agent knows is on its disk.
+func (a *Agent) Keeps() {
+	a.fleet.t.Helper()
+	testbed.Eventually(a.fleet.t, fmt.Sprintf("agent %d keeps what it knows", a.Number), func() bool {
+		return strings.Contains(a.Sees(), `"keeping": "written`)
+	})
+}
+
 // Call is an operator's call.
 func (a *Agent) Call(method, path string) int {
 	r, err := http.NewRequest(method, "http://"+a.Operator+path, nil)
