--- a/cmd/appleledge/fleet_test.go
+++ b/cmd/appleledge/fleet_test.go
@@ -139,7 +139,11 @@
 			before := f.Servers[5].Arrived()
 			back(f, nil, []int{0})
 			f.Agents[0].Ready()
-			served(t, load, 60)
+			client := &http.Client{Timeout: 2 * time.Second}
+			for n := range 15 {
+				f.Ask(processes.Request{Agent: 0, Key: fmt.Sprint("form-", n)}, client, time.Second)
+			}
+			client.CloseIdleConnections()
 			if n := f.Servers[5].Arrived() - before; n != 0 {
 				t.Log(f.Agents[0].Sees(), f.Agents[1].Sees())
 				t.Errorf("%d requests went to a server that drains, as the others knew", n)
@@ -148,10 +152,10 @@
 		}},
 		{"a ban and a drain just before the loss", func(t *testing.T, f *processes.Fleet, load *processes.Load) {
 			f.Servers[5].Drain()
+			time.Sleep(200 * time.Millisecond) // within the drain's grace
 			if status := f.Agents[0].Call("PUT", "/ops/backends/down/"+f.Servers[4].ID); status != http.StatusOK {
 				t.Fatal("the ban:", status)
 			}
-			time.Sleep(200 * time.Millisecond) // within the drain's grace, and after the ban's yes
 			f.Discovery.SetOut(true)
 			f.LosePower(nil, processes.All(agents), 5)
 			drained, banned := f.Servers[5].Arrived(), f.Servers[4].Arrived()
@@ -278,6 +282,62 @@
 	}
 }
 
+// A refund is in flight, and has run, when power goes; its client comes again, as soon as anybody answers, and is not told that it may.
+func TestARefundInFlight(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(f *processes.Fleet)
+	}{
+		{"the agent loses power", func(f *processes.Fleet) { f.LosePower(nil, []int{0}, 1); back(f, nil, []int{0}) }},
+		{"and its disk", func(f *processes.Fleet) { f.LosePower(nil, []int{0}, 2); f.Agents[0].Wipe(); back(f, nil, []int{0}) }},
+		{"and gets its disk from a backup", func(f *processes.Fleet) {
+			f.LosePower(nil, []int{0}, 3)
+			f.Agents[0].Restore()
+			back(f, nil, []int{0})
+		}},
+		{"the agent is killed", func(f *processes.Fleet) { f.Agents[0].Kill(); back(f, nil, []int{0}) }},
+		{"the servers lose power", func(f *processes.Fleet) { f.LosePower(processes.All(6), nil, 4); back(f, processes.All(6), nil) }},
+		{"all lose power", func(f *processes.Fleet) {
+			f.LosePower(processes.All(6), []int{0}, 5)
+			back(f, processes.All(6), []int{0})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := processes.Start(t, processes.Options{Agents: 1, Servers: 6, Seed: 4})
+			f.Agents[0].Kill()
+			f.Agents[0].Backup()
+			back(f, nil, []int{0})
+			f.Agents[0].Ready()
+			f.Agents[0].Keeps()
+			client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			for n := range 5 { // some of them are caught before their answer
+				key := fmt.Sprint("refund-", n)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					f.Ask(processes.Request{Refund: true, Agent: 0, Key: key}, client, 1900*time.Millisecond)
+				}()
+				testbed.Eventually(t, "it runs", func() bool {
+					select {
+					case <-done: // it was refused as long as it came, which is no harm here
+						return true
+					default:
+					}
+					effects := f.Ledger.Effects()
+					return len(effects) > 0 && effects[len(effects)-1].Key == key
+				})
+				c.lose(f)
+				<-done
+			}
+			if n := len(f.Ledger.Effects()); n < 2 {
+				t.Errorf("%d refunds have run: nothing was caught", n)
+			}
+			verdict(t, f)
+		})
+	}
+}
+
 // Forty processes start in the same instant, meet, and lose power together.
 func TestFortyProcesses(t *testing.T) {
 	f := processes.Start(t, processes.Options{Agents: 40, Servers: 6, Seed: 3, Peers: true})
--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -69,6 +71,9 @@
 	MaxConns  int           // open at a time; further ones are closed at once. 0: no limit
 }
 
+// takenFor is for how long an address may still be that of an earlier life.
+const takenFor = 2 * time.Second
+
 // hour is when timers that nothing is due for are set to.
 const hour = time.Hour
 
@@ -78,6 +83,9 @@
 		limits.Addr = "127.0.0.1:0"
 	}
 	l, err := net.Listen("tcp", limits.Addr)
+	for end := time.Now().Add(takenFor); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); l, err = net.Listen("tcp", limits.Addr) {
+		time.Sleep(5 * time.Millisecond) // the life before has just ended there
+	}
 	if err != nil {
 		return nil, fmt.Errorf("form server %s: %w", name, err)
 	}
--- a/internal/rig/processes/fleet.go
+++ b/internal/rig/processes/fleet.go
@@ -92,6 +92,8 @@
 	host     *loopback.Host
 	dir      string
 	runs     int
+	starts   int
+	config   string
 	cmd      *exec.Cmd // nil: it is down
 	ended    chan error
 	Log      *testbed.LockedBuffer
@@ -328,7 +330,7 @@
 	f := a.fleet
 	text := strings.Replace(string(testbed.ConfigText(f.Discovery.Addr, "null")), `"Balancers":2,"Me":0`,
 		fmt.Sprintf(`"Balancers":%d,"Me":%d`, f.options.Agents, a.Number), 1)
-	f.must(os.WriteFile(filepath.Join(a.dir, "config.json"), []byte(text), 0o600))
+	a.config = text
 	own := fmt.Sprintf("[affinity]\ndir = %q\nsync = true\nbudget = \"50ms\"\n[recovery]\ndir = %q\nrun_file = %q\nevery = \"300ms\"\n",
 		filepath.Join(a.dir, "ties"), filepath.Join(a.dir, "kept"), filepath.Join(a.dir, "run"))
 	alone := false
@@ -348,6 +350,10 @@
 // Start starts the agent's process and does not wait.
 func (a *Agent) Start() {
 	a.fleet.t.Helper()
+	a.starts++
+	seed := fmt.Sprintf("%016x", (uint64(a.starts)<<32+uint64(a.Number)+a.fleet.options.Seed)*0x9E3779B97F4A7C15) // new with each start
+	text := strings.Replace(a.config, `"seed":"8c1f30d27a5be964"`, `"seed":"`+seed+`"`, 1)
+	a.fleet.must(os.WriteFile(filepath.Join(a.dir, "config.json"), []byte(text), 0o600))
 	a.cmd = exec.Command(os.Args[0], "-settings", filepath.Join(a.dir, "own.toml"))
 	a.cmd.Env = append(os.Environ(), AsProgram+"=1", DiskAt+"="+a.disk(), "TMPDIR="+a.dir, "GOMAXPROCS=1",
 		"PROXY_CONFIG="+filepath.Join(a.dir, "config.json"), "PROXY_NAME="+fmt.Sprint("n", a.Number), "PROXY_LISTEN="+a.Addr, "PROXY_OPERATOR="+a.Operator)
