A trial of which nothing is heard is over: an agent could stay without service for good

Cause, found in a second reading: a request that was chosen for a trial before the module knew the server (the list from before comes 10 to 150 ms after the start, later on a busy machine), or at a server that hangs, brings no outcome, and the server stayed under trial. With all of them so the agent tried nothing any more. That fits the two waits in vain of the process tests, which had been put down to what was not kept yet.

- A trial is over when its server's turn comes again, and was in vain.
A test fails without.
- An agent that is the only member ended with a panic when it said farewell (a draw from nobody); in the table of TestWhoLives now.
- Starts that moved are told to the module with each list, so that they do not gather in an agent without requests.
- The bound on what is let in follows the platform's multiple that topples a cold server, where it was half of 3 whatever that is.
- GET /ops/fleet names the agent's own number among the members, not the platform's.
Unused options, a phase and a getter are gone.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -240,7 +240,7 @@
 		ready = func() bool { return core.Ready() && ctx.Err() == nil && twin.serving.Load() }
 	}
 	operators, err := openToOperators(cfg, operating{core: core, reloads: &reloading.counts, link: with.link, ready: ready, keep: keep,
-		fleet: fleetView{cfg.Name, cfg.Site.Logic.Me, core, clk, keep, others}.calls()}, clk, log)
+		fleet: fleetView{cfg.Name, core, clk, keep, others}.calls()}, clk, log)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/fleet.go
+++ b/internal/agent/fleet.go
@@ -12,7 +12,6 @@
 // fleetView is the fleet as this agent sees it.
 type fleetView struct {
 	name  string
-	self  int
 	core  *engine.Engine
 	clock engine.Clock
 	keep  *keeping   // nil: nothing is kept
@@ -47,7 +46,7 @@
 		if err != nil {
 			return f, err
 		}
-		p := operator.Peers{Self: v.self, Alive: st.Alive, Sent: st.Sent, Bytes: st.SentBytes, Taken: st.Taken, Dropped: st.Dropped, HeldOut: held,
+		p := operator.Peers{Self: v.peers.Self(), Alive: st.Alive, Sent: st.Sent, Bytes: st.SentBytes, Taken: st.Taken, Dropped: st.Dropped, HeldOut: held,
 			Claims: counts.Claims, Bounded: counts.Dropped, Refuted: st.Counts.Refuted, Suspects: st.Counts.Suspected}
 		for _, s := range st.States {
 			p.States = append(p.States, s.String())
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -649,6 +649,9 @@
 		servers[i] = m.Server
 	}
 	e.decide(logic.ServerList{Full: l.Full, Servers: servers, Drop: l.Drop})
+	if e.returning != nil {
+		e.remask()
+	}
 	if is := ready > 0; e.ready.Swap(is) != is {
 		e.log.Info("backends to send to", "any", is, "ready", ready)
 	}
--- a/internal/fleet/peer/core.go
+++ b/internal/fleet/peer/core.go
@@ -173,9 +173,6 @@
 // State is what is held of an agent.
 func (c *Core) State(agent int) State { return c.members[agent].state }
 
-// Latest is when something last came from an agent itself; 0: never.
-func (c *Core) Latest(agent int) time.Duration { return c.members[agent].latest }
-
 // Alive is how many agents live as far as is known, suspects and this one among them.
 func (c *Core) Alive() int { return c.alive }
 
@@ -296,6 +293,9 @@
 
 // some draws so many of those that live.
 func (c *Core) some(n, but int) (chosen []int) {
+	if len(c.order) == 0 { // this agent is the only one
+		return nil
+	}
 	for range 4 * n {
 		i := c.order[c.rng.IntN(len(c.order))]
 		if i != but && c.members[i].state == Alive && !slices.Contains(chosen, i) {
--- a/internal/fleet/peer/core_test.go
+++ b/internal/fleet/peer/core_test.go
@@ -153,7 +153,7 @@
 	for _, c := range []struct {
 		agents          int
 		meet, die, back time.Duration
-	}{{2, 3 * time.Second, 20 * time.Second, 20 * time.Second}, {10, 4 * time.Second, 20 * time.Second, 5 * time.Second}, {100, 8 * time.Second, 20 * time.Second, 8 * time.Second}} {
+	}{{1, time.Second, 0, 0}, {2, 3 * time.Second, 20 * time.Second, 20 * time.Second}, {10, 4 * time.Second, 20 * time.Second, 5 * time.Second}, {100, 8 * time.Second, 20 * time.Second, 8 * time.Second}} {
 		n := newNetwork(c.agents, 1)
 		if took := n.until(c.meet, n.all); took < 0 {
 			t.Fatalf("%d agents have not met within %v", c.agents, c.meet)
@@ -164,6 +164,10 @@
 				t.Errorf("%d agents: somebody was suspected who lives", c.agents)
 			}
 		}
+		if c.agents == 1 { // it has nobody to tell, also of its end
+			n.send(n.cores[0].Leave(n.now))
+			continue
+		}
 		n.cores[1] = nil
 		if took := n.until(c.die, n.all); took < 0 {
 			t.Errorf("%d agents: not all have found out a death within %v", c.agents, c.die)
--- a/internal/fleet/peer/node.go
+++ b/internal/fleet/peer/node.go
@@ -81,6 +81,9 @@
 	return n, nil
 }
 
+// Self is the agent's own number.
+func (n *Node) Self() int { return n.set.Self }
+
 // Tell lets a fact be told to the others; where too many wait it is lost, as word may be.
 func (n *Node) Tell(f Fact) {
 	select {
--- a/internal/fleet/recovery/recovery.go
+++ b/internal/fleet/recovery/recovery.go
@@ -2,14 +2,13 @@
 // for what, whom it tries first, and in which order service returns. It does no I/O and reads no clock: events go in with the
 // time, on the agent's monotonic clock.
 //
-// The order: dark (no server is known), kept (servers are known from before, and none has answered), asked (the other agents are
-// asked what they know), trying (first trials are out, spread over the agents), worthiest (the class that is worth most is let
+// The order: dark (no server is known), asking (servers are known from before, and the other agents are asked what they know), trying (first trials are out, spread over the agents), worthiest (the class that is worth most is let
 // in), proving (the others follow as capacity is proven), full.
 //
 // Why the sum over all agents pushes no cold server over, whoever hears whom. While the fleet is cold as a whole an agent lets in
-// at most hardMost * s / use of the rate at which it was served itself before, where s is the part of its capacity that a server
+// at most half of Overload * s / use of the rate at which it was served itself before, where s is the part of its capacity that a server
 // has at least so long after its start, and use how busy servers were then. Of these rates the sum over all agents is what the
-// fleet served before, use * C, so that the sum of all is at most hardMost * s * C, half of what topples it; an agent
+// fleet served before, use * C, so that the sum of all is at most half of what topples it; an agent
 // that remembers no rate goes by the first tries that it is asked, which are within the same sum while clients ask as before. No
 // word from others enters it: a fleet split in two parts has the same sum. Only own answers raise s: a report of what a server
 // does at what use says what it can do now.
@@ -34,14 +33,13 @@
 const (
 	Full Phase = iota // nothing is held back
 	Dark
-	FromBefore
 	Asking
 	Trying
 	Worthiest
 	Proving
 )
 
-var phases = [...]string{Full: "full", Dark: "dark", FromBefore: "from_before", Asking: "asking", Trying: "trying",
+var phases = [...]string{Full: "full", Dark: "dark", Asking: "asking", Trying: "trying",
 	Worthiest: "worthiest", Proving: "proving"}
 
 func (p Phase) String() string { return phases[p] }
@@ -71,7 +69,8 @@
 	look       = 250 * time.Millisecond // between two looks at how it goes
 	aimUse     = 0.8                    // use of the servers that is aimed at
 	firstUse   = 0.55                   // and at first, while they have forgotten the keys that they met
-	hardMost   = 1.5                    // times what a server can do, that it is sent at the most; Overload is 3 in service
+	hardPart   = 0.5                    // of the multiple that topples a cold server, which it is sent at the most
+	usualMost  = 3                      // that multiple, where none is stated
 	useLeast   = 0.3                    // use from before that counts: what was learnt in a quiet hour says little of a busy one
 	useUnknown = 0.7
 	raiseBelow = 0.65 // reported use below which more is let in
@@ -409,7 +408,7 @@
 	}
 	p := storm.NewPass(now, a)
 	switch r.phase {
-	case Dark, FromBefore, Asking:
+	case Dark, Asking:
 		if !a.Bound {
 			return nil, r.turnAway(now, a)
 		}
@@ -519,7 +518,11 @@
 		base = r.habits.askedRate(now)
 	}
 	s = max(s, proven)
-	most := s * hardMost / use
+	topples := r.set.Overload
+	if topples <= 0 {
+		topples = usualMost
+	}
+	most := s * hardPart * topples / use
 	aim := firstUse
 	if r.first != 0 {
 		aim += (aimUse - firstUse) * min(1, float64(now-r.first)/float64(r.set.ColdFor))
@@ -592,9 +595,14 @@
 	}
 	var best *server
 	for _, s := range r.servers {
-		if !s.ready || s.trial || now < s.tryAt {
+		if !s.ready || now < s.tryAt {
 			continue
 		}
+		if s.trial { // nothing was heard of the last one: it hangs, or the request found no way there
+			s.trial = false
+			s.vain++
+			r.counts.Vain++
+		}
 		if best == nil || s.vain < best.vain || s.vain == best.vain && r.mark(s, r.set.Self) > r.mark(best, r.set.Self) {
 			best = s
 		}
--- a/internal/fleet/recovery/recovery_test.go
+++ b/internal/fleet/recovery/recovery_test.go
@@ -194,6 +194,23 @@
 	}
 }
 
+// A trial of which nothing is heard, as the module did not know the server yet or it hangs, does not keep it from being tried again.
+func TestATrialOfWhichNothingIsHeard(t *testing.T) {
+	r := New(options(1, 0), nil)
+	r.Begin(start, known(3, 60, 40, 0.5), "power")
+	for now := start; now < start+30*second; now += 20 * time.Millisecond {
+		p, _ := r.Arrive(now, ask(form))
+		if p == nil {
+			continue
+		}
+		r.Done(now, p, storm.Refused)
+		if now > start+20*second {
+			return
+		}
+	}
+	t.Error("no server is tried any more")
+}
+
 // A server's start is told to the module as its age and the others' want it.
 func TestStartsAsTheModuleIsTold(t *testing.T) {
 	list := func(r *Recovery, now, started time.Duration, ids ...string) {
--- a/internal/rig/processes/fleet.go
+++ b/internal/rig/processes/fleet.go
@@ -37,9 +37,7 @@
 type Options struct {
 	Agents, Servers int
 	Seed            uint64
-	Peers           bool          // agents know each other
-	Alone           []int         // but these
-	Warm            time.Duration // that cold servers take; 0: as the settings say
+	Peers           bool // agents know each other
 }
 
 // Classes of the deployment, quick enough for many processes on two cores.
@@ -183,9 +181,6 @@
 	}
 	spec := emulator.Spec{Cores: 2, Speed: 1, Slots: 12, Queue: 32, Crowd: 0.05, CrowdAt: 4, ColdFrom: 0.32, ColdFor: 8700 * time.Millisecond,
 		Topple: 3, ToppleFor: 3 * time.Second, ReportEvery: 100 * time.Millisecond, ReportLate: 20 * time.Millisecond}
-	if f.options.Warm > 0 {
-		spec.ColdFor = f.options.Warm
-	}
 	model := emulator.NewServer(s.ID, spec, f.pods[s.Pod], f.options.Seed, time.Since(f.epoch), warm)
 	form, err := emulator.Listen(s.ID, model, classes, f.options.Seed, f.epoch, emulator.Listening{Addr: s.host.Addr(), IdleClose: 15 * time.Second, MaxConns: 800})
 	f.must(err)
@@ -333,11 +328,7 @@
 	a.config = text
 	own := fmt.Sprintf("[affinity]\ndir = %q\nsync = true\nbudget = \"50ms\"\n[recovery]\ndir = %q\nrun_file = %q\nevery = \"300ms\"\n",
 		filepath.Join(a.dir, "ties"), filepath.Join(a.dir, "kept"), filepath.Join(a.dir, "run"))
-	alone := false
-	for _, i := range f.options.Alone {
-		alone = alone || i == a.Number
-	}
-	if f.Net != nil && !alone {
+	if f.Net != nil {
 		quoted := []string{}
 		for _, m := range f.Net.members(a.Number) {
 			quoted = append(quoted, strconv.Quote(m))
