Emulator: a pod tells a repeat by when it had come, not by when it was read

Seen: TestOverloadTogether red, "ran at s-01 (pod 0) and, 2.1 to 4.8 s later, at s-02 (pod 0)".

The verdict now says when the second was written (from the X-Timeout that both carry) and how long each lay in the kernel before the stand-in's process read it (SO_TIMESTAMPING).

Cause of this red: the stand-in. By PROTOCOL a backend begins a request when its last byte has come; the stand-in's pod counted from when its starved process got to it, and forgot the key meanwhile. The same held for the time of the last request at a draining server.

Why this works: the pod compares the times of receipt that the kernel states, in whichever order they are read. The window stays 2 s and the check is as strict as before: a repeat that is received 2 s after the first or later runs again and is an error. Where bytes and the end of their connection wait together, the kernel states the later time.

A backend that really takes requests late is the product's part; it follows.

--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -57,7 +57,7 @@
 	model          *Server
 	connFaults     ConnFaults
 	random         *rand.Rand
-	lastArrival    time.Time                  // the latest request
+	lastArrival    time.Time                  // the latest request, as the kernel received it
 	pending        map[uint64]chan Completion // of requests that wait for their end
 	arrived        uint64
 	timer          *time.Timer // wakes the model
@@ -84,8 +84,8 @@
 	if limits.Addr == "" {
 		limits.Addr = "127.0.0.1:0"
 	}
-	l, err := net.Listen("tcp", limits.Addr)
-	for end := time.Now().Add(addrInUseRetryTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); l, err = net.Listen("tcp", limits.Addr) {
+	l, err := listenStamped(limits.Addr)
+	for end := time.Now().Add(addrInUseRetryTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); l, err = listenStamped(limits.Addr) {
 		time.Sleep(5 * time.Millisecond) // the life before has just ended there
 	}
 	if err != nil {
@@ -97,7 +97,8 @@
 		f.classes[c.Name] = c
 	}
 	f.timer = time.AfterFunc(idleTimerInterval, f.wake)
-	f.srv = &http.Server{Handler: f, IdleTimeout: limits.IdleTimeout, ReadHeaderTimeout: limits.IdleTimeout, ConnState: f.connState}
+	f.srv = &http.Server{Handler: f, IdleTimeout: limits.IdleTimeout, ReadHeaderTimeout: limits.IdleTimeout, ConnState: f.connState,
+		ConnContext: withConn}
 	f.served.Go(func() { besteffort.Ignore(f.srv.Serve(&limitedListener{Listener: l, maxConns: limits.MaxConns})) })
 	return f, nil
 }
@@ -199,14 +200,17 @@
 	f.served.Wait()
 }
 
-// arrive brings a request to the model. The channel gets its end, if it is to have one.
-func (f *FormServer) arrive(r Request) (ArrivalResult, <-chan Completion) {
+// arrive brings a request, which the kernel received at that time, to the model. The channel gets its end, if it is to have one.
+func (f *FormServer) arrive(r Request, received time.Time) (ArrivalResult, <-chan Completion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
-	f.lastArrival = time.Now()
+	if received.After(f.lastArrival) {
+		f.lastArrival = received
+	}
 	f.arrived++
 	r.ID = f.arrived
+	r.ReadDelay = max(0, time.Since(received))
 	hung := f.model.Faults().Hung
 	verdict := f.model.Arrive(f.now(), r, f.arrived)
 	if verdict != Accepted {
@@ -238,7 +242,7 @@
 	}
 	work, wait := class.Draw(f.seed, id)
 	verdict, end := f.arrive(Request{Class: name, IdempotencyKey: r.Header.Get("Idempotency-Key"), RouteKey: r.Header.Get("X-Route-Key"),
-		Work: work, Wait: wait})
+		Work: work, Wait: wait, TimeLeft: timeLeft(r.Header)}, requestReceivedAt(r.Context()))
 	switch verdict {
 	case Unreachable:
 		panic(http.ErrAbortHandler) // the connection breaks
@@ -257,6 +261,20 @@
 	}
 }
 
+// timeLeft returns for how long the sender still waited when it wrote the request; 0 where it does not say.
+func timeLeft(h http.Header) time.Duration {
+	text := h.Get("X-Timeout")
+	for suffix, unit := range map[string]time.Duration{"m": time.Millisecond, "u": time.Microsecond} {
+		if number, ok := strings.CutSuffix(text, suffix); ok {
+			n, err := strconv.ParseInt(number, 10, 64)
+			if err == nil {
+				return time.Duration(n) * unit
+			}
+		}
+	}
+	return 0
+}
+
 // answer answers what has run, with the faults of the wire.
 func (f *FormServer) answer(w http.ResponseWriter, id string, done Completion) {
 	f.mu.Lock()
@@ -345,13 +363,17 @@
 			besteffort.Close(c)
 			continue
 		}
-		return &countedConn{Conn: c, l: l}, nil
+		stamped, err := newStampedConn(c)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{stampedConn: stamped, l: l}, nil
 	}
 }
 
 // countedConn gives its place in a limitedListener back when it is closed first.
 type countedConn struct {
-	net.Conn
+	*stampedConn
 	l    *limitedListener
 	once sync.Once
 }
@@ -363,12 +385,12 @@
 		c.l.open--
 		c.l.mu.Unlock()
 	})
-	return c.Conn.Close()
+	return c.stampedConn.Close()
 }
 
 // SetLinger is that of the connection: 0 makes a close a reset.
 func (c *countedConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.stampedConn.Conn.(*net.TCPConn); ok {
 		return tcp.SetLinger(seconds)
 	}
 	return nil
--- a/internal/emulator/pod.go
+++ b/internal/emulator/pod.go
@@ -10,7 +10,12 @@
 	Key    string
 	Pod    int
 	Server string
-	At     time.Duration
+	At     time.Duration // when its last byte had come
+	// ReadDelay is how much later the server's process took it.
+	ReadDelay time.Duration
+	// TimeLeft is how long the sender still waited when it wrote the request, as it said. Of two executions of one request the
+	// difference is the time between the two writes.
+	TimeLeft time.Duration
 }
 
 // Ledger records every execution of a request with an idempotency key in the whole fleet, in order, so that duplicates
@@ -53,15 +58,16 @@
 }
 
 // Pod is a set of form servers that share their memory of idempotency keys: a key that began at any of them within the
-// window isn't executed again. Repeats don't prolong the window. It is safe for concurrent use.
+// window isn't executed again. A request begins when its last byte has come, however late a busy process reads it: times are
+// those at which the kernel received it. Repeats don't prolong the window. It is safe for concurrent use.
 type Pod struct {
 	number int
 	window time.Duration
 	ledger *Ledger
 
 	mu          sync.Mutex
-	startedAt   map[string]time.Duration // when a key began, of those in the window
-	expiryOrder []keyTime                // the same by time, so that what is over can be dropped
+	startedAt   map[string]time.Duration // when a key began, of those that may still be repeated
+	expiryOrder []keyTime                // the same as they were read, so that what is over can be dropped
 }
 
 // keyTime is a key and when it was seen.
@@ -70,25 +76,31 @@
 	at  time.Duration
 }
 
+// maxReadDelay is how late a process may read a request whose repeat is still told by the time at which it was received.
+const maxReadDelay = 30 * time.Second
+
 // NewPod returns a pod that drops repeats within the window and records executions in the ledger.
 func NewPod(number int, window time.Duration, ledger *Ledger) *Pod {
 	return &Pod{number: number, window: window, ledger: ledger, startedAt: map[string]time.Duration{}}
 }
 
-// claim reports whether the key is to be executed at the server now, and records the execution if so.
-func (p *Pod) claim(now time.Duration, key, server string) bool {
+// claim reports whether the request's key is to be executed at the server now, and records the execution if so.
+func (p *Pod) claim(now time.Duration, r Request, server string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.expiryOrder) > 0 && now-p.expiryOrder[0].at >= p.window {
-		delete(p.startedAt, p.expiryOrder[0].key)
+	for len(p.expiryOrder) > 0 && now-p.expiryOrder[0].at >= p.window+maxReadDelay {
+		if first := p.expiryOrder[0]; p.startedAt[first.key] == first.at {
+			delete(p.startedAt, first.key)
+		}
 		p.expiryOrder = p.expiryOrder[1:]
 	}
-	if _, repeat := p.startedAt[key]; repeat {
+	key, received := r.IdempotencyKey, now-r.ReadDelay
+	if began, known := p.startedAt[key]; known && (received-began).Abs() < p.window {
 		return false
 	}
-	p.startedAt[key] = now
-	p.expiryOrder = append(p.expiryOrder, keyTime{key, now})
-	p.ledger.record(Execution{Key: key, Pod: p.number, Server: server, At: now})
+	p.startedAt[key] = received
+	p.expiryOrder = append(p.expiryOrder, keyTime{key, received})
+	p.ledger.record(Execution{Key: key, Pod: p.number, Server: server, At: received, ReadDelay: r.ReadDelay, TimeLeft: r.TimeLeft})
 	return true
 }
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -55,6 +55,8 @@
 	RouteKey       string        // may be empty
 	Work           time.Duration // on a core of speed 1
 	Wait           time.Duration // on other systems: it holds its slot, but no core
+	TimeLeft       time.Duration // for which its sender still waited when it wrote the request; 0: not stated
+	ReadDelay      time.Duration // between its last byte, as the kernel received it, and its arrival at the model
 }
 
 // ArrivalResult is what happens to a request when it arrives.
@@ -300,7 +302,7 @@
 		return Unreachable
 	case s.faults.Hung: // never answered, but the request may have run
 		if r.IdempotencyKey != "" {
-			s.pod.claim(now, r.IdempotencyKey, s.name)
+			s.pod.claim(now, r, s.name)
 		}
 		return Accepted
 	case s.isOverloadedCold(now, r): // rejected requests count as well
@@ -311,7 +313,7 @@
 	}
 	j := &job{Request: r, arrived: now, order: order, willFail: s.random.Float64() < s.faults.Errors}
 	// The pod tells repeats when they come: one that waits long in a queue must not run because its key is forgotten by then.
-	j.isDuplicate = r.IdempotencyKey != "" && !s.pod.claim(now, r.IdempotencyKey, s.name)
+	j.isDuplicate = r.IdempotencyKey != "" && !s.pod.claim(now, r, s.name)
 	if len(s.inExternalWait)+len(s.onCores) >= s.spec.Slots {
 		s.waiting = append(s.waiting, j)
 		return Accepted
--- a/internal/emulator/server_test.go
+++ b/internal/emulator/server_test.go
@@ -178,10 +178,10 @@
 func TestWindowCountsFromTheFirst(t *testing.T) {
 	ledger := NewLedger()
 	pod := NewPod(1, 2*time.Second, ledger)
-	if !pod.claim(0, "k", "s") {
+	if !pod.claim(0, Request{IdempotencyKey: "k"}, "s") {
 		t.Error("the first does not run")
 	}
-	if pod.claim(1500*time.Millisecond, "k", "s") || !pod.claim(2500*time.Millisecond, "k", "s") {
+	if pod.claim(1500*time.Millisecond, Request{IdempotencyKey: "k"}, "s") || !pod.claim(2500*time.Millisecond, Request{IdempotencyKey: "k"}, "s") {
 		t.Error("a repeat moved the window")
 	}
 }
--- a/internal/harness/cluster/fleet.go
+++ b/internal/harness/cluster/fleet.go
@@ -315,7 +315,9 @@
 		s.check()
 	}
 	for key, ran := range f.Ledger.Repeated() {
-		f.Broken("%s ran at %s (pod %d) and, %v later, at %s (pod %d)", key, ran[0].Server, ran[0].Pod, ran[1].At-ran[0].At, ran[1].Server, ran[1].Pod)
+		f.Broken("%s ran at %s (pod %d) and, %v later, at %s (pod %d); the second was written %v after the first, with %v left to its sender; they were read %v and %v after they had come",
+			key, ran[0].Server, ran[0].Pod, ran[1].At-ran[0].At, ran[1].Server, ran[1].Pod, ran[0].TimeLeft-ran[1].TimeLeft, ran[1].TimeLeft,
+			ran[0].ReadDelay, ran[1].ReadDelay)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
