Sums and effects of recovery and of denials no longer follow the order of a map

For callers: two processes of an agent, or the same one after a restart, could hold out other servers, and a run could not be repeated.

Recovery keeps its servers sorted by id beside the map, restores go by sorted ids, and what a denial changes is sorted as gossip does it. The order is then a function of the ids alone.

--- a/internal/denylist/denylist_test.go
+++ b/internal/denylist/denylist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -149,3 +150,23 @@
 		})
 	})
 }
+
+// Of more denials than a Set may hold, the same are restored each time.
+func TestRestoreOverTheBoundIsTheSameEachTime(t *testing.T) {
+	snapshot := Snapshot{DeniedSince: map[string]int64{}, AllowedSince: map[string]int64{}}
+	for i := range 40 {
+		snapshot.DeniedSince[fmt.Sprint("denied-", i)] = int64(i)
+		snapshot.AllowedSince[fmt.Sprint("allowed-", i)] = int64(i)
+	}
+	restored := func() string {
+		s := New(10)
+		s.Restore(snapshot, func(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond })
+		return fmt.Sprint(s.Snapshot(func(d time.Duration) int64 { return d.Milliseconds() }))
+	}
+	first := restored()
+	for range 50 {
+		if again := restored(); again != first {
+			t.Fatalf("%s\nand then %s", first, again)
+		}
+	}
+}
--- a/internal/denylist/snapshot.go
+++ b/internal/denylist/snapshot.go
@@ -35,16 +35,17 @@
 	for _, id := range snapshot.KnownIDs {
 		s.updateDeparted(id, s.serverFor(id))
 	}
-	for id, deniedAt := range snapshot.DeniedSince {
+	for _, id := range slices.Sorted(maps.Keys(snapshot.DeniedSince)) { // in an order of their own: there is a bound
+		deniedAt := snapshot.DeniedSince[id]
 		if srv := s.serverFor(id); !srv.isDenied && s.deniedCount < s.maxDenied {
 			srv.isDenied, srv.deniedAt = true, fromUnixMS(deniedAt)
 			s.deniedCount++
 			s.updateDeparted(id, srv)
 		}
 	}
-	for id, allowedAt := range snapshot.AllowedSince {
+	for _, id := range slices.Sorted(maps.Keys(snapshot.AllowedSince)) {
 		srv := s.serverFor(id)
-		srv.allowedAt = fromUnixMS(allowedAt)
+		srv.allowedAt = fromUnixMS(snapshot.AllowedSince[id])
 		s.updateDeparted(id, srv)
 	}
 }
--- a/internal/engine/denylist.go
+++ b/internal/engine/denylist.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"appleledge/internal/balancer"
@@ -95,6 +97,7 @@
 			u.Members = append(u.Members, m)
 		}
 	}
+	slices.SortFunc(u.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	if len(u.Members) > 0 {
 		d.engine.applyEndpoints(u, overlayDenylist)
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"container/heap"
+	"fmt"
+	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
 	"appleledge/internal/balancer"
+	"appleledge/internal/denylist"
 )
 
 // Servers drop repeats under an idempotency key for its window only, counted from the first attempt that may have run. A retry
@@ -75,3 +79,44 @@
 		t.Error("the clock starts at 0")
 	}
 }
+
+// When operators deny several servers at once, those behind the denylist learn of them in the same order each time.
+func TestDeniedServersArePassedOnInOrder(t *testing.T) {
+	for range 20 {
+		b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 1, Classes: testClasses()}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, seen := time.Second, &recordingOverlay{}
+		e := New(b, ManualClock(&now), noPool{}, slog.New(slog.DiscardHandler))
+		set := denylist.New(20)
+		e.SetDenylist(set)
+		e.overlays[overlayGossip] = seen
+		e.Start()
+		u := EndpointUpdate{Full: true}
+		for i := range 16 {
+			u.Members = append(u.Members, Member{Server: balancer.Server{ID: fmt.Sprintf("s-%02d", i)}})
+		}
+		e.Handle(u)
+		before := e.denylist.changedMembers()
+		for i := range 16 {
+			if err := set.Deny(now, fmt.Sprintf("s-%02d", i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		seen.ids = nil
+		if e.denylist.applyChangesSince(before); len(seen.ids) != 16 || !slices.IsSorted(seen.ids) {
+			t.Fatalf("passed on: %v", seen.ids)
+		}
+	}
+}
+
+// recordingOverlay records the servers that are passed on to it.
+type recordingOverlay struct{ ids []string }
+
+func (r *recordingOverlay) overlayEndpoints(_ time.Duration, u EndpointUpdate) EndpointUpdate {
+	for _, m := range u.Members {
+		r.ids = append(r.ids, m.ID)
+	}
+	return u
+}
--- a/internal/fleet/recovery/baseline.go
+++ b/internal/fleet/recovery/baseline.go
@@ -130,7 +130,7 @@
 // baseline returns what is usual now.
 func (t *trafficProfile) baseline(r *Controller) Baseline {
 	b := Baseline{ClassRates: slices.Clone(t.classRates), Utilization: t.utilization}
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		b.Servers = append(b.Servers, BaselineServer{s.id, s.cell, s.isReady, s.warmCapacity})
 	}
 	slices.SortFunc(b.Servers, func(x, y BaselineServer) int { return strings.Compare(x.ID, y.ID) })
--- a/internal/fleet/recovery/phases.go
+++ b/internal/fleet/recovery/phases.go
@@ -64,7 +64,7 @@
 	r.failedTrialsBefore = r.counts.FailedTrials
 	r.counts.Recoveries++
 	r.reason = reason
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		s.firstAnswerAt, s.reportedAt, s.failedTrials, s.nextTrialAt, s.isTrialPending, s.peerReportedAt = 0, 0, 0, 0, false, 0
 	}
 }
@@ -87,7 +87,7 @@
 	case r.phase == FullService && isCold && len(r.servers) >= minServersForRecovery:
 		r.beginRecovery(now, r.traffic.baseline(r), "the list says that most servers have just started")
 		r.enterPhase(now, TrialRequests, r.reason)
-		for _, s := range r.servers {
+		for _, s := range r.serverOrder {
 			if s.effectiveStart != 0 && now-s.effectiveStart < r.options.WarmupTime {
 				s.effectiveStart = 0
 			}
@@ -95,7 +95,7 @@
 		}
 	case r.phase == NoEndpoints && !isCold:
 		r.enterPhase(now, FullService, "the list says that servers are warm")
-		for _, s := range r.servers {
+		for _, s := range r.serverOrder {
 			r.setStartMasked(s, false)
 		}
 	case r.phase == NoEndpoints:
@@ -107,7 +107,7 @@
 // cut off from them.
 func (r *Controller) detectOutage(now time.Duration) {
 	broken, all := 0.0, 0.0
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.isReady {
 			all++
 			if s.brokenAt != 0 && now-s.brokenAt < outageWindow {
@@ -119,7 +119,7 @@
 		return
 	}
 	r.beginRecovery(now, r.traffic.baseline(r), "nearly all servers broke off within a second")
-	for _, s := range r.servers { // the list's start times are of before the outage; whether they start again it says later
+	for _, s := range r.serverOrder { // the list's start times are of before the outage; whether they start again it says later
 		s.isListed, s.effectiveStart = false, 0
 	}
 	r.enterPhase(now, TrialRequests, r.reason)
--- a/internal/fleet/recovery/ramp.go
+++ b/internal/fleet/recovery/ramp.go
@@ -151,7 +151,7 @@
 // that the servers which have just reported can serve now. A server whose capacity isn't known counts as one of the mean.
 func (r *Controller) warmCapacity(now time.Duration) (atLeast, proven float64) {
 	mean, known := 0.0, 0.0
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.isReady && s.warmCapacity > 0 {
 			mean, known = mean+s.warmCapacity, known+1
 		}
@@ -160,7 +160,7 @@
 		mean = 1
 	}
 	var total, available, reporting, shown float64
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if !s.isReady {
 			continue
 		}
@@ -206,7 +206,7 @@
 // adjustGain raises the admission rate where servers report that they aren't busy, and lowers it where they are or answers are late.
 func (r *Controller) adjustGain(now time.Duration) {
 	utilization, reports := 0.0, 0.0
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.reportedAt != 0 && now-s.reportedAt < reportTTL/2 && s.isReady {
 			utilization, reports = utilization+s.reportedUtilization, reports+1
 		}
--- a/internal/fleet/recovery/recovery.go
+++ b/internal/fleet/recovery/recovery.go
@@ -50,6 +50,7 @@
 	classesByPriority []int              // class numbers, the highest priority first
 	next              Admitter           // asked in FullService; nil: all requests are admitted then
 	servers           map[string]*server // by id
+	serverOrder       []*server          // the same, sorted by id: sums and effects must not depend on the order of a map
 	traffic           trafficProfile
 	isAgentAlive      []bool // by agent number; empty: not known
 
@@ -238,7 +239,7 @@
 func (r *Controller) Status(now time.Duration) Status {
 	st := Status{Phase: r.phase, Reason: r.reason, Since: r.phaseSince, Servers: len(r.servers), Counts: r.counts}
 	st.Counts.Rejected, st.Counts.Admitted = slices.Clone(r.counts.Rejected), slices.Clone(r.counts.Admitted)
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.firstAnswerAt != 0 {
 			st.RespondingServers++
 		}
--- a/internal/fleet/recovery/recovery_test.go
+++ b/internal/fleet/recovery/recovery_test.go
@@ -334,3 +334,34 @@
 		t.Errorf("the next Admitter has %d in flight", n)
 	}
 }
+
+// Two controllers that are told the same decide the same, to the last bit: sums of capacities and the first start that is seen must
+// not depend on the order of a map.
+func TestEqualRunsAreEqual(t *testing.T) {
+	play := func() (trace string) {
+		r := New(testOptions(3, 1), nil)
+		before := testBaseline(24, 40, 20, 0.5)
+		for i := range before.Servers {
+			before.Servers[i].Capacity = 1 / float64(i+3) // sums of these depend on their order
+		}
+		r.Resume(before)
+		for i := range 24 {
+			r.UpdateServer(start, Server{ID: fmt.Sprint("s-", i), Cell: i / 3, Ready: true, Started: start - time.Duration(i)*150*time.Millisecond}, true)
+		}
+		r.ListApplied(start)
+		atLeast, proven := r.warmCapacity(start + second)
+		trace = fmt.Sprint(r.phase, atLeast, proven, r.fleetStart, r.TakeStartChanges())
+		for i := range 24 {
+			r.ObserveAttempt(start+second, fmt.Sprint("s-", i), true, false, float64(i)/7, 1/float64(i+2))
+		}
+		r.adjustGain(start + 2*second)
+		atLeast, proven = r.warmCapacity(start + 2*second)
+		return trace + fmt.Sprint(atLeast, proven, r.ramp.gain)
+	}
+	first := play()
+	for range 100 {
+		if again := play(); again != first {
+			t.Fatalf("%s\nand then %s", first, again)
+		}
+	}
+}
--- a/internal/fleet/recovery/servers.go
+++ b/internal/fleet/recovery/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,10 +48,25 @@
 	if s == nil {
 		s = &server{id: id, hash: xxhash.Sum64String(id)}
 		r.servers[id] = s
+		i, _ := r.orderOf(id)
+		r.serverOrder = slices.Insert(r.serverOrder, i, s)
 	}
 	return s
 }
 
+// remove forgets a server.
+func (r *Controller) remove(id string) {
+	delete(r.servers, id)
+	if i, known := r.orderOf(id); known {
+		r.serverOrder = slices.Delete(r.serverOrder, i, i+1)
+	}
+}
+
+// orderOf returns the index of a server in serverOrder, or the one at which it is to be inserted.
+func (r *Controller) orderOf(id string) (index int, known bool) {
+	return slices.BinarySearchFunc(r.serverOrder, id, func(s *server, id string) int { return strings.Compare(s.id, id) })
+}
+
 // Server is a server as the endpoint list has it.
 type Server struct {
 	ID      string
@@ -64,7 +80,7 @@
 // confirmed; its start times count only where they aren't 0, as they are known otherwise then. Call ListApplied after the last one.
 func (r *Controller) UpdateServer(now time.Duration, l Server, isConfirmed bool) {
 	if l.Gone {
-		delete(r.servers, l.ID)
+		r.remove(l.ID)
 		return
 	}
 	s := r.server(l.ID)
@@ -136,7 +152,7 @@
 // coldServerRatio returns the part of the ready servers that have just started, by the agent's own list.
 func (r *Controller) coldServerRatio(now time.Duration) float64 {
 	cold, all := 0.0, 0.0
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.isReady {
 			all++
 			if s.isListed && s.listedStart != 0 && now-s.listedStart < r.options.WarmupTime {
@@ -150,7 +166,7 @@
 // hasRestarted reports whether most servers have started since the last recovery began.
 func (r *Controller) hasRestarted(now time.Duration) bool {
 	restarted, all := 0.0, 0.0
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.isReady {
 			all++
 			if s.isListed && !s.isStartMasked && s.listedStart > r.startedAt && now-s.listedStart < r.options.WarmupTime {
@@ -171,7 +187,7 @@
 // retry as one: whether one of its servers may have run without a break from then on. Where all have started, have broken off or have lost
 // power since, nobody is left who would drop the retry, and the request could run twice.
 func (r *Controller) AllowsRetryIn(cell int, since time.Duration) bool {
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if s.cell == cell && s.mayRunSince <= since {
 			return true
 		}
--- a/internal/fleet/recovery/trials.go
+++ b/internal/fleet/recovery/trials.go
@@ -54,7 +54,7 @@
 // nextToTry returns the server with the fewest failed trials whose time has come, and of several the one for which this agent's rendezvous
 // weight is the highest; nil if there is none.
 func (r *Controller) nextToTry(now time.Duration) (best *server) {
-	for _, s := range r.servers {
+	for _, s := range r.serverOrder {
 		if !s.isReady || now < s.nextTrialAt {
 			continue
 		}
