A gossip test waits until the agent that it asks has heard of the restart

Seen: TestNodesExchangeObservations failed once, "Alive:3 States:[left alive alive alive]", on a busy machine.

Cause: the test asked node 2 for its view in the moment in which the restarted node 0 saw all alive by its own view. Node 2 hears of it by a datagram of its own, some hundred microseconds later.

Node 2 still has to see all four alive.

--- a/internal/fleet/gossip/node_test.go
+++ b/internal/fleet/gossip/node_test.go
@@ -126,6 +126,7 @@
 		t.Logf("received after %v", took)
 	}
 	eventually(t, "all agents are alive again", restarted.seesAlive(agents))
+	eventually(t, "the others see so too", handlers[2].seesAlive(agents)) // it hears of the restarted agent by a datagram of its own
 	if st := nodes[2].Status(); st.Alive != agents || st.Sent == 0 || st.Received == 0 {
 		t.Errorf("%+v", st)
 	}
