A binding on disk no longer lifts what recovery says of a client's retry

The new test failed before: 1 attempt and no answer where the request has to fail. Affinity now leaves a call alone of which recovery has said that it may have run; its key stays known, so that it is bound as ever.

--- a/internal/engine/affinity.go
+++ b/internal/engine/affinity.go
@@ -55,12 +55,16 @@
 	return u
 }
 
-// callArrived looks up what may have run of a new call under another id.
+// callArrived looks up what may have run of a new call under another id. What recovery knows of the call stands: it may have
+// run before the start, later than the binding on disk.
 func (b *affinityBinder) callArrived(c *Call) (goesOn bool) {
 	if c.Effect != balancer.IdempotentByKey || c.IdempotencyKey == "" {
 		return true
 	}
 	c.affinityKey = b.secret.Key(c.IdempotencyKey)
+	if c.earlier.MayHaveRun {
+		return true
+	}
 	if bound, ok := b.table.Lookup(b.engine.clock.Now(), c.affinityKey); ok {
 		c.earlier = balancer.EarlierAttempt{MayHaveRun: true, SentAt: bound.Since, Zone: bound.Zone, Cell: bound.Pod}
 		c.mayHaveRunSince = max(bound.Since, 1) // 0 stands for never
--- a/internal/engine/recovery_test.go
+++ b/internal/engine/recovery_test.go
@@ -107,3 +107,19 @@
 		t.Errorf("the others are told of %v", observed)
 	}
 }
+
+// Guards against a refund that runs twice after a loss of power: the binding on disk may be older than the attempt that ran, so
+// that it must not lift what recovery says of a client's retry.
+func TestUnknownRepeatFailsAlsoWithAnOlderBinding(t *testing.T) {
+	x := newRecoveryFixture(t, func(x *bindingFixture) { x.FailUnknownRepeatsUntil(x.now + time.Minute) })
+	old := x.affinity.secret.Key("k")
+	if _, isNew := x.affinity.table.Bind(x.now, old, 0, 0); !isNew {
+		t.Fatal("the key was bound before")
+	}
+	answers := &recordingResponder{}
+	x.Handle(CallArrived(&Call{ID: "again", Class: 1, Effect: balancer.IdempotentByKey, IdempotencyWindow: window, Deadline: x.now + deadline, IdempotencyKey: "k",
+		ClientRetry: true, Transport: x.transport, Responder: answers}))
+	if n := len(x.transport.attempts); n != 0 || len(*answers) != 1 || (*answers)[0].Kind != Failed {
+		t.Errorf("%d attempts, %+v", n, *answers)
+	}
+}
