Recovery marks no trial for a request that goes to its pod anyway

What callers would see: after an outage a server is left alone for longer than need be, and requests are rejected meanwhile.

The new test failed before with "1 trials" and no endpoint in the permit. Such a request now takes its token and no trial.

--- a/internal/fleet/recovery/recovery.go
+++ b/internal/fleet/recovery/recovery.go
@@ -131,13 +131,15 @@
 			return nil, r.reject(now, a)
 		}
 	case TrialRequests:
+		if a.MayHaveRun { // it goes to its pod, and tries no server of the controller's choice
+			r.takeToken(now, a)
+			break
+		}
 		id, isTrial := r.chooseTrial(now, a)
-		if !isTrial && !a.MayHaveRun {
+		if !isTrial {
 			return nil, r.reject(now, a)
 		}
-		if isTrial && !a.MayHaveRun {
-			p.Endpoints = []string{id}
-		}
+		p.Endpoints = []string{id}
 	default:
 		if !r.takeToken(now, a) && !a.MayHaveRun {
 			return nil, r.reject(now, a)
--- a/internal/fleet/recovery/recovery_test.go
+++ b/internal/fleet/recovery/recovery_test.go
@@ -365,3 +365,21 @@
 		}
 	}
 }
+
+// A request that may have run goes to its pod whatever the controller chooses. It must not mark a trial of a server that it is never
+// sent to: the server would count as one that hangs, and be left alone for longer.
+func TestRequestThatMayHaveRunMarksNoTrial(t *testing.T) {
+	r := New(testOptions(1, 0), nil)
+	r.Start(start, testBaseline(6, 40, 20, 0.5), "power")
+	now := start + 2*second
+	r.Tick(now)
+	again := request(refund)
+	again.MayHaveRun = true
+	permit, _ := r.Arrive(now, again)
+	if r.phase != TrialRequests || permit == nil || permit.Endpoints != nil || r.counts.Trials != 0 {
+		t.Fatalf("phase %v, permit %+v, %d trials", r.phase, permit, r.counts.Trials)
+	}
+	if trial, _ := r.Arrive(now, request(form)); trial == nil || len(trial.Endpoints) != 1 || r.counts.FailedTrials != 0 {
+		t.Errorf("the next request: %+v, %d failed trials", trial, r.counts.FailedTrials)
+	}
+}
