A full queue of gossip drops the update that was sent most often

What operators would see: with 4,096 updates waiting, the next one drove out the first of the queue, which is sorted by how often each was sent: the one that no other agent had heard of.

The new test failed before: of two updates that were never sent one was gone. Now the update that was sent most often makes room, and of several the oldest.

--- a/internal/fleet/gossip/core_test.go
+++ b/internal/fleet/gossip/core_test.go
@@ -365,3 +365,28 @@
 		})
 	}
 }
+
+// A full queue of updates must not lose what no other agent has heard of yet: the update that was sent most often makes room.
+func TestFullQueueDropsTheUpdateThatWasSentMostOften(t *testing.T) {
+	c := New(Options{Self: 0, Agents: 3, Seed: 1})
+	c.updates = nil
+	for i := range maxUpdates {
+		c.queueUpdate(MemberUpdate{State: Suspect, Member: 1, Incarnation: 1, Reporter: i})
+		c.updates[i].transmissions = 1 + i%7
+	}
+	c.updates[0].transmissions = 0
+	const sentMostBefore = maxUpdates / 7
+	c.queueUpdate(MemberUpdate{State: Alive, Member: 2, Incarnation: 1, Reporter: 2})
+	var unsent, mostSent int
+	for _, b := range c.updates {
+		switch b.transmissions {
+		case 0:
+			unsent++
+		case 7:
+			mostSent++
+		}
+	}
+	if len(c.updates) != maxUpdates || unsent != 2 || mostSent != sentMostBefore-1 {
+		t.Errorf("%d updates, %d of them unsent, %d sent most often", len(c.updates), unsent, mostSent)
+	}
+}
--- a/internal/fleet/gossip/dissemination.go
+++ b/internal/fleet/gossip/dissemination.go
@@ -52,8 +52,7 @@
 }
 
 // queueUpdate sends an update with the next messages. It replaces an earlier one of the same member, except that suspicions of different
-// reporters stand beside each other; over maxUpdates the first of the queue is dropped.
-// addUpdates sorts the queue by transmissions, the fewest first.
+// reporters stand beside each other; over maxUpdates the one that was sent most often is dropped.
 func (c *Core) queueUpdate(u MemberUpdate) {
 	replaced := slices.IndexFunc(c.updates, func(b broadcast[MemberUpdate]) bool {
 		return b.item.Member == u.Member &&
@@ -62,10 +61,21 @@
 	if replaced >= 0 {
 		c.updates = slices.Delete(c.updates, replaced, replaced+1)
 	}
+	if len(c.updates) >= maxUpdates {
+		c.dropMostSentUpdate()
+	}
 	c.updates = append(c.updates, broadcast[MemberUpdate]{item: u})
-	if len(c.updates) > maxUpdates {
-		c.updates = slices.Delete(c.updates, 0, 1)
+}
+
+// dropMostSentUpdate drops the update that was sent most often, and of several the first.
+func (c *Core) dropMostSentUpdate() {
+	most := 0
+	for i, b := range c.updates {
+		if b.transmissions > c.updates[most].transmissions {
+			most = i
+		}
 	}
+	c.updates = slices.Delete(c.updates, most, most+1)
 }
 
 // storeObservation takes an observation over if it is newer than the stored one of the same kind and id.
