--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -39,6 +39,7 @@
 type ConnFaults struct {
 	ResetRatio   float64 // share of requests after which the connection breaks, having run
 	CorruptRatio float64 // share of answers that are noise
+	ReadsNothing bool    // what comes is taken, and counts as received, when this ends
 }
 
 // FormServer is a Server on a loopback socket, by the platform's HTTP/1.1 protocol: 200 with a load report, 500, or 503
@@ -56,6 +57,8 @@
 	mu             sync.Mutex
 	model          *Server
 	connFaults     ConnFaults
+	readStall      chan struct{} // closed when the server reads again; nil: it reads
+	unread         int           // requests that wait for that
 	random         *rand.Rand
 	lastArrival    time.Time                  // the latest request, as the kernel received it
 	pending        map[uint64]chan Completion // of requests that wait for their end
@@ -148,6 +151,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.connFaults = w
+	switch {
+	case w.ReadsNothing && f.readStall == nil:
+		f.readStall = make(chan struct{})
+	case !w.ReadsNothing && f.readStall != nil:
+		close(f.readStall)
+		f.readStall = nil
+	}
 }
 
 // InFlight counts the requests in the server.
@@ -157,6 +167,13 @@
 	return f.model.InFlight()
 }
 
+// Unread counts the requests that have come while the server reads nothing.
+func (f *FormServer) Unread() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unread
+}
+
 // LastArrival is when the latest request came; zero if none has.
 func (f *FormServer) LastArrival() time.Time {
 	f.mu.Lock()
@@ -240,9 +257,13 @@
 		http.Error(w, "the body is not whole", http.StatusBadRequest)
 		return
 	}
+	received, open := f.receive(r)
+	if !open {
+		panic(http.ErrAbortHandler)
+	}
 	work, wait := class.Draw(f.seed, id)
 	verdict, end := f.arrive(Request{Class: name, IdempotencyKey: r.Header.Get("Idempotency-Key"), RouteKey: r.Header.Get("X-Route-Key"),
-		Work: work, Wait: wait, TimeLeft: timeLeft(r.Header)}, requestReceivedAt(r.Context()))
+		Work: work, Wait: wait, TimeLeft: timeLeft(r.Header)}, received)
 	switch verdict {
 	case Unreachable:
 		panic(http.ErrAbortHandler) // the connection breaks
@@ -261,6 +282,31 @@
 	}
 }
 
+// receive returns when a request that was read whole counts as received. A server that reads nothing takes it only when that
+// ends, whoever has given it up meanwhile. open is false if the server was closed before.
+func (f *FormServer) receive(r *http.Request) (at time.Time, open bool) {
+	f.mu.Lock()
+	stalled := f.readStall
+	if stalled != nil {
+		f.unread++
+	}
+	f.mu.Unlock()
+	if stalled == nil {
+		return requestReceivedAt(r.Context()), true
+	}
+	defer func() {
+		f.mu.Lock()
+		f.unread--
+		f.mu.Unlock()
+	}()
+	select {
+	case <-stalled:
+		return time.Now(), true
+	case <-f.done:
+		return time.Time{}, false
+	}
+}
+
 // timeLeft returns for how long the sender still waited when it wrote the request; 0 where it does not say.
 func timeLeft(h http.Header) time.Duration {
 	text := h.Get("X-Timeout")
--- a/internal/emulator/formserver_test.go
+++ b/internal/emulator/formserver_test.go
@@ -188,3 +188,26 @@
 		t.Errorf("%d held, %d effects", f.InFlight(), len(ledger.Effects()))
 	}
 }
+
+// A server that reads nothing takes what was written meanwhile when that ends, though its sender has given up, and counts it as
+// received then.
+func TestServerThatReadsNothingTakesRequestsLater(t *testing.T) {
+	f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{})
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	c, err := net.Dial("tcp", f.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	besteffort.IgnoreResult(io.WriteString(c, "POST /refund-record HTTP/1.1\r\nHost: h\r\nX-Request-ID: 1\r\nIdempotency-Key: k\r\nX-Timeout: 250m\r\nContent-Length: 0\r\n\r\n"))
+	besteffort.Close(c)
+	agenttest.Eventually(t, "it has come", func() bool { return f.Unread() == 1 })
+	if n := f.Arrived(); n != 0 {
+		t.Errorf("%d requests are taken at once", n)
+	}
+	ends := f.now()
+	f.SetConnFaults(ConnFaults{})
+	agenttest.Eventually(t, "it is taken", func() bool { return len(ledger.Effects()) == 1 })
+	if e := ledger.Effects()[0]; e.At < ends || e.TimeLeft != 250*time.Millisecond {
+		t.Errorf("%+v, after reading began again at %v", e, ends)
+	}
+}
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -38,6 +38,8 @@
 				undo = add(&x.reset)
 			case "spoil":
 				undo = add(&x.corrupt)
+			case "read_stall":
+				undo = count(&x.readStalls)
 			}
 		})
 		r.scheduleAfter(lasts, func() { s.changeFaults(func(*faultSet) { undo() }) })
@@ -48,6 +50,7 @@
 // each.
 type faultSet struct {
 	hung, paused, partitioned int
+	readStalls                int
 	throttle                  []float64
 	errors                    []float64
 	reset                     []float64
--- a/internal/scenario/live_server.go
+++ b/internal/scenario/live_server.go
@@ -71,7 +71,8 @@
 		f.Hung = f.Hung || e.partitioned > 0 // on loopback nothing can be cut off; it says as little
 		f.Draining = s.state == balancer.Draining
 	})
-	s.formServer.SetConnFaults(emulator.ConnFaults{ResetRatio: probabilityOfAny(e.reset), CorruptRatio: probabilityOfAny(e.corrupt)})
+	s.formServer.SetConnFaults(emulator.ConnFaults{ResetRatio: probabilityOfAny(e.reset), CorruptRatio: probabilityOfAny(e.corrupt),
+		ReadsNothing: e.readStalls > 0})
 }
 
 // kill implements serverHost, and checks that no request came too long after the list said that the server drains.
--- a/internal/scenario/score.go
+++ b/internal/scenario/score.go
@@ -101,7 +101,8 @@
 	repeated := ledger.Repeated()
 	for _, r := range all { // in the order of arrival, so that the report is the same each time
 		if ran := repeated[r.idempotencyKey]; len(ran) > 1 {
-			d.addViolation(now, "2", "%s ran at %s and, %v later, at %s", r.idempotencyKey, ran[0].Server, ran[1].At-ran[0].At, ran[1].Server)
+			d.addViolation(now, "2", "%s ran at %s and, %v later, at %s; the second was written %v after the first", r.idempotencyKey, ran[0].Server,
+				ran[1].At-ran[0].At, ran[1].Server, ran[0].TimeLeft-ran[1].TimeLeft)
 		}
 	}
 }
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -125,6 +125,7 @@
 	"fast_errors":    {selectsServers: true, needsDuration: true, needsFactor: true, description: "answers the share `to` with an error, having run"},
 	"reset":          {selectsServers: true, needsDuration: true, needsFactor: true, description: "breaks the connection for the share `to`, having run"},
 	"spoil":          {selectsServers: true, needsDuration: true, needsFactor: true, description: "answers the share `to` with what can't be read, having run"},
+	"read_stall":     {selectsServers: true, needsDuration: true, description: "reads nothing, and at the end takes all that was written meanwhile"},
 	"partition":      {selectsServers: true, needsDuration: true, description: "can't be reached, and says nothing"},
 	"kill":           {selectsServers: true, description: "ends, and is taken from the list"},
 	"restart":        {selectsServers: true, description: "ends and starts anew, cold, under its name"},
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -201,7 +201,7 @@
 		})
 		return
 	}
-	w.scheduleAfter(w.drawNetworkDelay(), func() { s.handleAttempt(at, &timedOut, ended) })
+	w.scheduleAfter(w.drawNetworkDelay(), func() { s.receive(func() { s.handleAttempt(at, &timedOut, ended) }) })
 }
 
 // isForbidden reports whether an attempt must not be sent, by the rule of the real transport: one with ConnectedSince uses
--- a/internal/scenario/sim_server.go
+++ b/internal/scenario/sim_server.go
@@ -21,7 +21,8 @@
 	peak             int           // most requests in it at a time
 	collapseReported bool
 	served           int
-	inFlightSamples  []int // sampled once a second
+	inFlightSamples  []int    // sampled once a second
+	unread           []func() // take what came while the server read nothing, in order
 }
 
 // pendingAttempt is an attempt whose request a server holds.
@@ -66,6 +67,14 @@
 // applyFaults implements serverHost.
 func (s *simServer) applyFaults(e faultSet) {
 	s.deliverEnded(s.model.ChangeFaults(s.sim.now, e.writeTo))
+	if e.readStalls > 0 {
+		return
+	}
+	unread := s.unread
+	s.unread = nil
+	for _, handle := range unread {
+		handle()
+	}
 }
 
 // hasCollapsed implements serverHost.
@@ -79,7 +88,16 @@
 // IsIncarnation makes a simServer an engine.Incarnation.
 func (*simServer) IsIncarnation() {}
 
-// handleAttempt handles an attempt that arrives at the server.
+// receive takes an attempt whose bytes have come, or keeps it unread while the server reads nothing.
+func (s *simServer) receive(handle func()) {
+	if s.faults.readStalls > 0 {
+		s.unread = append(s.unread, handle)
+		return
+	}
+	handle()
+}
+
+// handleAttempt handles an attempt that the server has read.
 func (s *simServer) handleAttempt(at *engine.Attempt, timedOut *bool, ended func(balancer.Result, balancer.Report)) {
 	w, r := s.sim, at.Call.Payload.(*simRequest)
 	s.advance()
@@ -94,7 +112,7 @@
 	w.arrivals++
 	work, wait := classes[r.class].Draw(0, at.Call.ID)
 	verdict := s.model.Arrive(w.now, emulator.Request{ID: s.lastRequestID, Class: classes[r.class].Name, IdempotencyKey: r.idempotencyKey, RouteKey: r.route,
-		Work: work, Wait: wait}, w.arrivals)
+		Work: work, Wait: wait, TimeLeft: at.Deadline - at.Sent}, w.arrivals)
 	switch verdict {
 	case emulator.Unreachable:
 		if s.model.Collapsed() && !s.collapseReported {
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -304,3 +304,16 @@
 		Simulate(s, 1)
 	})
 }
+
+// Guards against a refund that runs twice because one server stalled: it took its request when the pod had forgotten the repeat.
+func TestRefundsRunOnceWhereAServerReadsLate(t *testing.T) {
+	s, err := LoadScript("../../scenarios/21-server-reads-late.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(8) {
+		if d := Simulate(s, seed+1); len(d.Violations) > 0 {
+			t.Errorf("seed %d: %d broken, the first %v", seed+1, len(d.Violations), d.Violations[0])
+		}
+	}
+}
