A keyed repeat is withheld where a stalled server may take it after the window

Change: the balancer keeps of each server the longest recent time to an answer that was four times the usual, counted from the write (not the dial), and whether it left two attempts in a row without any answer. A repeat is withheld if less of the window is left than its server's delay, or if the first attempt's server may take that when the repeat is forgotten; another server of the pod is tried before. The delay also moves the time until which the repeat may be written. Each withheld retry and hedge is counted: appleledge_repeats_withheld_total.

Why it works: what is withheld is not sent; the request fails, which promises nothing, in place of running twice.

--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -63,7 +63,8 @@
 }
 
 func (f statSources) counts() (all []counter) {
-	t, p, d := f.core.Stats().Counters, f.pool.Stats(), f.discovery.Counts()
+	stats, p, d := f.core.Stats(), f.pool.Stats(), f.discovery.Counts()
+	t := stats.Counters
 	add := func(name string, n uint64) { all = append(all, counter{name, n}) }
 	for kind, name := range engine.AnswerKinds {
 		var n uint64
@@ -82,6 +83,8 @@
 	for why, name := range balancer.ReasonNames {
 		add("given_up_"+name, t.GivenUp[why])
 	}
+	add("withheld_retries", stats.Balancer.WithheldRetries)
+	add("withheld_hedges", stats.Balancer.WithheldHedges)
 	add("dials", p.Dials)
 	add("dials_failed", p.FailedDials)
 	add("conns_reused", p.Reused)
--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -39,7 +39,10 @@
 	Request   string
 	Server    string
 	Attempt   int
-	WarmingUp bool   // of a Send: the server is in slow start
+	WarmingUp bool // of a Send: the server is in slow start
+	// TakeDelay is, of a Send that repeats by an idempotency key what may have run, how long after the write the
+	// server may take it. It must be written that long before the dedup window ends.
+	TakeDelay time.Duration
 	Reason    Reason // of a Reject or a Fail
 	After     time.Duration
 	Token     uint64
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -14,7 +14,8 @@
 //	                                     (0..1), priority per latency (1/ns)
 //	trial request    dueTrial            ejection time (ns), effect of the class       repeat safety
 //	repeat safety    maySend             effect, dedup window (ns), zone, cell,        nothing: every send
-//	                 mayAttempt          deadline (ns), attempts (count)               passes it
+//	                 mayAttempt          deadline (ns), attempts (count),              passes it
+//	                 isRecognizedAt      time to an answer (ns)
 //	slow start       useWarmingServers   age of a server (ns), peak served rate (1/s)  repeat safety
 //	subset           fitSubset           servers, balancers, in flight (counts)        no server left in it
 //	outlier ejection updateHealth        failure ratio (0..1), latency (ns)            too much capacity
@@ -68,6 +69,7 @@
 	slowStart slowStart
 	outliers  outlierDetector
 	retries   retryBudget
+	repeats   repeatGuard
 	shedder   shedder
 	tenants   tenantUsage
 	traffic   ownTraffic
@@ -83,6 +85,7 @@
 
 	estimate capacityEstimate
 	health   serverHealth
+	stalls   stallHistory
 
 	totals       capacityTotals // what it adds to the balancer's totals
 	subsetPart   subsetCapacity // what it adds to the capacity of the subset; of no units unless it may be drawn
@@ -263,6 +266,8 @@
 	WarmingUp            int     // listed servers in slow start
 	Ejected              int     // servers that are ejected, also while ejections are suspended
 	PeakServedRate       float64 // highest rate of answers to this balancer of late, per second
+	WithheldRetries      uint64  // requests without a further attempt, as servers take requests too late
+	WithheldHedges       uint64  // requests that were not hedged for the same reason
 }
 
 // Stats returns the estimates as of the latest event.
@@ -270,7 +275,8 @@
 	return Stats{Utilization: b.shedder.utilization, LatencyRatio: b.shedder.latencyRatio,
 		InFlightLatencyRatio: b.shedder.inFlightLatencyRatio, ShedRatio: b.shedder.ratio, SubsetSize: b.subset.size,
 		WarmingUp: len(b.slowStart.warming), Ejected: len(b.outliers.ejected),
-		PeakServedRate: b.traffic.peakServedRate}
+		PeakServedRate:  b.traffic.peakServedRate,
+		WithheldRetries: b.repeats.withheldRetries, WithheldHedges: b.repeats.withheldHedges}
 }
 
 // Ejected returns the ids of the servers that outlier ejection keeps out at present.
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -117,6 +117,7 @@
 		Server        string
 		Result        Result
 		Latency       time.Duration // from send to end
+		Waited        time.Duration // from the time at which it was written, where that is known, to its end
 		RequestClosed bool          // the request needs no final answer any more
 		Report        Report
 	}
--- a/internal/balancer/hedge.go
+++ b/internal/balancer/hedge.go
@@ -20,9 +20,16 @@
 		if b.retries.tokens < maxRetryBudget/2 {
 			return
 		}
-		if s := b.pick(r); s != nil && !r.hasTried(s) {
+		b.repeats.isWithheld = false
+		s := b.pick(r)
+		if s != nil && !r.hasTried(s) {
 			b.retries.tokens--
 			b.send(r, s)
+			continue
+		}
+		if b.repeats.isWithheld && !r.isHedgeWithheld {
+			r.isHedgeWithheld = true
+			b.repeats.withheldHedges++
 		}
 	}
 }
--- /dev/null
+++ b/internal/balancer/repeat.go
@@ -0,0 +1,101 @@
+package balancer
+
+import "time"
+
+// Repeats of what may have run: a pod recognizes a repeat by its idempotency key only if it takes the repeat
+// inside the dedup window, and only if it has not forgotten the repeat when it takes the first attempt. A
+// server that stalls reads nothing meanwhile, and may take what was sent to it long after.
+
+const (
+	// lateAnswerFactor is the multiple of the usual latency from which on an answer tells of a stall.
+	lateAnswerFactor = 4
+	// minUnanswered is how many attempts in a row have to stay without any answer until the server counts as
+	// one that stalls: a single answer may be lost on its way.
+	minUnanswered = 2
+	// stallMemoryHorizons is for how many horizons a server's longest stall is kept, at least; at most for
+	// twice as many.
+	stallMemoryHorizons = 16
+	// unknownDelay is the delay of a server that has not been seen to end its stall: longer than a window.
+	unknownDelay = 24 * time.Hour
+)
+
+// stallHistory keeps the longest recent stall of one server, in two periods of which the older one is dropped
+// as a whole.
+type stallHistory struct {
+	answeredAt        time.Duration // the server's latest answer
+	unanswered        int           // attempts in a row that it left without one
+	current, previous time.Duration
+	since             time.Duration // when the current period began
+}
+
+// record takes a stall of that length.
+func (h *stallHistory) record(now, period, length time.Duration) {
+	h.rotate(now, period)
+	h.current = max(h.current, length)
+}
+
+// longest returns the longest recent stall.
+func (h *stallHistory) longest(now, period time.Duration) time.Duration {
+	h.rotate(now, period)
+	return max(h.current, h.previous)
+}
+
+// rotate begins a new period if the current one is over.
+func (h *stallHistory) rotate(now, period time.Duration) {
+	switch age := now - h.since; {
+	case age >= 2*period:
+		h.current, h.previous, h.since = 0, 0, now
+	case age >= period:
+		h.current, h.previous, h.since = 0, h.current, now
+	}
+}
+
+// recordStall learns from the outcome of an attempt how late its server takes requests. A server that could
+// not be connected to was cut off, and has not read late.
+func (b *Balancer) recordStall(a *attempt, o Outcome) {
+	h := &a.server.stalls
+	switch o.Result {
+	case OK, Failed, Rejected:
+		h.answeredAt, h.unanswered = b.now, 0
+		if float64(o.Waited) >= lateAnswerFactor*b.classLatency[a.request.Class] {
+			h.record(b.now, stallMemoryHorizons*b.horizon, o.Waited)
+		}
+	case TimedOut:
+		if a.sentAt < h.answeredAt {
+			return
+		}
+		if h.unanswered++; h.unanswered >= minUnanswered {
+			h.record(b.now, stallMemoryHorizons*b.horizon, unknownDelay)
+		}
+	case ConnectFailed:
+		*h = stallHistory{answeredAt: b.now}
+	}
+}
+
+// maxTakeDelay is how long after its send a server may take a request, by what was seen of it lately.
+func (b *Balancer) maxTakeDelay(s *server) time.Duration {
+	return s.stalls.longest(b.now, stallMemoryHorizons*b.horizon)
+}
+
+// isRecognizedAt reports whether a repeat sent to the server now, of an attempt that may have run, will be
+// recognized: it is taken inside the window, a tick before its end at the latest, since the server may see it
+// that much later; and the first attempt is not taken when the repeat is forgotten.
+func (b *Balancer) isRecognizedAt(s *server, first *attempt, window time.Duration) bool {
+	left := first.sentAt + window - b.settings.Tick - b.now
+	if left <= 0 {
+		return false
+	}
+	isFirstLate := first.server != nil && first.sentAt+b.maxTakeDelay(first.server) >= b.now+window
+	if left <= b.maxTakeDelay(s) || isFirstLate {
+		b.repeats.isWithheld = true
+		return false
+	}
+	return true
+}
+
+// repeatGuard counts what is not repeated because a server might not recognize it.
+type repeatGuard struct {
+	isWithheld      bool   // isRecognizedAt has refused a server only for a stall, since this was cleared
+	withheldRetries uint64 // requests that got no further attempt for that
+	withheldHedges  uint64 // requests that were not hedged for that
+}
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -27,6 +27,8 @@
 	token        uint64
 	firstAttempt attempt // room for the first of attempts, which most requests have alone
 	earlier      attempt // of an earlier request for the same key, where one may have run
+
+	isHedgeWithheld bool // counted as such
 }
 
 type attempt struct {
@@ -70,7 +72,12 @@
 
 // sendOrFinish sends the request to the best server, or ends it where there is none.
 func (b *Balancer) sendOrFinish(r *request) {
-	switch s := b.pick(r); {
+	b.repeats.isWithheld = false
+	s := b.pick(r)
+	if s == nil && b.repeats.isWithheld {
+		b.repeats.withheldRetries++
+	}
+	switch {
 	case s != nil:
 		b.send(r, s)
 	case b.mayAttempt(r):
@@ -81,6 +88,7 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
+	isRepeat := r.class.Effect == IdempotentByKey && r.firstThatMayHaveRun() != nil
 	if len(s.inFlight) == 0 {
 		s.health.lastSignOfLife, s.health.owesSince = b.now, b.now
 	}
@@ -95,7 +103,11 @@
 	r.inFlight++
 	s.inFlight = append(s.inFlight, a)
 	b.traffic.sends++
-	b.act(Action{Kind: Send, Request: r.ID, Server: s.ID, WarmingUp: b.warmRatio(s) < 1})
+	action := Action{Kind: Send, Request: r.ID, Server: s.ID, WarmingUp: b.warmRatio(s) < 1}
+	if isRepeat {
+		action.TakeDelay = b.maxTakeDelay(s)
+	}
+	b.act(action)
 }
 
 // markBodySent starts the time of the answer to the latest attempt, and moves the deadline of the request.
@@ -121,6 +133,7 @@
 	r.inFlight--
 	a.server.inFlight = slices.DeleteFunc(a.server.inFlight, func(other *attempt) bool { return other == a })
 	b.recordReport(a.server, o.Report)
+	b.recordStall(a, o)
 	b.recordOutcome(a, o)
 	switch {
 	case r.isClosed || o.RequestClosed:
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -13,8 +13,8 @@
 
 // maySend is the one rule for what may be sent where. Every send passes it, except a first attempt to a
 // server of a pool, where it always holds: pools hold only ready servers (mayRepeatOn). An attempt that may
-// have run is repeated only where the class allows it: for an idempotency key within its scope, and a tick
-// before its window ends, since the server may see the repeat that much later.
+// have run is repeated only where the class allows it: for an idempotency key within its scope, and only
+// where the server takes the repeat inside the window (isRecognizedAt).
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if s.State != Ready || !b.mayAttempt(r) || !r.isAllowed(s) {
 		return false
@@ -24,8 +24,9 @@
 		return true
 	}
 	scope := r.class.DedupScope
-	return r.class.Effect == IdempotentByKey && b.now+b.settings.Tick-first.sentAt < r.class.DedupWindow &&
-		(scope != DedupZone || s.Zone == first.zone) && (scope != DedupCell || s.Cell == first.cell)
+	return r.class.Effect == IdempotentByKey &&
+		(scope != DedupZone || s.Zone == first.zone) && (scope != DedupCell || s.Cell == first.cell) &&
+		b.isRecognizedAt(s, first, r.class.DedupWindow)
 }
 
 // mayAttempt reports whether the request may have another attempt anywhere: it is open, in time, within its
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"appleledge/internal/balancer"
@@ -35,6 +36,7 @@
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
 
+	writtenAt  atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
 	ended      bool          // its outcome is known
 	isBound    bool          // the table of bindings counts it
 	expiry     *time.Timer   // of an external caller's: ends it at Deadline
@@ -46,10 +48,17 @@
 // MarkWritten says that the attempt was written completely. It may be called from any goroutine, once.
 func (a *Attempt) MarkWritten() {
 	if a.engine != nil {
+		a.writtenAt.Store(int64(a.engine.clock.Now()))
 		a.engine.counters.written()
 	}
 }
 
+// waited is for how long the server has had the attempt. Of a transport that does not tell when it wrote it, that is counted from
+// when the attempt was made.
+func (a *Attempt) waited(now time.Duration) time.Duration {
+	return now - max(a.Sent, a.bodySentAt, time.Duration(a.writtenAt.Load()))
+}
+
 // UploadFinished says that the last byte of an Upload was written, and when the client will have given up its answer. It may
 // be called from any goroutine but the engine's.
 func (a *Attempt) UploadFinished(deadline time.Duration) {
@@ -106,7 +115,7 @@
 	if c.mayHaveRunSince == 0 {
 		c.mayHaveRunSince = now
 	} else if c.IdempotencyWindow > 0 { // the balancer judges by the time now, but the dial may outlast the window
-		a.WriteDeadline = min(a.Deadline, c.mayHaveRunSince+c.IdempotencyWindow)
+		a.WriteDeadline = min(a.Deadline, c.mayHaveRunSince+c.IdempotencyWindow-act.TakeDelay)
 	}
 	c.attemptsMade++
 	c.inFlight++
@@ -139,7 +148,7 @@
 		e.finish(c, answer)
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
-		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), RequestClosed: c.closed.Load(), Report: report})
+		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report})
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -120,3 +120,34 @@
 	}
 	return u
 }
+
+// A repeat that its server may take late has to be written so much before the window ends, also when its dial takes long.
+func TestRepeatIsWrittenEarlierWhereItMayBeTakenLate(t *testing.T) {
+	const window, delay = 2 * time.Second, 800 * time.Millisecond
+	c := &Call{Deadline: 9 * time.Second, IdempotencyWindow: window}
+	first := c.newAttempt(balancer.Action{Server: "a"}, time.Second)
+	c.attemptEnded(first, balancer.Reset)
+	repeat := c.newAttempt(balancer.Action{Server: "b", TakeDelay: delay}, 2*time.Second)
+	if want := time.Second + window - delay; repeat.WriteDeadline != want || repeat.Deadline != c.Deadline {
+		t.Errorf("it may be written until %v, not %v", repeat.WriteDeadline, want)
+	}
+}
+
+// How long a server has had an attempt counts from when it was written, and not from a dial that took long.
+func TestWaitedCountsFromTheWrite(t *testing.T) {
+	b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 1, Classes: testClasses()}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Second
+	a := &Attempt{Sent: now, engine: New(b, ManualClock(&now), noPool{}, slog.New(slog.DiscardHandler))}
+	now += 700 * time.Millisecond
+	if got := a.waited(now); got != 700*time.Millisecond {
+		t.Errorf("not told when it was written: %v", got)
+	}
+	a.MarkWritten()
+	now += 100 * time.Millisecond
+	if got := a.waited(now); got != 100*time.Millisecond {
+		t.Errorf("written 100 ms ago: %v", got)
+	}
+}
--- a/internal/telemetry/agentmetrics.go
+++ b/internal/telemetry/agentmetrics.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// writeWithheldRepeats writes what was not repeated because no server was sure to recognize the repeat.
+func (s *Server) writeWithheldRepeats(p metricsWriter, b balancer.Stats) {
+	for kind, n := range map[string]uint64{"retry": b.WithheldRetries, "hedge": b.WithheldHedges} {
+		p.counter("appleledge_repeats_withheld_total", fmt.Sprintf("kind=%q", kind), n)
+	}
+}
+
 // writeCoalescing writes the counts of coalesced requests, section [join] of the settings.
 func (s *Server) writeCoalescing(p metricsWriter, l engine.Stats) {
 	c := l.Coalescing
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -78,6 +78,7 @@
 		page.gauge("appleledge_attempts_in_flight", fmt.Sprintf("server=%q", id), float64(stats.InFlight[id]))
 	}
 	s.writeRequests(page, stats.Counters)
+	s.writeWithheldRepeats(page, stats.Balancer)
 	s.writeCoalescing(page, stats)
 	s.writeAdmission(page, stats.Admission, stats.Counters.Classes)
 	s.writeGeneration(page, stats.Generation)
