A request that may have run is refused only while its window outlasts the retry

Cause: mayReject looked at the class's scope and not at its window.

Evidence, on sockets: one silent server, a window of 2 s, a client that waits 2 s. Before: 503 with Retry-After 0.3, 1.99 s after the send, so that the retry comes 0.29 s after the window. The new test failed so.

Now the request is refused only if the window still holds when the client has waited for half of the latency objective, which is what Retry-After says at the most, and a tick; else it has failed. With a window that lasts it is refused as before (second case of the test).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"appleledge/internal/balancer"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/downstream/http1"
 	"appleledge/internal/downstream/requesthead"
@@ -54,6 +55,33 @@
 	}
 }
 
+// A refusal says that trying again is harmless. A client that comes when it is told to must find servers that still know
+// its key: where their window ends before, the request has failed.
+func TestNoRefusalWhoseRetryWouldComeAfterTheWindow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		window time.Duration
+		status int
+	}{
+		{"the window ends with the request's time", 2 * time.Second, http.StatusBadGateway},
+		{"the window ends long after", 20 * time.Second, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, silent)
+			a := startWith(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0, func(cfg *Config) {
+				for i := range cfg.Site.Balancer.Classes {
+					cfg.Site.Balancer.Classes[i].DedupScope, cfg.Site.Balancer.Classes[i].DedupWindow = balancer.DedupFleet, c.window
+				}
+			})
+			got := send(t, a.newRequest(t, http.MethodPost, "/refund-record", ""))
+			if got.status != c.status || b.Requests() != 1 {
+				t.Errorf("%d attempts, %+v", b.Requests(), got)
+			}
+		})
+	}
+}
+
 // Without a backend that takes connections the answer comes at once and is a refusal, as nothing has run.
 func TestNoBackendIsRefusedAtOnce(t *testing.T) {
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", refusing(t), "Ready", 0)), 0)
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -152,11 +152,11 @@
 		return
 	}
 	kind := Fail
-	if r.mayReject() {
+	if b.mayReject(r) {
 		kind = Reject
 	}
 	b.act(Action{Kind: kind, Request: r.ID, Reason: reason,
-		After: min(b.settings.MaxRetryAfter, r.class.LatencyObjective/2)})
+		After: min(b.settings.MaxRetryAfter, r.class.retryAfter())})
 	b.closeRequest(r)
 }
 
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Retries: what may be sent again and where, and the budget that keeps retries from multiplying an overload.
 const (
@@ -71,12 +74,22 @@
 	return r.firstThatMayHaveRun()
 }
 
-// mayReject reports whether the client may be told that repeating the request does no harm.
-func (r *request) mayReject() bool {
-	return r.firstThatMayHaveRun() == nil || r.class.Effect == Idempotent ||
-		r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupFleet
+// mayReject reports whether the client may be told that repeating the request does no harm. It repeats at
+// any server: a request that may have run has to be recognized by all of them, also when the client has
+// waited for as long as it is told to.
+func (b *Balancer) mayReject(r *request) bool {
+	first := r.firstThatMayHaveRun()
+	if first == nil || r.class.Effect == Idempotent {
+		return true
+	}
+	clientReturns := b.now + r.class.retryAfter() + b.settings.Tick
+	return r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupFleet &&
+		clientReturns-first.sentAt < r.class.DedupWindow
 }
 
+// retryAfter is how long a client of the class is asked to wait before it repeats a request.
+func (c *Class) retryAfter() time.Duration { return c.LatencyObjective / 2 }
+
 // sendRetry makes another attempt, or ends the request where the budget is used up.
 func (b *Balancer) sendRetry(r *request) {
 	if b.retries.tokens < 1 {
