A retry that the fleet's budget forbids ends its request at once

Evidence: the new test failed before with "5 attempts, asked 4 times for a retry" and nothing counted for the budget. Now the outcome carries that no further attempt is allowed, and the balancer ends the request: one question, two attempts, counted as no_budget. The answer stays what it was: rejected where nothing can have run or a repeat is harmless.

--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -119,7 +119,9 @@
 		Latency       time.Duration // from send to end
 		Waited        time.Duration // from the time at which it was written, where that is known, to its end
 		RequestClosed bool          // the request needs no final answer any more
-		Report        Report
+		// RetryForbidden says of a NotSent that the caller's own budget allows the request no further attempt.
+		RetryForbidden bool
+		Report         Report
 	}
 	// ResponseStarted says that a streamed answer has begun: the attempt can't be replaced any more.
 	ResponseStarted struct {
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -139,6 +139,8 @@
 	case r.isClosed || o.RequestClosed:
 		b.closeRequest(r)
 	case r.inFlight > 0: // the other attempt goes on
+	case o.RetryForbidden:
+		b.finish(r, ReasonRetryBudget)
 	case r.ManualRetry: // its caller asks, if it wants another attempt
 	default:
 		b.sendRetry(r)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -36,13 +36,14 @@
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
 
-	writtenAt  atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
-	ended      bool          // its outcome is known
-	isBound    bool          // the table of bindings counts it
-	expiry     *time.Timer   // of an external caller's: ends it at Deadline
-	bodySentAt time.Duration // when the server had it complete, where its body was read meanwhile; else 0
-	engine     *Engine       // nil of an attempt that none made
-	commit     BindingCommit // to be waited for before the first byte goes out; nil: nothing
+	writtenAt    atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
+	isOverBudget bool          // it is Forbidden by the fleet's retry budget
+	ended        bool          // its outcome is known
+	isBound      bool          // the table of bindings counts it
+	expiry       *time.Timer   // of an external caller's: ends it at Deadline
+	bodySentAt   time.Duration // when the server had it complete, where its body was read meanwhile; else 0
+	engine       *Engine       // nil of an attempt that none made
+	commit       BindingCommit // to be waited for before the first byte goes out; nil: nothing
 }
 
 // MarkWritten says that the attempt was written completely. It may be called from any goroutine, once.
@@ -148,7 +149,8 @@
 		e.finish(c, answer)
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
-		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report})
+		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report,
+		RetryForbidden: a.isOverBudget})
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -151,3 +151,46 @@
 		t.Errorf("written 100 ms ago: %v", got)
 	}
 }
+
+// A retry that the fleet's budget forbids ends its request. It must not use up the request's attempts, nor tokens of the agent's own
+// budget, by asking again and again.
+func TestRetryOverTheFleetsBudgetEndsTheCall(t *testing.T) {
+	b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 5, Classes: testClasses()}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, handler, transport := time.Second, &overBudget{}, &recordingTransport{}
+	e := New(b, ManualClock(&now), noPool{}, slog.New(slog.DiscardHandler))
+	e.SetOverload(handler)
+	e.Start()
+	e.Handle(EndpointUpdate{Full: true, Members: []Member{{Server: balancer.Server{ID: "a"}}, {Server: balancer.Server{ID: "b"}}, {Server: balancer.Server{ID: "c"}}}})
+	answers := &recordingResponder{}
+	e.Handle(CallArrived(&Call{ID: "1", Class: 0, Effect: balancer.Idempotent, Deadline: now + deadline, Transport: transport, Responder: answers}))
+	for i := 0; i < len(transport.attempts); i++ {
+		result := balancer.Reset
+		if transport.attempts[i].Forbidden {
+			result = balancer.NotSent // as the transport ends it
+		}
+		e.Handle(Outcome{Attempt: transport.attempts[i], Result: result, Report: balancer.NoReport})
+	}
+	if len(transport.attempts) != 2 || handler.asked != 1 || len(*answers) != 1 || (*answers)[0].Kind != Rejected {
+		t.Errorf("%d attempts, asked %d times for a retry, %+v", len(transport.attempts), handler.asked, *answers)
+	}
+	if n := e.Counters().GivenUp[balancer.ReasonRetryBudget]; n != 1 {
+		t.Errorf("%d are counted as given up for the budget", n)
+	}
+}
+
+// overBudget is an OverloadHandler that allows no retry.
+type overBudget struct{ asked int }
+
+func (o *overBudget) AllowsRetry(time.Duration) bool {
+	o.asked++
+	return false
+}
+func (*overBudget) AttemptSent(time.Duration, string, bool)                              {}
+func (*overBudget) AttemptEnded(time.Duration, string, balancer.Result, balancer.Report) {}
+func (*overBudget) UpdateServer(string, bool, bool)                                      {}
+func (*overBudget) HandleLiveness([]bool)                                                {}
+func (*overBudget) HandlePayload(time.Duration, int, []byte) error                       { return nil }
+func (*overBudget) ExcludedServers(time.Duration) []string                               { return nil }
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -49,7 +49,10 @@
 
 func (o *overloadHook) attemptStarting(a *Attempt, _ time.Duration) {
 	retry := a.Number > 0
-	if a.Forbidden = a.Forbidden || retry && !o.handler.AllowsRetry(a.Sent); !a.Forbidden {
+	if !a.Forbidden && retry && !o.handler.AllowsRetry(a.Sent) {
+		a.Forbidden, a.isOverBudget = true, true
+	}
+	if !a.Forbidden {
 		o.handler.AttemptSent(a.Sent, a.Server, retry)
 	}
 }
