Checks for three planted faults that no test saw

Each check was seen to fail with its fault planted again: "1 calls are kept, the proxy is released 0 times"; "at stage 1: []"; saved only while the new configuration was in force. The product is as it was: none of the three is a fault of it.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -562,3 +562,30 @@
 		}
 	}
 }
+
+// savedWhile is a StateStore that notes which configuration is in force at each Save.
+type savedWhile struct {
+	StateStore
+	hash    func() string
+	inForce []string
+}
+
+func (s *savedWhile) Save(doc []byte) error {
+	s.inForce = append(s.inForce, s.hash())
+	return s.StateStore.Save(doc)
+}
+
+// A change is on disk before it is in force, and once more with the switch. Else a crash between the two would lose a change that
+// requests have already been served by.
+func TestChangeIsStoredBeforeItIsInForce(t *testing.T) {
+	x := startAgent(t, faultfs.New(1), 6)
+	old, changed := x.hash(), drainPod(1)
+	saved := &savedWhile{StateStore: x.Store, hash: x.hash}
+	x.Store = saved
+	if a, err := x.Apply(t.Context(), x.plan(t, changed), "x", "", true); err != nil || !a.IsDurable {
+		t.Fatal(a, err)
+	}
+	if want := []string{old, changed.Hash()}; !slices.Equal(saved.inForce, want) {
+		t.Errorf("saved while %q was in force, not %q", saved.inForce, want)
+	}
+}
--- a/internal/engine/external_test.go
+++ b/internal/engine/external_test.go
@@ -394,3 +394,29 @@
 		}
 	})
 }
+
+// recordingProxy is an ExternalCaller that keeps the attempts that it is handed.
+type recordingProxy struct {
+	attempts []*Attempt
+	released int
+}
+
+func (p *recordingProxy) HandOver(a *Attempt) { p.attempts = append(p.attempts, a) }
+func (*recordingProxy) Answer(Answer)         {}
+func (p *recordingProxy) Released()           { p.released++ }
+
+// A proxy turns down the attempt that it gets, takes another, and is gone. No attempt was handed on, so that nothing of the call may
+// be kept: it would hold its permit and its id until its deadline.
+func TestAbandonedCallOfWithdrawnAttemptsIsForgotten(t *testing.T) {
+	x := newBindingFixture(t, func(*bindingFixture) {})
+	p := &recordingProxy{}
+	x.Handle(CallArrived(&Call{ID: "1", Class: 1, Effect: balancer.IdempotentByKey, IdempotencyWindow: window, Deadline: x.now + deadline, Responder: p, CallerAttempt: 1}))
+	x.Handle(attemptRejected{p.attempts[0]})
+	if len(p.attempts) != 2 {
+		t.Fatalf("%d attempts", len(p.attempts))
+	}
+	x.Handle(abandoned{"1", p})
+	if len(x.calls) != 0 || p.released != 1 {
+		t.Errorf("%d calls are kept, the proxy is released %d times", len(x.calls), p.released)
+	}
+}
--- a/internal/engine/generation_test.go
+++ b/internal/engine/generation_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"testing"
 
 	"appleledge/internal/balancer"
@@ -40,3 +41,21 @@
 		t.Error("the pod gets no attempt after its drain has ended")
 	}
 }
+
+// What a configuration drains passes all overlays behind it, each of which keeps a list of its own: denials, observations of other
+// agents, pods of bindings, connections.
+func TestDrainOfConfigurationPassesAllOverlays(t *testing.T) {
+	for _, stage := range []overlayStage{overlayDenylist, overlayGossip, overlayAffinity, overlayServerPool, overlayRecovery} {
+		seen := &recordingOverlay{}
+		x := newBindingFixture(t, func(x *bindingFixture) {
+			x.SetGenerations(newGenerations(), nil)
+			x.overlays[stage] = seen
+		})
+		seen.ids = nil
+		x.switchTo(t, &fleetconfig.Config{Drains: []fleetconfig.Drain{{Name: "d", Share: 1, Selector: fleetconfig.Selector{Pods: []int{0}}}}})
+		x.Handle(nil)
+		if !slices.Equal(seen.ids, []string{"s0", "s1"}) {
+			t.Errorf("at stage %d: %v", stage, seen.ids)
+		}
+	}
+}
