--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -436,7 +436,7 @@
 
 // SetLinger is that of the connection: 0 makes a close a reset.
 func (c *countedConn) SetLinger(seconds int) error {
-	if tcp, ok := c.stampedConn.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		return tcp.SetLinger(seconds)
 	}
 	return nil
