--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -48,6 +48,8 @@
 	Name string
 	Addr string // host and port
 
+	rejectsAbandoned bool
+
 	seed    uint64
 	classes map[string]Class
 	epoch   time.Time
@@ -74,6 +76,8 @@
 	Addr        string        // host and port; empty: a free one
 	IdleTimeout time.Duration // a connection idle for so long is closed
 	MaxConns    int           // open at a time; further ones are closed at once. 0: no limit
+	// RejectsAbandoned: a request whose sender has closed its connection before the server takes it is not run.
+	RejectsAbandoned bool
 }
 
 // addrInUseRetryTime is how long Listen retries while the address belongs to an earlier process or server.
@@ -94,7 +98,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("form server %s: %w", name, err)
 	}
-	f := &FormServer{Name: name, Addr: l.Addr().String(), seed: seed, classes: map[string]Class{}, epoch: epoch, model: model,
+	f := &FormServer{Name: name, Addr: l.Addr().String(), rejectsAbandoned: limits.RejectsAbandoned, seed: seed, classes: map[string]Class{}, epoch: epoch, model: model,
 		random: rand.New(rand.NewPCG(seed, 1)), pending: map[uint64]chan Completion{}, done: make(chan struct{})}
 	for _, c := range classes {
 		f.classes[c.Name] = c
@@ -283,7 +287,7 @@
 }
 
 // receive returns when a request that was read whole counts as received. A server that reads nothing takes it only when that
-// ends, whoever has given it up meanwhile. open is false if the server was closed before.
+// ends. open is false if the server was closed before, or the request was given up and the server rejects such ones.
 func (f *FormServer) receive(r *http.Request) (at time.Time, open bool) {
 	f.mu.Lock()
 	stalled := f.readStall
@@ -299,12 +303,17 @@
 		f.unread--
 		f.mu.Unlock()
 	}()
+	var abandoned <-chan struct{}
+	if f.rejectsAbandoned {
+		abandoned = r.Context().Done()
+	}
 	select {
 	case <-stalled:
-		return time.Now(), true
+		return time.Now(), !f.rejectsAbandoned || r.Context().Err() == nil
+	case <-abandoned:
 	case <-f.done:
-		return time.Time{}, false
 	}
+	return time.Time{}, false
 }
 
 // timeLeft returns for how long the sender still waited when it wrote the request; 0 where it does not say.
--- a/internal/emulator/formserver_test.go
+++ b/internal/emulator/formserver_test.go
@@ -211,3 +211,27 @@
 		t.Errorf("%+v, after reading began again at %v", e, ends)
 	}
 }
+
+// A server that rejects abandoned requests gets two while it reads nothing, and runs the one whose sender still waits.
+func TestServerRejectsAbandonedRequests(t *testing.T) {
+	f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{RejectsAbandoned: true})
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	send := func(key string) net.Conn {
+		c, err := net.Dial("tcp", f.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		besteffort.IgnoreResult(fmt.Fprintf(c, "POST /refund-record HTTP/1.1\r\nHost: h\r\nX-Request-ID: %[1]s\r\nIdempotency-Key: %[1]s\r\nContent-Length: 0\r\n\r\n", key))
+		return c
+	}
+	abandoned, awaited := send("abandoned"), send("awaited")
+	defer besteffort.Close(awaited)
+	agenttest.Eventually(t, "both have come", func() bool { return f.Unread() == 2 })
+	besteffort.Close(abandoned)
+	agenttest.Eventually(t, "the close was seen", func() bool { return f.Unread() == 1 })
+	f.SetConnFaults(ConnFaults{})
+	agenttest.Eventually(t, "the other one ran", func() bool { return f.Unread() == 0 && f.InFlight() == 0 && len(ledger.Effects()) > 0 })
+	if all := ledger.Effects(); len(all) != 1 || all[0].Key != "awaited" {
+		t.Errorf("ran: %+v", all)
+	}
+}
--- a/internal/scenario/live_server.go
+++ b/internal/scenario/live_server.go
@@ -38,7 +38,8 @@
 		return s
 	}
 	srv, err := emulator.Listen(m.id, model, classes, 0, l.modelEpoch,
-		emulator.ListenOptions{Addr: place.Addr(), IdleTimeout: idleClose, MaxConns: 400 * m.kind.cores})
+		emulator.ListenOptions{Addr: place.Addr(), IdleTimeout: idleClose, MaxConns: 400 * m.kind.cores,
+			RejectsAbandoned: l.script.Fleet.RejectsAbandoned})
 	if err != nil {
 		s.isDead = true
 		l.err = err
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -27,10 +27,12 @@
 	Assertions []Assertion  `toml:"assert"`
 }
 
-// FleetSize is the number of servers and agents.
+// FleetSize is the number of servers and agents, and the kind of the servers.
 type FleetSize struct {
 	Servers int `toml:"servers"`
 	Agents  int `toml:"agents"`
+	// RejectsAbandoned: servers don't run a request whose sender has given it up before they take it.
+	RejectsAbandoned bool `toml:"rejects_abandoned"`
 }
 
 // ClientLoad is the traffic of the clients.
--- a/internal/scenario/sim_server.go
+++ b/internal/scenario/sim_server.go
@@ -100,6 +100,9 @@
 // handleAttempt handles an attempt that the server has read.
 func (s *simServer) handleAttempt(at *engine.Attempt, timedOut *bool, ended func(balancer.Result, balancer.Report)) {
 	w, r := s.sim, at.Call.Payload.(*simRequest)
+	if *timedOut && w.script.Fleet.RejectsAbandoned {
+		return
+	}
 	s.advance()
 	reply := func(result balancer.Result, report balancer.Report) {
 		w.scheduleAfter(w.drawNetworkDelay(), func() {
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -305,6 +305,47 @@
 	})
 }
 
+// playsCleanly plays a scenario in simulated time on seeds 1 to 8, and holds it to the rules.
+func playsCleanly(t *testing.T, s Script) {
+	t.Helper()
+	for seed := range uint64(8) {
+		if d := Simulate(s, seed+1); len(d.Violations) > 0 {
+			t.Errorf("seed %d: %d broken, the first %v", seed+1, d.ViolationCount, d.Violations[0])
+		}
+	}
+}
+
+// Guards against a refund that runs twice because servers, others in each stall, took it when the pod had forgotten the hedge.
+func TestRefundsRunOnceWhereServersTakeTurnsToReadLate(t *testing.T) {
+	s, err := LoadScript("../../scenarios/21-server-reads-late.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Events[0].Servers, s.Events[0].ServerShare = nil, 0.34
+	playsCleanly(t, s)
+}
+
+// Guards against a refund that runs twice because a reset made the agent repeat it to a server that stalled just then.
+func TestRefundsRunOnceWhereARepeatMeetsAStall(t *testing.T) {
+	s, err := LoadScript("../../scenarios/22-resets-while-servers-stall.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	playsCleanly(t, s)
+}
+
+// Servers that don't run what was given up before they took it run no refund twice, whenever they stall.
+func TestServersThatRejectAbandonedRequestsRunRefundsOnce(t *testing.T) {
+	for _, file := range []string{"21-server-reads-late.toml", "22-resets-while-servers-stall.toml"} {
+		s, err := LoadScript("../../scenarios/" + file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Fleet.RejectsAbandoned = true
+		playsCleanly(t, s)
+	}
+}
+
 // Guards against a refund that runs twice because one server stalled: it took its request when the pod had forgotten the repeat.
 func TestRefundsRunOnceWhereAServerReadsLate(t *testing.T) {
 	s, err := LoadScript("../../scenarios/21-server-reads-late.toml")
