Balancer: no repeat by key before the first server has given a sign of life

Cause: isRecognizedAt went by earlier stalls of a server, and in its first one there is none. A stall and a hang look alike; so the question is now what shows that an attempt was read: an answer to something that was sent no earlier. Until that comes, a repeat by key is withheld (and counted). Attempts whose connection broke keep the old rule. A repeat also no longer goes to a server that owes an answer for longer than is usual.

--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -5,6 +5,11 @@
 // Repeats of what may have run: a pod recognizes a repeat by its idempotency key only if it takes the repeat
 // inside the dedup window, and only if it has not forgotten the repeat when it takes the first attempt. A
 // server that stalls reads nothing meanwhile, and may take what was sent to it long after.
+//
+// With the first attempt sent at t0 and its repeat at t1, the effect repeats only if the server of the first
+// takes it later than t1-t0 plus the window after its send, or the server of the repeat takes that later than
+// the window less t1-t0 after its send. How long a server may take is not stated anywhere, so a sign is asked
+// for: the server of the first has answered something that was sent no earlier, and so has read the first.
 
 const (
 	// lateAnswerFactor is the multiple of the usual latency from which on an answer tells of a stall.
@@ -23,6 +28,7 @@
 // as a whole.
 type stallHistory struct {
 	answeredAt        time.Duration // the server's latest answer
+	answeredSend      time.Duration // the latest send among the attempts that it answered
 	unanswered        int           // attempts in a row that it left without one
 	current, previous time.Duration
 	since             time.Duration // when the current period began
@@ -57,6 +63,7 @@
 	switch o.Result {
 	case OK, Failed, Rejected:
 		h.answeredAt, h.unanswered = b.now, 0
+		h.answeredSend = max(h.answeredSend, a.sentAt)
 		if float64(o.Waited) >= lateAnswerFactor*b.classLatency[a.request.Class] {
 			h.record(b.now, stallMemoryHorizons*b.horizon, o.Waited)
 		}
@@ -85,14 +92,41 @@
 	if left <= 0 {
 		return false
 	}
-	isFirstLate := first.server != nil && first.sentAt+b.maxTakeDelay(first.server) >= b.now+window
-	if left <= b.maxTakeDelay(s) || isFirstLate {
+	if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) {
 		b.repeats.isWithheld = true
 		return false
 	}
 	return true
 }
 
+// mayBeTakenLater reports whether the server of the first attempt may take it when the pod has forgotten a
+// repeat that is sent now. Of an attempt whose connection broke, the server has read it or mostly never will:
+// there only a stall that was seen lately counts.
+func (b *Balancer) mayBeTakenLater(first *attempt, window time.Duration) bool {
+	s := first.server
+	switch {
+	case s == nil: // an attempt of an earlier request: its server is not known
+		return false
+	case s.stalls.answeredSend >= first.sentAt:
+		return false
+	case first.isReset:
+		return first.sentAt+b.maxTakeDelay(s) >= b.now+window
+	}
+	return true
+}
+
+// isSilent reports whether the server owes an answer for longer than is usual, and has answered nothing that
+// was sent since: it may have stopped reading.
+func (b *Balancer) isSilent(s *server) bool {
+	for _, a := range s.inFlight {
+		waited := float64(b.now - a.sentAt)
+		if !a.isSendingBody && a.sentAt > s.stalls.answeredSend && waited > b.classLatency[a.request.Class] {
+			return true
+		}
+	}
+	return false
+}
+
 // repeatGuard counts what is not repeated because a server might not recognize it.
 type repeatGuard struct {
 	isWithheld      bool   // isRecognizedAt has refused a server only for a stall, since this was cleared
--- a/internal/balancer/repeat_test.go
+++ b/internal/balancer/repeat_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -31,6 +32,20 @@
 	return ids
 }
 
+// answerFrom lets a server answer a request that is sent to it now.
+func (h *testBalancer) answerFrom(server string) {
+	id, to, _ := h.sendManualRequest(0, server)
+	h.end(id, to, 0, OK, NoReport)
+}
+
+// serveAtRest brings requests that are answered at once by servers that report little use.
+func (h *testBalancer) serveAtRest(n int) {
+	for range n {
+		id, to := h.sendRequest(0)
+		h.end(id, to, 0, OK, report(0.2, 50))
+	}
+}
+
 // stall lets a server owe several answers, give none for so long, and then answer all.
 func (h *testBalancer) stall(server string, lasts time.Duration) {
 	ids := h.fill(server)
@@ -143,10 +158,7 @@
 	set.AllowHedging = true
 	h := newTestBalancer(t, set, 1, 1)
 	h.stall("s1", 900*time.Millisecond)
-	for range 20 {
-		other, to := h.sendRequest(0)
-		h.end(other, to, 0, OK, report(0.2, 50))
-	}
+	h.serveAtRest(20)
 	id := h.sendKeyedTo("s0")
 	for _, a := range h.tick(900 * time.Millisecond) {
 		if a.Kind == Send {
@@ -157,3 +169,52 @@
 		t.Errorf("%d hedges are counted as withheld", n)
 	}
 }
+
+// A server that begins to stall may take what it was sent when the pod has forgotten a hedge. So a request by key is hedged as soon as its
+// server has answered something that was sent no earlier, and not before.
+func TestKeyedRequestIsHedgedOnceItsServerIsKnownToRead(t *testing.T) {
+	set := testSettings()
+	set.AllowHedging = true
+	h := newTestBalancer(t, set, 1, 1)
+	h.serveAtRest(50)
+	earlier, _, _ := h.sendManualRequest(0, "s0")
+	busy := h.fill("s1")
+	h.at += time.Millisecond
+	id := h.sendKeyedTo("s0")
+	for _, other := range busy {
+		h.end(other, "s1", 0, OK, NoReport)
+	}
+	h.tick(500 * time.Millisecond)
+	h.end(earlier, "s0", 0, OK, NoReport) // sent earlier: it may have been read before the server stopped
+	if actions := h.tick(100 * time.Millisecond); hasSend(actions, id) || h.Stats().WithheldHedges != 1 {
+		t.Errorf("%+v, %d hedges are counted as withheld", actions, h.Stats().WithheldHedges)
+	}
+	h.answerFrom("s0")
+	if actions := h.tick(100 * time.Millisecond); !hasSend(actions, id) {
+		t.Errorf("not hedged though its server reads: %+v", actions)
+	}
+}
+
+// hasSend reports whether the actions send an attempt of the request.
+func hasSend(actions []Action, id string) bool {
+	return slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == Send && a.Request == id })
+}
+
+// A server that owes an answer for longer than is usual may have stopped reading. A repeat by key goes elsewhere, or nowhere.
+func TestNoRepeatToASilentServer(t *testing.T) {
+	for name, answers := range map[string]bool{"silent": false, "has answered since": true} {
+		h := newTestBalancer(t, testSettings(), 1, 1) // both in one cell
+		h.serve(50, "s0")
+		h.at += time.Millisecond
+		h.sendManualRequest(0, "s1")
+		h.at += 300 * time.Millisecond
+		if answers {
+			h.answerFrom("s1")
+		}
+		id := h.sendKeyedTo("s0")
+		actions := h.end(id, "s0", 0, Reset, NoReport)
+		if len(actions) != 1 || (actions[0].Kind == Send && actions[0].Server == "s1") != answers {
+			t.Errorf("%s: %+v", name, actions)
+		}
+	}
+}
