Membership: a failed call behind a silent watch is repeated before a drain counts

What callers saw: requests went to a draining server for seconds more. Where discovery is asked, a watch that falls silent was followed by one call; if that broke off, was rejected or hung, the next came after a backoff of 1.75 to 3.5 s, while what the watch missed counts as told 2 s behind its wait.

Now up to three calls are made: 0.1 s behind one that fails, beside one that hangs for 0.7 s, all within the 1.6 s that one call had.

TestSilentWatchIsRepeatedAtOnce counted exactly four calls, one behind the second silent watch, which is the fault; it counts exactly six now.

Lines that left tests: "len(calls) != 4" is "len(calls) != 6", an exact count as before, with three calls behind the second silent watch where it had one; that the balancer hears of the failure is asked for as before. A fourth call, or none, fails it.

--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -33,7 +33,6 @@
 	if err := d.applyList(r.list, r.isFullListCall); err != nil {
 		return fmt.Errorf("%w: %w", errPossiblyMissed, err)
 	}
-	d.repeatsCall = false
 	return nil
 }
 
--- a/internal/membership/platform/call.go
+++ b/internal/membership/platform/call.go
@@ -29,10 +29,7 @@
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) error {
 	d.countCall(query)
 	timeout := d.responseTimeout
-	switch {
-	case d.onDemand && d.repeatsCall:
-		timeout = repeatedCallResponseTimeout
-	case d.onDemand && query != "":
+	if d.onDemand && query != "" {
 		timeout = onDemandWatchResponseTimeout
 	}
 	return d.handleResponse(fetch(ctx, d.client, d.sessionAddr, query, wait+timeout, d.bodyTimeout))
--- a/internal/membership/platform/ondemand.go
+++ b/internal/membership/platform/ondemand.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -15,25 +14,19 @@
 const (
 	defaultMaxWatchTimeout       = 20 * time.Second        // a poll waits from a fifth of it up to all of it, at random
 	onDemandWatchResponseTimeout = 800 * time.Millisecond  // for an answer, past that wait
-	repeatedCallResponseTimeout  = 1600 * time.Millisecond // for an answer to a poll that is repeated at once
 	defaultMaxBackoff            = 3500 * time.Millisecond // after a call that failed
 )
 
 // runOnDemand polls whenever the balancer subscribes, until the context ends.
 func (d *Discovery) runOnDemand(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !d.repeatsCall && !d.awaitSubscription(ctx) {
+		if !d.awaitSubscription(ctx) {
 			return
 		}
 		err := d.followOnDemand(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errPossiblyMissed) && !d.repeatsCall {
-			d.repeatsCall = true
-			continue
-		}
-		d.repeatsCall = false
 		d.logUnreachable(err)
 		d.sink.Disconnected(fmt.Errorf("%w: %w", membership.ErrUnsubscribed, err))
 	}
@@ -67,22 +60,16 @@
 	return limit/2 + rand.N(limit/2)
 }
 
-// followOnDemand fetches the whole list, unless changes of the one that is held are enough, then polls for changes until a call fails
-// or a change was missed.
+// followOnDemand fetches the whole list, unless changes of the one that is held are enough, then polls for changes until a call fails.
 func (d *Discovery) followOnDemand(ctx context.Context) error {
 	if d.watchVersion < 0 {
-		if err := d.call(ctx, "", 0); err != nil {
-			return err
-		}
-	}
-	if d.repeatsCall {
-		if err := d.call(ctx, watchQuery(d.watchVersion, 0), 0); err != nil {
+		if err := d.callOrCatchUp(ctx, "", 0); err != nil {
 			return err
 		}
 	}
 	for {
 		previous, start, wait := d.watchVersion, time.Now(), d.drawWatchTimeout()
-		if err := d.call(ctx, watchQuery(d.watchVersion, wait), wait); err != nil {
+		if err := d.callOrCatchUp(ctx, watchQuery(d.watchVersion, wait), wait); err != nil {
 			return err
 		}
 		d.delayEarlyWatch(ctx, previous, start, wait)
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -10,8 +10,8 @@
 // An on-demand list (Options.OnDemand) comes from one service for all agents, which works through calls in turn. It is polled
 // only when the balancer subscribes, and its long polls are long and end at random times (followOnDemand). A poll that falls
 // silent, or whose answer can't be read, may have had a drain to report, which counts as notified 2 s after the poll's end all the
-// same: so changes are asked for at once, without a wait, and once. Any other failure ends the subscription, and the balancer
-// backs off; but an agent that holds endpoints polls on its own before what is new could count as notified (onDemandBackoff).
+// same: so changes are asked for at once, without a wait, and again where that call fails or hangs (catchUp). Any other failure ends
+// the subscription, and the balancer backs off; but an agent that holds endpoints polls on its own before what is new could count as notified (onDemandBackoff).
 //
 // Discovery holds an agent to a change from the moment at which it counts it as notified: when the agent's poll has been answered, or a
 // stated time after it should have been.
@@ -69,7 +69,6 @@
 	heldVersion           int64  // of the list that is held; -1: any is newer
 	watchVersion          int64  // from which on changes are wanted; -1: the whole list is
 	unreadableInRow       int
-	repeatsCall           bool // the next poll of an on-demand list is made at once, without a wait
 	hasLoggedInvalidEntry bool
 	isUnreachable         bool // the last call failed
 	hasEndpoints          bool // a list is held, of discovery or the cached one
