Emulator: a request counts for drains when it came, not when a stalled server takes it

The kernel's time of receipt counts now, as it does for servers that do not stall; the check and its bound are as they were.

TestServerThatReadsNothingTakesRequestsLater holds it; on the code before, the latest arrival was zero while the request lay there.

--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -221,14 +221,11 @@
 	f.served.Wait()
 }
 
-// arrive brings a request, which the kernel received at that time, to the model. The channel gets its end, if it is to have one.
+// arrive brings a request to the model, which counts it as received at that time. The channel gets its end, if it is to have one.
 func (f *FormServer) arrive(r Request, received time.Time) (ArrivalResult, <-chan Completion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
-	if received.After(f.lastArrival) {
-		f.lastArrival = received
-	}
 	f.arrived++
 	r.ID = f.arrived
 	r.ReadDelay = max(0, time.Since(received))
@@ -289,14 +286,18 @@
 // receive returns when a request that was read whole counts as received. A server that reads nothing takes it only when that
 // ends. open is false if the server was closed before, or the request was given up and the server rejects such ones.
 func (f *FormServer) receive(r *http.Request) (at time.Time, open bool) {
+	cameAt := requestReceivedAt(r.Context())
 	f.mu.Lock()
+	if cameAt.After(f.lastArrival) {
+		f.lastArrival = cameAt
+	}
 	stalled := f.readStall
 	if stalled != nil {
 		f.unread++
 	}
 	f.mu.Unlock()
 	if stalled == nil {
-		return requestReceivedAt(r.Context()), true
+		return cameAt, true
 	}
 	defer func() {
 		f.mu.Lock()
--- a/internal/emulator/formserver_test.go
+++ b/internal/emulator/formserver_test.go
@@ -204,12 +204,16 @@
 	if n := f.Arrived(); n != 0 {
 		t.Errorf("%d requests are taken at once", n)
 	}
+	came := f.LastArrival()
 	ends := f.now()
 	f.SetConnFaults(ConnFaults{})
 	agenttest.Eventually(t, "it is taken", func() bool { return len(ledger.Effects()) == 1 })
 	if e := ledger.Effects()[0]; e.At < ends || e.TimeLeft != 250*time.Millisecond {
 		t.Errorf("%+v, after reading began again at %v", e, ends)
 	}
+	if came.IsZero() || !f.LastArrival().Equal(came) { // for drains a request counts from when it was sent
+		t.Errorf("the latest request came at %v, then at %v", came, f.LastArrival())
+	}
 }
 
 // A server that rejects abandoned requests gets two while it reads nothing, and runs the one whose sender still waits.
