Status lists generations in order; payloads of the fleet keep to any room

`appleledgectl status` printed open requests under several generations in the order of a map: the new test failed with 3, 9, 101, 7, 12. buildPayload returned its own digest also where fewer bytes were allowed ("18 bytes where 0 are allowed"); it returns nothing there now. Agents allow 203 bytes and cap classes and tenants, so none sent such a payload.

--- a/cmd/appleledgectl/commands.go
+++ b/cmd/appleledgectl/commands.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -278,13 +280,14 @@
 	return w.Flush()
 }
 
+// openByGeneration words how many requests are open under each generation, the oldest generation first.
 func openByGeneration(open map[uint64]int) string {
 	if len(open) == 0 {
 		return "no requests"
 	}
 	var parts []string
-	for number, n := range open {
-		parts = append(parts, fmt.Sprintf("%d under generation %d", n, number))
+	for _, number := range slices.Sorted(maps.Keys(open)) {
+		parts = append(parts, fmt.Sprintf("%d under generation %d", open[number], number))
 	}
 	return strings.Join(parts, ", ")
 }
--- a/internal/fleet/overload/overload_test.go
+++ b/internal/fleet/overload/overload_test.go
@@ -113,6 +113,17 @@
 	})
 }
 
+// A payload keeps to the room that it is given, however little that is, with much to tell.
+func TestPayloadKeepsToItsRoom(t *testing.T) {
+	for room := range 203 {
+		d := newController(5)
+		addServers(d, start, 20, 0.5, 80, false)
+		if payload := d.view.buildPayload(start, testDigest(0, 10, 5), true, room); len(payload) > room {
+			t.Errorf("%d bytes where %d are allowed", len(payload), room)
+		}
+	}
+}
+
 // overloadedController is one of five, of which the others are asked for at least so many form-checks a second and any number of refunds, and
 // for retries as drawn; and its plan.
 func overloadedController(t *rapid.T, checks float64, retries *rapid.Generator[float64]) (*AdmissionController, plan) {
--- a/internal/fleet/overload/relay.go
+++ b/internal/fleet/overload/relay.go
@@ -6,10 +6,13 @@
 const maxRelays = 4
 
 // buildPayload returns a payload of at most so many bytes: the own digest, then observations and reports in turn, and in the rest of the
-// room others' digests, the ones that have waited longest first.
+// room others' digests, the ones that have waited longest first. It is nil where the own digest does not fit.
 func (v *FleetView) buildPayload(now time.Duration, own LoadDigest, isBusy bool, maxBytes int) []byte {
 	p := Payload{IsBusy: isBusy, Digests: []LoadDigest{own}}
 	room := maxBytes - 1 - digestBytes(v.classes, v.tenants)
+	if room < 0 {
+		return nil
+	}
 	room -= v.addObservations(now, &p, room/4/observationBytes)
 	room -= v.addReports(now, &p, room/4/reportBytes)
 	v.relayDigests(now, &p, room)
