Recovery: a call bound to a pool or to candidates marks no trial of another server

What callers saw: in the phase of trials after an outage a server stayed untried for longer, and requests were rejected meanwhile. A call that an external caller or a pool binds to other servers marked a trial at the controller's choice and was not sent there; without an answer the trial counted as failed and the next one came twice as late. The engine says of a call that it is bound now; such a call takes its token and marks none.

TestBoundRequestMarksNoTrial; on the code before: "it is sent to [s-1]".

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -59,6 +59,7 @@
 	Key           string        // is the same for a request and its retries; empty where nothing is
 	IsRetry       bool          // as the client says
 	MayHaveRun    bool          // an earlier attempt may have run, so that it must not be rejected here
+	IsBound       bool          // it may go only to servers that its caller or a pool names
 	Deadline      time.Duration // of its caller
 }
 
--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -39,7 +39,7 @@
 		return true
 	}
 	r := admission.Request{Class: c.Class, Tenant: c.Tenant, Key: c.IdempotencyKey, IsRetry: c.ClientRetry,
-		MayHaveRun: c.CallerAttempt > 1 || c.earlier.MayHaveRun, Deadline: c.Deadline}
+		MayHaveRun: c.CallerAttempt > 1 || c.earlier.MayHaveRun, IsBound: c.allowedServers() != nil, Deadline: c.Deadline}
 	if r.Key == "" && c.Effect == balancer.Idempotent && c.Key != "" {
 		r.Key = strconv.Itoa(c.Class) + " " + strconv.Itoa(c.Tenant) + " " + c.Key
 	}
--- a/internal/fleet/recovery/recovery.go
+++ b/internal/fleet/recovery/recovery.go
@@ -135,6 +135,12 @@
 			r.takeToken(now, a)
 			break
 		}
+		if a.IsBound { // nor does it try one here: it may not be sent there
+			if !r.mayRisk(a) || !r.takeToken(now, a) {
+				return nil, r.reject(now, a)
+			}
+			break
+		}
 		id, isTrial := r.chooseTrial(now, a)
 		if !isTrial {
 			return nil, r.reject(now, a)
--- a/internal/fleet/recovery/recovery_test.go
+++ b/internal/fleet/recovery/recovery_test.go
@@ -383,3 +383,29 @@
 		t.Errorf("the next request: %+v, %d failed trials", trial, r.counts.FailedTrials)
 	}
 }
+
+// A request that may go only to servers which its caller or a pool names is admitted at the rate of trials and marks none: no answer would
+// come from the server that the controller chose, and the trial would count as failed.
+func TestBoundRequestMarksNoTrial(t *testing.T) {
+	r := New(testOptions(1, 0), nil)
+	r.Start(start, testBaseline(6, 40, 20, 0.5), "power")
+	now := start + 2*second
+	r.Tick(now)
+	bound := request(form)
+	bound.IsBound = true
+	admitted := 0
+	for range 100 {
+		if permit, _ := r.Arrive(now, bound); permit != nil {
+			if admitted++; permit.Endpoints != nil {
+				t.Fatalf("it is sent to %v", permit.Endpoints)
+			}
+		}
+	}
+	if r.phase != TrialRequests || r.counts.Trials != 0 || admitted == 0 || admitted == 100 {
+		t.Fatalf("phase %v, %d of 100 admitted, %d trials", r.phase, admitted, r.counts.Trials)
+	}
+	now += second
+	if trial, _ := r.Arrive(now, request(form)); trial == nil || len(trial.Endpoints) != 1 || r.counts.FailedTrials != 0 {
+		t.Errorf("the next request: %+v, %d failed trials", trial, r.counts.FailedTrials)
+	}
+}
--- a/internal/fleet/recovery/trials.go
+++ b/internal/fleet/recovery/trials.go
@@ -31,10 +31,16 @@
 // SetLiveAgents is called with which agents are alive, by number, as far as is known. The Controller keeps the slice.
 func (r *Controller) SetLiveAgents(isAlive []bool) { r.isAgentAlive = isAlive }
 
-// chooseTrial returns the server that a request may try. Until a trial has failed any request may, within the admission rate. After that
-// only an idempotent one may, at a server whose turn it is: any other would be lost at a server that hangs.
+// mayRisk reports whether a request may be sent to servers that are not known to answer. Until a trial has failed any may. After that only
+// an idempotent one may: any other would be lost at a server that hangs.
+func (r *Controller) mayRisk(a admission.Request) bool {
+	hasFailed := r.counts.FailedTrials > r.failedTrialsBefore
+	return !hasFailed || r.options.Classes[a.Class].Idempotent || !r.hasIdempotentClass()
+}
+
+// chooseTrial returns the server that a request may try. Servers of which no trial has failed are tried within the admission rate.
 func (r *Controller) chooseTrial(now time.Duration, a admission.Request) (id string, ok bool) {
-	if hasFailed := r.counts.FailedTrials > r.failedTrialsBefore; hasFailed && !r.options.Classes[a.Class].Idempotent && r.hasIdempotentClass() {
+	if !r.mayRisk(a) {
 		return "", false
 	}
 	best := r.nextToTry(now)
