--- a/internal/membership/platform/ondemand_test.go
+++ b/internal/membership/platform/ondemand_test.go
@@ -68,6 +68,16 @@
 	besteffort.IgnoreResult(io.WriteString(w, answer))
 }
 
+// start serves the script until the test ends, and returns the address.
+func (s *scriptedDiscovery) start(t *testing.T) (addr string) {
+	t.Helper()
+	l := agenttest.Listen(t)
+	srv := &http.Server{Handler: s}
+	go func() { besteffort.Ignore(srv.Serve(l)) }()
+	t.Cleanup(func() { besteffort.Close(srv) })
+	return l.Addr().String()
+}
+
 func (s *scriptedDiscovery) recordedCalls() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,12 +110,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := &scriptedDiscovery{answers: tt.answers}
-			l := agenttest.Listen(t)
-			srv := &http.Server{Handler: s}
-			go func() { besteffort.Ignore(srv.Serve(l)) }()
-			t.Cleanup(func() { besteffort.Close(srv) })
+			addr := s.start(t)
 			var log agenttest.LockedBuffer
-			d, events := newTestDiscovery(t, l.Addr().String(), &log)
+			d, events := newTestDiscovery(t, addr, &log)
 			d.onDemand = true
 			var err error
 			if d.cachedList, err = listing.Parse([]byte(agenttest.ListText(41, true, ready("s-old")))); err != nil {
@@ -169,11 +176,8 @@
 func TestSilentWatchIsRepeatedAtOnce(t *testing.T) {
 	drains := agenttest.EntryText("s-old", "127.0.0.1:1", "Terminating", 0)
 	s := &scriptedDiscovery{answers: []string{"silence", agenttest.ListText(42, false, drains), "silence", "silence", "503"}}
-	l := agenttest.Listen(t)
-	srv := &http.Server{Handler: s}
-	go func() { besteffort.Ignore(srv.Serve(l)) }()
-	t.Cleanup(func() { besteffort.Close(srv) })
-	d, events := newTestDiscovery(t, l.Addr().String(), io.Discard)
+	addr := s.start(t)
+	d, events := newTestDiscovery(t, addr, io.Discard)
 	d.onDemand, d.maxWatchTimeout, d.maxBackoff = true, 10*time.Millisecond, time.Hour // so that neither the balancer nor a timer repeats the call
 	d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
 	d.Subscribe()
@@ -197,11 +201,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := &scriptedDiscovery{answers: []string{"silence", secondCall, drains}}
-			l := agenttest.Listen(t)
-			srv := &http.Server{Handler: s}
-			go func() { besteffort.Ignore(srv.Serve(l)) }()
-			t.Cleanup(func() { besteffort.Close(srv) })
-			d, events := newTestDiscovery(t, l.Addr().String(), io.Discard)
+			addr := s.start(t)
+			d, events := newTestDiscovery(t, addr, io.Discard)
 			d.onDemand, d.maxWatchTimeout = true, 10*time.Millisecond
 			d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
 			d.Subscribe()
@@ -224,11 +225,8 @@
 func TestSlowCallBehindSilentWatchIsWaitedFor(t *testing.T) {
 	drains := agenttest.ListText(42, false, agenttest.EntryText("s-old", "127.0.0.1:1", "Terminating", 0))
 	s := &scriptedDiscovery{answers: []string{"silence", slowAnswer + drains, "silence", "silence"}}
-	l := agenttest.Listen(t)
-	srv := &http.Server{Handler: s}
-	go func() { besteffort.Ignore(srv.Serve(l)) }()
-	t.Cleanup(func() { besteffort.Close(srv) })
-	d, events := newTestDiscovery(t, l.Addr().String(), io.Discard)
+	addr := s.start(t)
+	d, events := newTestDiscovery(t, addr, io.Discard)
 	d.onDemand, d.maxWatchTimeout, d.maxBackoff = true, 10*time.Millisecond, time.Hour // so that only the call itself can bring the list
 	d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
 	d.Subscribe()
@@ -247,11 +245,8 @@
 func TestOnDemandListIsPolledDespiteFailures(t *testing.T) {
 	drains := agenttest.EntryText("s-old", "127.0.0.1:1", "Terminating", 0)
 	s := &scriptedDiscovery{answers: []string{"503", "503", "503", agenttest.ListText(42, false, drains)}}
-	l := agenttest.Listen(t)
-	srv := &http.Server{Handler: s}
-	go func() { besteffort.Ignore(srv.Serve(l)) }()
-	t.Cleanup(func() { besteffort.Close(srv) })
-	d, events := newTestDiscovery(t, l.Addr().String(), io.Discard)
+	addr := s.start(t)
+	d, events := newTestDiscovery(t, addr, io.Discard)
 	d.onDemand, d.maxBackoff = true, 20*time.Millisecond
 	d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
 	d.Subscribe() // once: the balancer says no more
@@ -284,11 +279,7 @@
 	to := &scriptedDiscovery{answers: []string{"503", "503", "503", agenttest.ListText(5, true, drains)}}
 	at := make([]string, 0, 2)
 	for _, s := range []*scriptedDiscovery{from, to} {
-		l := agenttest.Listen(t)
-		srv := &http.Server{Handler: s}
-		go func() { besteffort.Ignore(srv.Serve(l)) }()
-		t.Cleanup(func() { besteffort.Close(srv) })
-		at = append(at, l.Addr().String())
+		at = append(at, s.start(t))
 	}
 	d, events := newTestDiscovery(t, at[0], io.Discard)
 	d.onDemand, d.maxBackoff = true, 20*time.Millisecond
