Balancer: a failed dial leaves what a server has answered before

A dial that failed cleared the sign of life as well, so that a repeat of what the server had read was withheld until its next answer. Stalls are cleared as before (TestServerThatWasCutOffHasNotStalled).

--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -75,7 +75,7 @@
 			h.record(b.now, stallMemoryHorizons*b.horizon, unknownDelay)
 		}
 	case ConnectFailed:
-		*h = stallHistory{answeredAt: b.now}
+		*h = stallHistory{answeredAt: b.now, answeredSend: h.answeredSend}
 	}
 }
 
