--- a/internal/membership/platform/ondemand_test.go
+++ b/internal/membership/platform/ondemand_test.go
@@ -78,6 +78,23 @@
 	return l.Addr().String()
 }
 
+// subscribeAfterLosses subscribes again each time the list is lost, as the balancer does, until the test ends.
+func subscribeAfterLosses(t *testing.T, d *Discovery, losses <-chan error) {
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	go func() {
+		for {
+			select {
+			case err := <-losses:
+				besteffort.Ignore(err) // it ends with this
+				d.Subscribe()
+			case <-ended:
+				return
+			}
+		}
+	}()
+}
+
 func (s *scriptedDiscovery) recordedCalls() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,19 +137,7 @@
 			}
 			d.Subscribe()
 			runUntilTestEnds(t, d, events)
-			ended := make(chan struct{})
-			defer close(ended)
-			go func() {
-				for {
-					select {
-					case err := <-events.Losses:
-						besteffort.Ignore(err) // the balancer's part
-						d.Subscribe()
-					case <-ended:
-						return
-					}
-				}
-			}()
+			subscribeAfterLosses(t, d, events.Losses)
 			if u := nextUpdate(t, events); !u.Full || u.Members[0].ID != "s-old" {
 				t.Fatalf("first %+v, want the cached list", u)
 			}
