Balancer: what an external caller ended may be repeated as before

An external processor's caller that comes again ends its attempt (Cancelled), and the new rule took that for silence of the server, which the agent has not seen.

--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -100,8 +100,8 @@
 }
 
 // mayBeTakenLater reports whether the server of the first attempt may take it when the pod has forgotten a
-// repeat that is sent now. Of an attempt whose connection broke, the server has read it or mostly never will:
-// there only a stall that was seen lately counts.
+// repeat that is sent now. Of an attempt whose connection broke, the server has read it or mostly never will,
+// and of one that its caller ended, the caller knows more: there only a stall that was seen lately counts.
 func (b *Balancer) mayBeTakenLater(first *attempt, window time.Duration) bool {
 	s := first.server
 	switch {
@@ -109,7 +109,7 @@
 		return false
 	case s.stalls.answeredSend >= first.sentAt:
 		return false
-	case first.isReset:
+	case first.isBrokenOff:
 		return first.sentAt+b.maxTakeDelay(s) >= b.now+window
 	}
 	return true
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -38,7 +38,7 @@
 	sentAt        time.Duration
 	isInFlight    bool
 	hasNotRun     bool // its outcome proves that it had no effect
-	isReset       bool // its connection broke before an answer
+	isBrokenOff   bool // its connection broke, or its caller ended it, before an answer
 	isSendingBody bool // the request's body still arrives: the server owes nothing yet
 }
 
@@ -130,7 +130,8 @@
 		return
 	}
 	a := r.attempts[o.Attempt]
-	a.isInFlight, a.hasNotRun, a.isReset = false, o.Result.provesNotRun(), o.Result == Reset
+	a.isInFlight, a.hasNotRun = false, o.Result.provesNotRun()
+	a.isBrokenOff = o.Result == Reset || o.Result == Cancelled
 	r.inFlight--
 	a.server.inFlight = slices.DeleteFunc(a.server.inFlight, func(other *attempt) bool { return other == a })
 	b.recordReport(a.server, o.Report)
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io/fs"
 	"path/filepath"
 	"runtime"
@@ -309,9 +310,12 @@
 func playsCleanly(t *testing.T, s Script) {
 	t.Helper()
 	for seed := range uint64(8) {
-		if d := Simulate(s, seed+1); len(d.Violations) > 0 {
-			t.Errorf("seed %d: %d broken, the first %v", seed+1, d.ViolationCount, d.Violations[0])
-		}
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			if d := Simulate(s, seed+1); len(d.Violations) > 0 {
+				t.Errorf("%d broken, the first %v", d.ViolationCount, d.Violations[0])
+			}
+		})
 	}
 }
 
