Engine: a test that admission is told of bound calls

Read again: the controller's part of the bound call had a test, and that the engine says so had none.

--- a/internal/engine/admission_test.go
+++ b/internal/engine/admission_test.go
@@ -85,6 +85,25 @@
 	}
 }
 
+// A call that may go only to the candidates of its caller is told to admission as bound, and one that may go anywhere is not.
+func TestAdmissionIsToldOfBoundCalls(t *testing.T) {
+	b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 1, Classes: testClasses()}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, k, s := time.Second, &fakeAdmission{}, &recordingTransport{}
+	e := New(b, ManualClock(&now), noPool{}, slog.New(slog.DiscardHandler))
+	e.SetAdmission(k)
+	e.Start()
+	e.Handle(EndpointUpdate{Full: true, Members: []Member{{Server: balancer.Server{ID: "s"}}}})
+	for i, candidates := range [][]string{nil, {"s"}} {
+		e.Handle(CallArrived(&Call{ID: string(rune('a' + i)), Deadline: now + deadline, Transport: s, Responder: &recordingResponder{}, Candidates: candidates}))
+		if last := k.requests[len(k.requests)-1]; last.IsBound != (candidates != nil) {
+			t.Errorf("candidates %v: %+v", candidates, last)
+		}
+	}
+}
+
 // A request is known not to have run. Its next attempt may run, and how that ended is evicted from the cache. A further attempt
 // must not pass as one of a request that never ran: it would run twice.
 func TestRetryIsFailedAfterOutcomeIsEvicted(t *testing.T) {
