Tests: one set-up for on-demand sources and one for a controller that tries servers

Read again: the set-ups stood in four and in two tests. Lines that left are set-up; a cached list that can't be read now fails a test, where it was ignored. No check changes; both packages pass.

--- a/internal/fleet/recovery/recovery_test.go
+++ b/internal/fleet/recovery/recovery_test.go
@@ -366,13 +366,19 @@
 	}
 }
 
-// A request that may have run goes to its pod whatever the controller chooses. It must not mark a trial of a server that it is never
-// sent to: the server would count as one that hangs, and be left alone for longer.
-func TestRequestThatMayHaveRunMarksNoTrial(t *testing.T) {
+// newTryingController returns a controller that tries servers after an outage, and the time.
+func newTryingController() (*Controller, time.Duration) {
 	r := New(testOptions(1, 0), nil)
 	r.Start(start, testBaseline(6, 40, 20, 0.5), "power")
 	now := start + 2*second
 	r.Tick(now)
+	return r, now
+}
+
+// A request that may have run goes to its pod whatever the controller chooses. It must not mark a trial of a server that it is never
+// sent to: the server would count as one that hangs, and be left alone for longer.
+func TestRequestThatMayHaveRunMarksNoTrial(t *testing.T) {
+	r, now := newTryingController()
 	again := request(refund)
 	again.MayHaveRun = true
 	permit, _ := r.Arrive(now, again)
@@ -387,10 +393,7 @@
 // A request that may go only to servers which its caller or a pool names is admitted at the rate of trials and marks none: no answer would
 // come from the server that the controller chose, and the trial would count as failed.
 func TestBoundRequestMarksNoTrial(t *testing.T) {
-	r := New(testOptions(1, 0), nil)
-	r.Start(start, testBaseline(6, 40, 20, 0.5), "power")
-	now := start + 2*second
-	r.Tick(now)
+	r, now := newTryingController()
 	bound := request(form)
 	bound.IsBound = true
 	admitted := 0
--- a/internal/membership/platform/ondemand_test.go
+++ b/internal/membership/platform/ondemand_test.go
@@ -78,6 +78,18 @@
 	return l.Addr().String()
 }
 
+// runFromCachedList runs an on-demand source, of which the balancer asks for the list once, from a cached list with one server, s-old.
+func runFromCachedList(t *testing.T, d *Discovery, events agenttest.Sink) {
+	t.Helper()
+	var err error
+	if d.cachedList, err = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0)))); err != nil {
+		t.Fatal(err)
+	}
+	d.Subscribe()
+	runUntilTestEnds(t, d, events)
+	nextUpdate(t, events)
+}
+
 // subscribeAfterLosses subscribes again each time the list is lost, as the balancer does, until the test ends.
 func subscribeAfterLosses(t *testing.T, d *Discovery, losses <-chan error) {
 	ended := make(chan struct{})
@@ -184,10 +196,7 @@
 	addr := s.start(t)
 	d, events := newTestDiscovery(t, addr, io.Discard)
 	d.onDemand, d.maxWatchTimeout, d.maxBackoff = true, 10*time.Millisecond, time.Hour // so that neither the balancer nor a timer repeats the call
-	d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
-	d.Subscribe()
-	runUntilTestEnds(t, d, events)
-	nextUpdate(t, events) // the cached list
+	runFromCachedList(t, d, events)
 	if u := nextUpdate(t, events); len(u.Members) != 1 || u.Members[0].State != balancer.Draining {
 		t.Errorf("received %+v, want the drain", u)
 	}
@@ -209,10 +218,7 @@
 			addr := s.start(t)
 			d, events := newTestDiscovery(t, addr, io.Discard)
 			d.onDemand, d.maxWatchTimeout = true, 10*time.Millisecond
-			d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
-			d.Subscribe()
-			runUntilTestEnds(t, d, events)
-			nextUpdate(t, events) // the cached list
+			runFromCachedList(t, d, events)
 			agenttest.Eventually(t, "the watch is open", func() bool { return len(s.recordedCalls()) > 0 })
 			began := time.Now()
 			if u := nextUpdate(t, events); len(u.Members) != 1 || u.Members[0].State != balancer.Draining {
@@ -233,10 +239,7 @@
 	addr := s.start(t)
 	d, events := newTestDiscovery(t, addr, io.Discard)
 	d.onDemand, d.maxWatchTimeout, d.maxBackoff = true, 10*time.Millisecond, time.Hour // so that only the call itself can bring the list
-	d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
-	d.Subscribe()
-	runUntilTestEnds(t, d, events)
-	nextUpdate(t, events) // the cached list
+	runFromCachedList(t, d, events)
 	if u := nextUpdate(t, events); len(u.Members) != 1 || u.Members[0].State != balancer.Draining {
 		t.Errorf("received %+v, want the drain", u)
 	}
@@ -253,10 +256,7 @@
 	addr := s.start(t)
 	d, events := newTestDiscovery(t, addr, io.Discard)
 	d.onDemand, d.maxBackoff = true, 20*time.Millisecond
-	d.cachedList, _ = listing.Parse([]byte(agenttest.ListText(41, true, agenttest.EntryText("s-old", "127.0.0.1:1", "Ready", 0))))
-	d.Subscribe() // once: the balancer says no more
-	runUntilTestEnds(t, d, events)
-	nextUpdate(t, events) // the cached list
+	runFromCachedList(t, d, events)
 	if u := nextUpdate(t, events); len(u.Members) != 1 || u.Members[0].State != balancer.Draining {
 		t.Errorf("received %+v, want the drain", u)
 	}
