--- a/internal/engine/admission_test.go
+++ b/internal/engine/admission_test.go
@@ -43,18 +43,26 @@
 
 func (e *recordingResponder) Answer(a Answer) { *e = append(*e, a) }
 
-// A call that admission rejects is answered at once with when to come back, and the balancer doesn't learn of it. Admission learns
-// of each end of a call that it let in, once. A proxy's further attempt is marked as one that may have run, as an earlier one may.
-func TestAdmissionRejectsAndLearnsEachOutcomeOnce(t *testing.T) {
+// newAdmissionEngine returns an engine with one server at a time that stands still, what it asks for admission, and its transport.
+func newAdmissionEngine(t *testing.T, now time.Duration) (*Engine, *fakeAdmission, *recordingTransport) {
+	t.Helper()
 	b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 1, Classes: testClasses()}, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	now, k, s := time.Second, &fakeAdmission{}, &recordingTransport{}
+	k, s := &fakeAdmission{}, &recordingTransport{}
 	e := New(b, ManualClock(&now), noPool{}, slog.New(slog.DiscardHandler))
 	e.SetAdmission(k)
 	e.Start()
 	e.Handle(EndpointUpdate{Full: true, Members: []Member{{Server: balancer.Server{ID: "s"}}}})
+	return e, k, s
+}
+
+// A call that admission rejects is answered at once with when to come back, and the balancer doesn't learn of it. Admission learns
+// of each end of a call that it let in, once. A proxy's further attempt is marked as one that may have run, as an earlier one may.
+func TestAdmissionRejectsAndLearnsEachOutcomeOnce(t *testing.T) {
+	const now = time.Second
+	e, k, s := newAdmissionEngine(t, now)
 	call := func(id string, attempt int) (*Call, *recordingResponder) {
 		answers := &recordingResponder{}
 		c := &Call{ID: id, Class: 1, Effect: balancer.IdempotentByKey, IdempotencyWindow: window, Deadline: now + deadline, IdempotencyKey: "key-" + id, Transport: s, Responder: answers, CallerAttempt: attempt}
@@ -87,15 +95,8 @@
 
 // A call that may go only to the candidates of its caller is told to admission as bound, and one that may go anywhere is not.
 func TestAdmissionIsToldOfBoundCalls(t *testing.T) {
-	b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 1, Classes: testClasses()}, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	now, k, s := time.Second, &fakeAdmission{}, &recordingTransport{}
-	e := New(b, ManualClock(&now), noPool{}, slog.New(slog.DiscardHandler))
-	e.SetAdmission(k)
-	e.Start()
-	e.Handle(EndpointUpdate{Full: true, Members: []Member{{Server: balancer.Server{ID: "s"}}}})
+	const now = time.Second
+	e, k, s := newAdmissionEngine(t, now)
 	for i, candidates := range [][]string{nil, {"s"}} {
 		e.Handle(CallArrived(&Call{ID: string(rune('a' + i)), Deadline: now + deadline, Transport: s, Responder: &recordingResponder{}, Candidates: candidates}))
 		if last := k.requests[len(k.requests)-1]; last.IsBound != (candidates != nil) {
