Engine: an attempt says whether it repeats by key what may have run

Ground for the next commits: nothing reads these fields yet. Of an outcome it can be said that the server has not read the head, and a script can state that servers send no 100 (Continue).

--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -35,6 +35,7 @@
 
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
+	IsKeyedRepeat  bool          // it repeats, under an idempotency key, what may have run
 
 	writtenAt    atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
 	isOverBudget bool          // it is Forbidden by the fleet's retry budget
@@ -75,6 +76,7 @@
 	Report  balancer.Report
 	Payload any  // of an OK: what the client gets
 	Private bool // of an OK: the server says that it is for this client alone
+	Unread  bool // of a NotSent: the server had its head and did not ask for its body in time
 	// FromOtherServer says that the result is that of a server which the balancer did not choose. What the chosen one did is
 	// not known then, nor where the request may have run.
 	FromOtherServer bool
@@ -117,6 +119,7 @@
 		c.mayHaveRunSince = now
 	} else if c.IdempotencyWindow > 0 { // the balancer judges by the time now, but the dial may outlast the window
 		a.WriteDeadline = min(a.Deadline, c.mayHaveRunSince+c.IdempotencyWindow-act.TakeDelay)
+		a.IsKeyedRepeat = true
 	}
 	c.attemptsMade++
 	c.inFlight++
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -33,7 +33,9 @@
 	Agents  int `toml:"agents"`
 	// RejectsAbandoned: servers don't run a request whose sender has given it up before they take it.
 	RejectsAbandoned bool `toml:"rejects_abandoned"`
-	DedupWindow      Span `toml:"window"` // for which a pod drops repeats, a single time; 0: defaultWindow
+	// OmitsContinue: servers send no 100 (Continue) to a request that expects one.
+	OmitsContinue bool `toml:"omits_continue"`
+	DedupWindow   Span `toml:"window"` // for which a pod drops repeats, a single time; 0: defaultWindow
 }
 
 // dedupWindow returns for how long a pod drops repeats.
