Engine tests: each repeat by key of what may have run is marked as one

The transport holds the body of a repeat back until its server shows that it reads, and knows a repeat by Attempt.IsKeyedRepeat alone. Nothing held that the ways to a repeat set it. Through the engine: retries after a reset, a 500 and a time-out, a hedge, an upload, an external caller that comes again, a client's retry under another id, a retry that a recovery restricts; first attempts, those behind one that never ran, and the two other effects are not marked, and what may have run before the start is not sent at all.

--- /dev/null
+++ b/internal/engine/repeat_test.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"appleledge/internal/affinity"
+	"appleledge/internal/balancer"
+)
+
+// Classes of testClasses, by number.
+const (
+	safeClass = iota
+	keyedClass
+	unsafeClass
+)
+
+// repeatFixture is a bindingFixture whose balancer hedges.
+type repeatFixture struct{ *bindingFixture }
+
+func newRepeatFixture(t *testing.T, newFixture func(*testing.T, func(*bindingFixture)) *bindingFixture, change func(*bindingFixture)) *repeatFixture {
+	return &repeatFixture{newFixture(t, func(x *bindingFixture) {
+		b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 4, AllowHedging: true, Classes: testClasses()}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		recovery := x.recovery
+		x.Engine = New(b, ManualClock(&x.now), noPool{}, slog.New(slog.DiscardHandler))
+		x.SetAffinity(affinity.New(affinity.Options{MaxEntries: 100, DedupWindow: window, LateRetryPeriod: time.Minute}), affinity.Secret{}, x.log)
+		if recovery != nil {
+			x.SetRecovery(recovery.controller, recovery.isConfirmed, recovery.changed)
+		}
+		change(x)
+	})}
+}
+
+// arrive brings a call, and returns its first attempt; nil: none is sent.
+func (x *repeatFixture) arrive(class int, change func(*Call)) *Attempt {
+	x.lastID++
+	c := &Call{ID: fmt.Sprint("r", x.lastID), Class: class, Effect: testClasses()[class].Effect, IdempotencyWindow: testClasses()[class].DedupWindow,
+		Deadline: x.now + deadline, Transport: x.transport, Responder: &recordingResponder{}}
+	if class == keyedClass {
+		c.IdempotencyKey = "key of " + c.ID
+	}
+	change(c)
+	return x.sentBy(func() { x.Handle(CallArrived(c)) })
+}
+
+// sentBy returns the attempt that something makes the engine send; nil: none.
+func (x *repeatFixture) sentBy(event func()) *Attempt {
+	before := len(x.transport.attempts)
+	event()
+	if len(x.transport.attempts) == before {
+		return nil
+	}
+	return x.transport.attempts[before]
+}
+
+// answerOthers lets all servers answer calls that are sent from now on, so that they have read what was sent before.
+func (x *repeatFixture) answerOthers() {
+	x.now += 10 * time.Millisecond
+	for i := range 60 { // so many that the retry budget allows hedges
+		x.endAttempt(x.arrive(safeClass, func(c *Call) { c.Candidates = []string{fmt.Sprint("s", i%4)} }), balancer.OK)
+	}
+}
+
+// retryAfter returns the retry of a call whose first attempt has ended so; nil: none.
+func (x *repeatFixture) retryAfter(class int, result balancer.Result, change func(*Call)) *Attempt {
+	first := x.arrive(class, change)
+	x.answerOthers()
+	return x.sentBy(func() { x.endAttempt(first, result) })
+}
+
+// hedge returns the hedged attempt of a call that is late.
+func (x *repeatFixture) hedge(class int) (first, second *Attempt) {
+	first = x.arrive(class, func(*Call) {})
+	x.answerOthers()
+	x.now += 450 * time.Millisecond
+	return first, x.sentBy(func() { x.Handle(nil) })
+}
+
+// resume returns the attempt that an external caller gets when it comes again after a reset.
+func (x *repeatFixture) resume() *Attempt {
+	key := fmt.Sprint("external ", x.lastID)
+	call := func(p *recordingProxy, attempt int) {
+		x.Handle(CallArrived(&Call{ID: key, Class: keyedClass, Effect: balancer.IdempotentByKey, IdempotencyWindow: window, IdempotencyKey: key,
+			Deadline: x.now + deadline, Responder: p, CallerAttempt: attempt}))
+	}
+	first, second := &recordingProxy{}, &recordingProxy{}
+	call(first, 1)
+	x.answerOthers()
+	x.endAttempt(first.attempts[0], balancer.Reset)
+	call(second, 2)
+	return second.attempts[0]
+}
+
+// unreadUpload is a large body of which each attempt can send all.
+type unreadUpload struct{}
+
+func (unreadUpload) Consumed() bool { return false }
+
+// A repeat, under its key, of what may have run reaches its transport as such: the transport then sends the body only to a server
+// that reads, as one that has stopped may take it when the key is forgotten. What has not run, what may run as often as it likes and
+// what is not repeated at all are sent as they are.
+func TestRepeatsByKeyAreMarked(t *testing.T) {
+	same := func(*Call) {}
+	upload := func(c *Call) { c.Upload = unreadUpload{} }
+	failUnknown := func(x *bindingFixture) { x.FailUnknownRepeatsUntil(x.now + time.Minute) }
+	const marked, unmarked, notSent = "marked", "unmarked", "not sent"
+	for name, c := range map[string]struct {
+		attempt func(*repeatFixture) *Attempt
+		want    string
+	}{
+		"retry after a reset":    {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.Reset, same) }, marked},
+		"retry after a 500":      {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.Failed, same) }, marked},
+		"retry after a time-out": {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.TimedOut, same) }, marked},
+		"hedge":                  {func(x *repeatFixture) *Attempt { _, a := x.hedge(keyedClass); return a }, marked},
+		"upload after a reset":   {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.Reset, upload) }, marked},
+		"external caller's next": {func(x *repeatFixture) *Attempt { return x.resume() }, marked},
+		"client's retry under another id": {func(x *repeatFixture) *Attempt {
+			x.arrive(keyedClass, func(c *Call) { c.IdempotencyKey = "k" })
+			return x.arrive(keyedClass, func(c *Call) { c.IdempotencyKey = "k" })
+		}, marked},
+		"first attempt":              {func(x *repeatFixture) *Attempt { return x.arrive(keyedClass, same) }, unmarked},
+		"behind one not connected":   {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.ConnectFailed, same) }, unmarked},
+		"behind one turned away":     {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.Rejected, same) }, unmarked},
+		"behind one that isn't sent": {func(x *repeatFixture) *Attempt { return x.retryAfter(keyedClass, balancer.NotSent, same) }, unmarked},
+		"idempotent, after a reset":  {func(x *repeatFixture) *Attempt { return x.retryAfter(safeClass, balancer.Reset, same) }, unmarked},
+		"idempotent, hedge":          {func(x *repeatFixture) *Attempt { _, a := x.hedge(safeClass); return a }, unmarked},
+		"unsafe, after a reset":      {func(x *repeatFixture) *Attempt { return x.retryAfter(unsafeClass, balancer.Reset, same) }, notSent},
+		"unsafe, not connected":      {func(x *repeatFixture) *Attempt { return x.retryAfter(unsafeClass, balancer.ConnectFailed, same) }, unmarked},
+	} {
+		got := notSent
+		if a := c.attempt(newRepeatFixture(t, newBindingFixture, func(*bindingFixture) {})); a != nil && a.IsKeyedRepeat {
+			got = marked
+		} else if a != nil {
+			got = unmarked
+		}
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+	x := newRepeatFixture(t, newRecoveryFixture, func(*bindingFixture) {})
+	if a := x.retryAfter(keyedClass, balancer.Reset, same); a == nil || !a.IsKeyedRepeat || a.ConnectedSince == 0 {
+		t.Errorf("retry where a recovery restricts it: %+v", a)
+	}
+	x = newRepeatFixture(t, newRecoveryFixture, failUnknown)
+	if a := x.arrive(keyedClass, func(c *Call) { c.ClientRetry = true }); a != nil {
+		t.Errorf("what may have run before the start is sent: %+v", a)
+	}
+}
