Engine: a repeat behind a hedge counts from the hedge's send

The next attempt counted as a first one: written until the deadline (3 s in the test) and not only inside the window (2.46 s), so that the pod may have forgotten the hedge's run. A process told to end promised that trying again is harmless.

Cause: Call.attemptEnded cleared mayHaveRunSince with the first attempt, also while its hedge was in flight or had run. The balancer goes by firstThatMayHaveRun and was right.

Evidence: TestHedgeCountsAsSentWhereTheFirstAttemptNeverRan failed for each of the three results that prove that an attempt never ran, and passes now.

Now the call keeps the later sends that may have run, and goes on with the first of those that are left. A request with one attempt keeps none.

--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -115,12 +116,11 @@
 		a.Deadline = min(a.Deadline, now+act.After)
 	}
 	a.WriteDeadline = a.Deadline
-	if c.mayHaveRunSince == 0 {
-		c.mayHaveRunSince = now
-	} else if c.IdempotencyWindow > 0 { // the balancer judges by the time now, but the dial may outlast the window
+	if c.mayHaveRunSince != 0 && c.IdempotencyWindow > 0 { // the balancer judges by the time now, but the dial may outlast the window
 		a.WriteDeadline = min(a.Deadline, c.mayHaveRunSince+c.IdempotencyWindow-act.TakeDelay)
 		a.IsKeyedRepeat = true
 	}
+	c.noteSend(now)
 	c.attemptsMade++
 	c.inFlight++
 	return a
@@ -166,9 +166,30 @@
 	c.attemptsEnded++
 	switch result {
 	case balancer.NotSent, balancer.ConnectFailed, balancer.Rejected:
-		if c.mayHaveRunSince == a.Sent {
-			c.mayHaveRunSince = 0
-		}
+		c.withdrawSend(a.Sent)
+	}
+}
+
+// noteSend notes when an attempt was sent that may run.
+func (c *Call) noteSend(at time.Duration) {
+	if c.mayHaveRunSince == 0 {
+		c.mayHaveRunSince = at
+		return
+	}
+	c.laterSends = append(c.laterSends, at)
+}
+
+// withdrawSend takes back the send of an attempt that has not run. The call may have run since the next of the others.
+func (c *Call) withdrawSend(at time.Duration) {
+	switch i := slices.Index(c.laterSends, at); {
+	case c.mayHaveRunSince != at && i >= 0:
+		c.laterSends = slices.Delete(c.laterSends, i, i+1)
+	case c.mayHaveRunSince != at:
+	case len(c.laterSends) > 0:
+		c.mayHaveRunSince = c.laterSends[0]
+		c.laterSends = c.laterSends[1:]
+	default:
+		c.mayHaveRunSince = 0
 	}
 }
 
--- a/internal/engine/repeat_test.go
+++ b/internal/engine/repeat_test.go
@@ -151,3 +151,26 @@
 		t.Errorf("what may have run before the start is sent: %+v", a)
 	}
 }
+
+// The first attempt of a refund is late, so that it is hedged. Then its server turns it away: it never ran. The hedge may have run,
+// and its connection breaks. The next attempt repeats the hedge: it is marked as a repeat, and has to be written inside the window
+// that began with the hedge. A forced answer must not promise that trying again is harmless.
+func TestHedgeCountsAsSentWhereTheFirstAttemptNeverRan(t *testing.T) {
+	for _, result := range []balancer.Result{balancer.Rejected, balancer.ConnectFailed, balancer.NotSent} {
+		x := newRepeatFixture(t, newBindingFixture, func(*bindingFixture) {})
+		first, hedge := x.hedge(keyedClass)
+		x.endAttempt(first, result)
+		x.answerOthers()
+		again := x.sentBy(func() { x.endAttempt(hedge, balancer.Reset) })
+		if again == nil || !again.IsKeyedRepeat || again.WriteDeadline > hedge.Sent+window {
+			t.Errorf("result %v: the attempt behind the hedge is %+v", result, again)
+		}
+		x = newRepeatFixture(t, newBindingFixture, func(*bindingFixture) {})
+		first, _ = x.hedge(keyedClass)
+		x.endAttempt(first, result)
+		x.Handle(answerForced{first.Call})
+		if answers := *first.Call.Responder.(*recordingResponder); len(answers) != 1 || answers[0].Kind != Failed {
+			t.Errorf("result %v: the forced answer is %+v", result, answers)
+		}
+	}
+}
