Upstream: a repeat by key is written in two steps, its body behind 100 (Continue)

The pod forgets the key, the stall ends, and the server runs the repeat: the money goes out twice.

Cause: a repeat was written whole, on what was known of its server when it was decided. A stall shows itself only by what does not come, so that its first moments look like health.

Now the head goes out with Expect: 100-continue (RFC 9110, 10.1.1), and the body when 100 has come and maySend still holds. A backend begins a request with its last byte, so what stays without it has not run. What a server does is learned, per incarnation, from keyed first attempts, which are written at once as before. Servers that send no 100 get repeats as before.

Lines that left tests, and why what stands there is as strict: - clients_test.go, TestForwardedHeaders asked that no header but eight named ones reaches a backend. The agent's own Expect does now, on a first keyed attempt to a backend of which nothing is known, so that the old list would refuse what is meant. The same eight names are asked for, all else is refused as before, now on two requests in place of one; Expect has to be exactly "100-continue" on the first and absent on the second. A client's own header can't pass: it is made by the agent, behind the list of what is forwarded. - golden_test.go of upstream/http1, TestGoldenAttempt: encodeRequest takes what an attempt expects, writeUpload gives its result by the outcome, as RoundTrip does. The same four attempts, the same committed bytes, and the same failure where one is not written.

--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -169,28 +169,35 @@
 	}
 }
 
-// Only what a backend needs goes on to it: other headers could change how it reads the message.
+// Only what a backend needs goes on to it: other headers could change how it reads the message. Expect is the agent's own, and comes once:
+// the backend answers without 100 (Continue), so that it is known to send none.
 func TestForwardedHeaders(t *testing.T) {
 	b := newBackend(t, says(served))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
-	r := a.newRequest(t, http.MethodPost, "/refund-record", "x")
-	for _, name := range []string{"Te", "Upgrade", "Trailer", "Keep-Alive", "X-Not-Processed", "Cookie", "X-Server-Load"} {
-		r.Header.Set(name, "x")
-	}
-	r.Header.Set("X-Attrs", "a=1")
-	if got := send(t, r.WithContext(context.Background())); got.status != http.StatusOK {
-		t.Fatalf("%+v", got)
-	}
-	seen, _ := b.Request(0)
-	for name := range seen.Header {
-		switch name {
-		case "X-Request-Id", "Idempotency-Key", "X-Tenant-Id", "X-Route-Key", "X-Timeout", "X-Attrs", "User-Agent", "Content-Length":
-		default:
-			t.Errorf("%s went on", name)
+	for n, expect := range []string{"100-continue", ""} {
+		r := a.newRequest(t, http.MethodPost, "/refund-record", "x")
+		for _, name := range []string{"Te", "Upgrade", "Trailer", "Keep-Alive", "X-Not-Processed", "Cookie", "X-Server-Load"} {
+			r.Header.Set(name, "x")
+		}
+		r.Header.Set("X-Attrs", "a=1")
+		if got := send(t, r.WithContext(context.Background())); got.status != http.StatusOK {
+			t.Fatalf("%+v", got)
+		}
+		seen, _ := b.Request(n)
+		if got := seen.Header.Get("Expect"); got != expect {
+			t.Errorf("request %d expects %q, want %q", n, got, expect)
+		}
+		seen.Header.Del("Expect")
+		for name := range seen.Header {
+			switch name {
+			case "X-Request-Id", "Idempotency-Key", "X-Tenant-Id", "X-Route-Key", "X-Timeout", "X-Attrs", "User-Agent", "Content-Length":
+			default:
+				t.Errorf("%s went on", name)
+			}
+		}
+		if seen.Header.Get("X-Attrs") != "a=1" {
+			t.Error("X-Attrs did not go on")
 		}
-	}
-	if seen.Header.Get("X-Attrs") != "a=1" {
-		t.Error("X-Attrs did not go on")
 	}
 }
 
--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -85,6 +85,7 @@
 	}
 	add("withheld_retries", stats.Balancer.WithheldRetries)
 	add("withheld_hedges", stats.Balancer.WithheldHedges)
+	add("unread_repeats", stats.Balancer.UnreadRepeats)
 	add("dials", p.Dials)
 	add("dials_failed", p.FailedDials)
 	add("conns_reused", p.Reused)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -268,6 +268,7 @@
 	PeakServedRate       float64 // highest rate of answers to this balancer of late, per second
 	WithheldRetries      uint64  // requests without a further attempt, as servers take requests too late
 	WithheldHedges       uint64  // requests that were not hedged for the same reason
+	UnreadRepeats        uint64  // repeats whose body was withheld, as their server did not read their head
 }
 
 // Stats returns the estimates as of the latest event.
@@ -276,7 +277,8 @@
 		InFlightLatencyRatio: b.shedder.inFlightLatencyRatio, ShedRatio: b.shedder.ratio, SubsetSize: b.subset.size,
 		WarmingUp: len(b.slowStart.warming), Ejected: len(b.outliers.ejected),
 		PeakServedRate:  b.traffic.peakServedRate,
-		WithheldRetries: b.repeats.withheldRetries, WithheldHedges: b.repeats.withheldHedges}
+		WithheldRetries: b.repeats.withheldRetries, WithheldHedges: b.repeats.withheldHedges,
+		UnreadRepeats: b.repeats.unread}
 }
 
 // Ejected returns the ids of the servers that outlier ejection keeps out at present.
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -121,7 +121,9 @@
 		RequestClosed bool          // the request needs no final answer any more
 		// RetryForbidden says of a NotSent that the caller's own budget allows the request no further attempt.
 		RetryForbidden bool
-		Report         Report
+		// Unread says of a NotSent that the server did not read the attempt's head in the time allowed.
+		Unread bool
+		Report Report
 	}
 	// ResponseStarted says that a streamed answer has begun: the attempt can't be replaced any more.
 	ResponseStarted struct {
--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -29,6 +29,7 @@
 type stallHistory struct {
 	answeredAt        time.Duration // the server's latest answer
 	answeredSend      time.Duration // the latest send among the attempts that it answered
+	unreadSend        time.Duration // the latest send among the attempts whose head it did not read in time
 	unanswered        int           // attempts in a row that it left without one
 	current, previous time.Duration
 	since             time.Duration // when the current period began
@@ -74,6 +75,11 @@
 		if h.unanswered++; h.unanswered >= minUnanswered {
 			h.record(b.now, stallMemoryHorizons*b.horizon, unknownDelay)
 		}
+	case NotSent:
+		if o.Unread {
+			h.unreadSend = max(h.unreadSend, a.sentAt)
+			b.repeats.unread++
+		}
 	case ConnectFailed:
 		*h = stallHistory{answeredAt: b.now, answeredSend: h.answeredSend}
 	}
@@ -115,9 +121,12 @@
 	return true
 }
 
-// isSilent reports whether the server owes an answer for longer than is usual, and has answered nothing that
-// was sent since: it may have stopped reading.
+// isSilent reports whether the server owes an answer for longer than is usual, or has not read the head of a
+// repeat, and has answered nothing that was sent since: it may have stopped reading.
 func (b *Balancer) isSilent(s *server) bool {
+	if s.stalls.unreadSend > s.stalls.answeredSend {
+		return true
+	}
 	for _, a := range s.inFlight {
 		waited := float64(b.now - a.sentAt)
 		if !a.isSendingBody && a.sentAt > s.stalls.answeredSend && waited > b.classLatency[a.request.Class] {
@@ -132,4 +141,5 @@
 	isWithheld      bool   // isRecognizedAt has refused a server only for a stall, since this was cleared
 	withheldRetries uint64 // requests that got no further attempt for that
 	withheldHedges  uint64 // requests that were not hedged for that
+	unread          uint64 // repeats whose head their server did not read in time
 }
--- a/internal/balancer/repeat_test.go
+++ b/internal/balancer/repeat_test.go
@@ -218,3 +218,27 @@
 		}
 	}
 }
+
+// A server that did not read the head of a repeat in time may have stopped reading. Until it answers something that was sent later, no repeat by
+// key goes there; other requests do, and show when it reads again.
+func TestNoRepeatToAServerThatLeftAHeadUnread(t *testing.T) {
+	for name, answers := range map[string]bool{"silent": false, "has answered since": true} {
+		h := newTestBalancer(t, testSettings(), 1, 1) // both in one cell
+		h.serve(50, "s0")
+		h.at += time.Millisecond
+		unread := h.sendKeyedTo("s1")
+		h.Handle(h.at, Outcome{Request: unread, Server: "s1", Result: NotSent, Unread: true, RequestClosed: true, Report: NoReport})
+		h.at += time.Millisecond
+		if answers {
+			h.answerFrom("s1")
+		}
+		id := h.sendKeyedTo("s0")
+		actions := h.end(id, "s0", 0, Reset, NoReport)
+		if len(actions) != 1 || (actions[0].Kind == Send && actions[0].Server == "s1") != answers {
+			t.Errorf("%s: %+v", name, actions)
+		}
+		if n := h.Stats().UnreadRepeats; n != 1 {
+			t.Errorf("%s: %d repeats are counted as unread", name, n)
+		}
+	}
+}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -153,7 +153,7 @@
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
 		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report,
-		RetryForbidden: a.isOverBudget})
+		RetryForbidden: a.isOverBudget, Unread: o.Unread})
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -201,7 +201,15 @@
 		})
 		return
 	}
-	w.scheduleAfter(w.drawNetworkDelay(), func() { s.receive(func() { s.handleAttempt(at, &timedOut, ended) }) })
+	write := func() {
+		w.scheduleAfter(w.drawNetworkDelay(), func() { s.receive(func() { s.handleAttempt(at, &timedOut, ended) }) })
+	}
+	if !at.IsKeyedRepeat || w.script.Fleet.OmitsContinue {
+		write()
+		return
+	}
+	confirmation := continueExchange{agent: a, life: life, attempt: at, server: s, write: write, ended: ended}
+	confirmation.start()
 }
 
 // isForbidden reports whether an attempt must not be sent, by the rule of the real transport: one with ConnectedSince uses
--- /dev/null
+++ b/internal/scenario/sim_continue.go
@@ -0,0 +1,70 @@
+package scenario
+
+import (
+	"time"
+
+	"appleledge/internal/balancer"
+	"appleledge/internal/engine"
+)
+
+// maxContinueWait is how long a repeat waits for 100 (Continue), as in the real transport.
+const maxContinueWait = 200 * time.Millisecond
+
+// continueExchange sends a repeat as the real transport does to a server that sends 100 (Continue): its head first, and its body
+// when the server has read that. What servers do is known from the start: there is nothing to learn.
+type continueExchange struct {
+	agent   *simAgent
+	life    int // the agent's incarnation
+	attempt *engine.Attempt
+	server  *simServer
+	write   func() // sends the body
+	ended   func(balancer.Result, balancer.Report)
+	isOver  bool // the body is written, or will not be
+}
+
+// start sends the head.
+func (c *continueExchange) start() {
+	w := c.agent.sim
+	w.schedule(min(c.attempt.WriteDeadline, w.now+maxContinueWait), c.giveUp)
+	w.scheduleAfter(w.drawNetworkDelay(), func() { c.server.receive(c.headRead) })
+}
+
+// giveUp ends an attempt whose head was not read in time.
+func (c *continueExchange) giveUp() {
+	if c.isOver {
+		return
+	}
+	c.isOver = true
+	if c.agent.incarnation == c.life {
+		c.agent.handle(engine.Outcome{Attempt: c.attempt, Result: balancer.NotSent, Report: balancer.NoReport, Unread: true})
+	}
+}
+
+// headRead lets the server answer a head that it has read.
+func (c *continueExchange) headRead() {
+	w := c.agent.sim
+	if c.isOver {
+		return
+	}
+	w.scheduleAfter(w.drawNetworkDelay(), c.continued)
+}
+
+// continued writes the body, if the attempt may still be sent.
+func (c *continueExchange) continued() {
+	if c.isOver {
+		return
+	}
+	c.isOver = true
+	if !c.maySend() {
+		c.ended(balancer.NotSent, balancer.NoReport)
+		return
+	}
+	c.write()
+}
+
+// maySend reports whether the body may be written, by the rule of the real transport.
+func (c *continueExchange) maySend() bool {
+	w, s := c.agent.sim, c.server
+	return c.agent.incarnation == c.life && w.now < c.attempt.WriteDeadline && !c.attempt.Call.Closed() &&
+		w.serversByID[s.id] == s && c.agent.knownServers[s.id].state == balancer.Ready
+}
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -338,6 +338,26 @@
 	playsCleanly(t, s)
 }
 
+// Guards against a refund that runs twice because a reset made the agent repeat it to a server that stalled just then and sends no 100 (Continue).
+func TestRefundsRunOnceWhereARepeatMeetsAStallWithoutContinue(t *testing.T) {
+	s, err := LoadScript("../../scenarios/22-resets-while-servers-stall.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Fleet.OmitsContinue = true
+	playsCleanly(t, s)
+}
+
+// Guards against a refund that runs twice where servers that read late send no 100 (Continue), so that hedges are written at once.
+func TestRefundsRunOnceWhereServersReadLateWithoutContinue(t *testing.T) {
+	s, err := LoadScript("../../scenarios/21-server-reads-late.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Fleet.OmitsContinue = true
+	playsCleanly(t, s)
+}
+
 // Servers that don't run what was given up before they took it run no refund twice, whenever they stall.
 func TestServersThatRejectAbandonedRequestsRunRefundsOnce(t *testing.T) {
 	for _, file := range []string{"21-server-reads-late.toml", "22-resets-while-servers-stall.toml"} {
--- a/internal/telemetry/agentmetrics.go
+++ b/internal/telemetry/agentmetrics.go
@@ -52,9 +52,10 @@
 	}
 }
 
-// writeWithheldRepeats writes what was not repeated because no server was sure to recognize the repeat.
+// writeWithheldRepeats writes what was not repeated because no server was sure to recognize the repeat, and what was begun and
+// not completed because its server did not read.
 func (s *Server) writeWithheldRepeats(p metricsWriter, b balancer.Stats) {
-	for kind, n := range map[string]uint64{"retry": b.WithheldRetries, "hedge": b.WithheldHedges} {
+	for kind, n := range map[string]uint64{"retry": b.WithheldRetries, "hedge": b.WithheldHedges, "unread": b.UnreadRepeats} {
 		p.counter("appleledge_repeats_withheld_total", fmt.Sprintf("kind=%q", kind), n)
 	}
 }
--- a/internal/upstream/connpool/backend.go
+++ b/internal/upstream/connpool/backend.go
@@ -9,13 +9,14 @@
 )
 
 // Backend is one incarnation of a backend under one address: a restart or another address makes a new Backend.
-// All its fields but id, addr and started are guarded by the pool's lock.
+// All its fields but id, addr, started and continues are guarded by the pool's lock.
 type Backend struct {
 	id, addr  string
 	started   time.Duration
 	isReady   bool // accepts new requests
 	connCount int  // open or being dialed
 	idle      []*Conn
+	continues continueRecord // guarded by itself
 }
 
 // updateBackend applies what the list says of one backend.
--- a/internal/upstream/http1/golden_test.go
+++ b/internal/upstream/http1/golden_test.go
@@ -57,8 +57,9 @@
 			besteffort.IgnoreResult(all.ReadFrom(far))
 			got <- all.Bytes()
 		}()
-		if _, ok, result := s.writeUpload(&connpool.Conn{Conn: near}, attempt(in), u); !ok {
-			t.Fatalf("length %d: %v", length, result)
+		var outcome engine.Outcome
+		if _, ok := s.writeUpload(&connpool.Conn{Conn: near}, attempt(in), u, &outcome); !ok {
+			t.Fatalf("length %d: %v", length, outcome.Result)
 		}
 		besteffort.Close(near)
 		out = append(append(out, <-got...), "\r\n----\r\n"...)
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -109,7 +109,7 @@
 	if !ok {
 		return false, false
 	}
-	resp, body, err := s.readResponse(c, req, until)
+	resp, body, err := s.readResponse(c, a, req, until)
 	if err != nil {
 		out.Result = resultOfReadError(err)
 		return false, false
@@ -119,6 +119,7 @@
 		out.Payload = body
 		out.Private = isPrivate(resp.Header) || body.Rest != nil // a stream can be read only once
 	}
+	recordContinue(a, req, resp)
 	return !resp.Close, body.Rest != nil
 }
 
@@ -126,7 +127,7 @@
 // result of the attempt is in out.
 func (s *Transport) writeRequest(c *connpool.Conn, a *engine.Attempt, out *engine.Outcome) (req *http.Request, until time.Duration, ok bool) {
 	if u := a.Call.Payload.(*Request).Upload; u != nil {
-		if req, ok, out.Result = s.writeUpload(c, a, u); !ok {
+		if req, ok = s.writeUpload(c, a, u, out); !ok {
 			return nil, 0, false
 		}
 		until = s.Clock.Now() + u.ClientTimeout - min(uploadMargin, u.ClientTimeout/4)
@@ -137,8 +138,12 @@
 	if err != nil || c.SetDeadline(s.Clock.At(a.Deadline)) != nil {
 		return nil, 0, false
 	}
-	if n, err := c.Write(text); err != nil && n < len(text) {
-		out.Result = balancer.ConnectFailed // a backend starts to process a request with its last byte, so this one has not run
+	if awaitsContinue(a) {
+		ok = s.writeConfirmed(c, a, req, text, out)
+	} else {
+		ok = s.writeLast(c, text, out)
+	}
+	if !ok {
 		return nil, 0, false
 	}
 	a.MarkWritten()
@@ -166,29 +171,53 @@
 var errMalformedResponse = errors.New("spoilt answer")
 
 // readResponse reads a response. It fails as soon as the bytes can't become one, as a malformed response may never end.
-func (s *Transport) readResponse(c *connpool.Conn, req *http.Request, until time.Duration) (*http.Response, *Response, error) {
+func (s *Transport) readResponse(c *connpool.Conn, a *engine.Attempt, req *http.Request, until time.Duration) (*http.Response, *Response, error) {
 	c.AllowBytes(maxResponseHeadBytes) // http.ReadResponse takes a head of any length
-	if err := checkPrefix(c.Reader); err != nil {
+	resp, err := s.readFinalHead(c, a, req, until)
+	if err != nil {
 		return nil, nil, err
 	}
+	body, err := s.readBody(c, resp, until)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
+	}
+	return resp, body, nil
+}
+
+// readFinalHead reads the head of the final response, past interim ones. Each of these may come long before the next.
+func (s *Transport) readFinalHead(c *connpool.Conn, a *engine.Attempt, req *http.Request, until time.Duration) (*http.Response, error) {
+	for range maxInterimResponses {
+		resp, err := s.readHead(c, req, until)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+		if resp.StatusCode == http.StatusContinue && isExpecting(req) {
+			backendOf(a).RecordContinue()
+		}
+	}
+	return nil, fmt.Errorf("%w: too many interim answers", errMalformedResponse)
+}
+
+// readHead waits for a response and reads its head. The time for that counts from its first byte.
+func (s *Transport) readHead(c *connpool.Conn, req *http.Request, until time.Duration) (*http.Response, error) {
+	if err := c.SetReadDeadline(s.Clock.At(until)); err != nil {
+		return nil, err
+	}
+	if err := checkPrefix(c.Reader); err != nil {
+		return nil, err
+	}
 	wait := responseReadTimeout
 	if s.AllowsLargeBodies {
 		wait = headTimeout
 	}
-	if end := s.Clock.Now() + wait; end < until {
-		if err := c.SetReadDeadline(s.Clock.At(end)); err != nil {
-			return nil, nil, err
-		}
+	if err := c.SetReadDeadline(s.Clock.At(min(until, s.Clock.Now()+wait))); err != nil {
+		return nil, err
 	}
-	resp, err := readFinalHead(c, req)
+	resp, err := http.ReadResponse(c.Reader, req)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
-	}
-	body, err := s.readBody(c, resp, until)
-	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
+		return nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
 	}
-	return resp, body, nil
+	return resp, nil
 }
 
 // checkPrefix reads the first bytes of a response and fails at the first that differs: bytes without an end of line would
@@ -242,6 +271,9 @@
 	}
 	left := max(0, a.Deadline-s.Clock.Now())
 	req.Header.Set(requesthead.TimeoutHeader, strconv.FormatInt(left.Microseconds(), 10)+"u")
+	if expectsContinue(a) {
+		req.Header.Set(expectHeader, expectContinue)
+	}
 	var text bytes.Buffer
 	if err := req.Write(&text); err != nil {
 		return nil, nil, fmt.Errorf("writing the request: %w", err)
@@ -249,17 +281,6 @@
 	return req, text.Bytes(), nil
 }
 
-// readFinalHead reads the head of the final response, past interim ones.
-func readFinalHead(c *connpool.Conn, req *http.Request) (*http.Response, error) {
-	for range maxInterimResponses {
-		resp, err := http.ReadResponse(c.Reader, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
-	return nil, errors.New("too many interim answers")
-}
-
 // resultOfReadError returns the result of an attempt that was written completely and got no complete response.
 func resultOfReadError(err error) balancer.Result {
 	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errMalformedResponse) {
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -93,26 +93,34 @@
 }
 
 // writeUpload writes a request whose body is still received. ok reports whether it was written completely; a request that
-// was not has never run, and result is that of the attempt.
-func (s *Transport) writeUpload(c *connpool.Conn, a *engine.Attempt, u *Upload) (req *http.Request, ok bool, result balancer.Result) {
+// was not has never run, and the result of the attempt is in out.
+func (s *Transport) writeUpload(c *connpool.Conn, a *engine.Attempt, u *Upload, out *engine.Outcome) (req *http.Request, ok bool) {
 	in := a.Call.Payload.(*Request)
 	body := &uploadReader{Upload: u}
 	req = &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header.Clone(), ContentLength: u.Length, Body: body}
 	req.Header.Set(requesthead.TimeoutHeader, strconv.FormatInt(u.ClientTimeout.Microseconds(), 10)+"u")
-	err := req.Write(deadlineWriter{c})
-	if err == nil {
-		a.MarkWritten()
-		return req, true, balancer.NotSent
+	if expectsContinue(a) {
+		req.Header.Set(expectHeader, expectContinue)
 	}
-	if u.ReadError() != nil || errors.Is(err, errUploadAborted) {
-		return req, false, balancer.NotSent // the client's side failed, or the request has its answer
+	to := &confirmingWriter{deadlineWriter: deadlineWriter{Conn: c}, isConfirmed: !awaitsContinue(a),
+		confirm: func() bool { return s.awaitContinue(c, a, req, out) }}
+	err := req.Write(to)
+	switch {
+	case err == nil:
+		a.MarkWritten()
+		return req, true
+	case errors.Is(err, errNotConfirmed):
+		return req, false
+	case u.ReadError() != nil || errors.Is(err, errUploadAborted):
+		return req, false // the client's side failed, or the request has its answer
 	}
 	// A server that rejects a request may answer before the request is complete, and close.
-	if c.SetReadDeadline(time.Now().Add(earlyResponseTimeout)) == nil {
-		c.AllowBytes(maxResponseHeadBytes)
-		if resp, err := readFinalHead(c, req); err == nil && ClassifyResponse(resp.StatusCode, resp.Header) == balancer.Rejected {
-			return req, false, balancer.Rejected
-		}
+	c.AllowBytes(maxResponseHeadBytes)
+	resp, err := s.readFinalHead(c, a, req, s.Clock.Now()+earlyResponseTimeout)
+	if err == nil && ClassifyResponse(resp.StatusCode, resp.Header) == balancer.Rejected {
+		out.Result = balancer.Rejected
+		return req, false
 	}
-	return req, false, balancer.ConnectFailed
+	out.Result = balancer.ConnectFailed
+	return req, false
 }
