Upstream: the last byte of a large repeat is written inside the window

The window was asked for before the first byte alone. A backend begins with the last one, which went out 0.5 s behind the window in the test: the pod has forgotten the first run by then.

Evidence: TestLastByteOfARepeatIsInsideTheWindow, "the last byte came 508 ms behind the window" without this; passes with it.

Now the writer of a repeat takes nothing from the write deadline on. The request is incomplete then, and has not run. First attempts are as before.

--- a/internal/upstream/http1/twosteps_test.go
+++ b/internal/upstream/http1/twosteps_test.go
@@ -90,6 +90,36 @@
 	}
 }
 
+// slowReader gives a byte at a time.
+type slowReader struct{ left int }
+
+func (s *slowReader) Read(b []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	s.left--
+	time.Sleep(300 * time.Millisecond)
+	return copy(b, "x"), nil
+}
+
+// A backend begins a request with its last byte. The body of a large repeat begins inside the window, and its client is slow: the last
+// byte must not go out when the window is over, as the backends have forgotten the key.
+func TestLastByteOfARepeatIsInsideTheWindow(t *testing.T) {
+	b := newHeadBackend(t, func(r *http.Request, _ bool) string {
+		if isExpected(r) {
+			return continueText
+		}
+		return ""
+	})
+	f := newFixture(t, b.addr, 8)
+	a, end := f.keyed(true), time.Now().Add(time.Second)
+	a.Call.Payload.(*Request).Upload = &Upload{Length: 8, Prefix: []byte("abc"), Rest: &slowReader{5}, ClientTimeout: time.Second}
+	out := f.RoundTrip(t.Context(), a)
+	if late := time.Unix(0, b.complete.Load()).Sub(end); b.complete.Load() != 0 && late > 0 {
+		t.Errorf("result %v: the last byte came %v behind the window", out.Result, late)
+	}
+}
+
 // A backend stalls before the agent knows whether it sends 100, and two repeats wait for it in vain. Then it reads again, and answers
 // first attempts. It sends 100, and repeats must go on waiting for it: its next stall is the one that repeats an effect.
 func TestStallIsNotTakenForABackendWithoutContinue(t *testing.T) {
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -83,10 +83,17 @@
 func (*uploadReader) Close() error { return nil }
 
 // deadlineWriter writes to a connection and fails when the peer accepts nothing for streamTimeout.
-type deadlineWriter struct{ *connpool.Conn }
+type deadlineWriter struct {
+	*connpool.Conn
+	last time.Time // writes nothing from then on; zero: no limit
+}
 
 func (p deadlineWriter) Write(b []byte) (int, error) {
-	if err := p.SetWriteDeadline(time.Now().Add(streamTimeout)); err != nil {
+	until := time.Now().Add(streamTimeout)
+	if !p.last.IsZero() && p.last.Before(until) {
+		until = p.last
+	}
+	if err := p.SetWriteDeadline(until); err != nil {
 		return 0, err
 	}
 	return p.Conn.Write(b)
@@ -104,12 +111,15 @@
 	}
 	to := &confirmingWriter{deadlineWriter: deadlineWriter{Conn: c}, isConfirmed: !awaitsContinue(a),
 		confirm: func() bool { return s.awaitContinue(c, a, req, out) }}
+	if a.IsKeyedRepeat { // its last byte has to be in the backends' window, too
+		to.last = s.Clock.At(a.WriteDeadline)
+	}
 	err := req.Write(to)
 	switch {
 	case err == nil:
 		a.MarkWritten()
 		return req, true
-	case errors.Is(err, errNotConfirmed):
+	case errors.Is(err, errNotConfirmed), a.IsKeyedRepeat && s.Clock.Now() >= a.WriteDeadline:
 		return req, false
 	case u.ReadError() != nil || errors.Is(err, errUploadAborted):
 		return req, false // the client's side failed, or the request has its answer
