Section [repeats]: repeats by key only to servers that show that they read

It is off without the section, as what it costs is the operators' to weigh.

Golden: a file of its own, settings/repeats.toml; the committed ones stay as they are. golden_test.go reads it beside the others, and one line changed there: the sections' defaults get this one. That every key is set, to something that is not its default, is asked over all files as before, and TestGoldenUnknownKeys looks at the new file too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -151,7 +151,9 @@
 
 // openEngine builds the balancer, the connection pool and the engine round them.
 func (a *assembly) openEngine() error {
-	policy, err := balancer.New(a.cfg.Site.Balancer, a.cfg.Seed)
+	options := a.cfg.Site.Balancer
+	options.ConfirmedRepeatsOnly = a.features.ConfirmedRepeatsOnly
+	policy, err := balancer.New(options, a.cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/internal/agent/downstream.go
+++ b/internal/agent/downstream.go
@@ -73,10 +73,11 @@
 func (a *assembly) serveClients(ctx context.Context) error {
 	var malformedReport sync.Once
 	transport := &upstreamhttp1.Transport{
-		Pool:              a.pool,
-		Clock:             a.clock,
-		AllowsLargeBodies: a.largeBodies != nil,
-		ReportFields:      a.cfg.Site.ReportFields,
+		Pool:                 a.pool,
+		Clock:                a.clock,
+		AllowsLargeBodies:    a.largeBodies != nil,
+		ConfirmedRepeatsOnly: a.features.ConfirmedRepeatsOnly,
+		ReportFields:         a.cfg.Site.ReportFields,
 		OnMalformedReport: func(err error) {
 			malformedReport.Do(func() { a.log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		},
--- a/internal/agent/features.go
+++ b/internal/agent/features.go
@@ -38,6 +38,9 @@
 	Generations      *GenerationOptions // configurations that operators plan and apply
 	StatsLogInterval time.Duration      // between two log lines with counters
 
+	// ConfirmedRepeatsOnly: repeats by key go only to servers that are known to show that they read.
+	ConfirmedRepeatsOnly bool
+
 	FS          atomicfile.FS // of snapshots and bindings; nil: the machine's
 	ClockOffset time.Duration // added to the wall clock, for tests
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -87,6 +87,8 @@
 	health   serverHealth
 	stalls   stallHistory
 
+	confirmsReads bool // it asks for the body of a request whose head it has read, if that is wanted
+
 	totals       capacityTotals // what it adds to the balancer's totals
 	subsetPart   subsetCapacity // what it adds to the capacity of the subset; of no units unless it may be drawn
 	ringPosition uint64         // its place in the balancer's own order of the servers
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -123,7 +123,9 @@
 		RetryForbidden bool
 		// Unread says of a NotSent that the server did not read the attempt's head in the time allowed.
 		Unread bool
-		Report Report
+		// ConfirmsReads says that the server is known to ask for the body of a request whose head it has read.
+		ConfirmsReads bool
+		Report        Report
 	}
 	// ResponseStarted says that a streamed answer has begun: the attempt can't be replaced any more.
 	ResponseStarted struct {
--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -61,6 +61,7 @@
 // not be connected to was cut off, and has not read late.
 func (b *Balancer) recordStall(a *attempt, o Outcome) {
 	h := &a.server.stalls
+	a.server.confirmsReads = a.server.confirmsReads || o.ConfirmsReads
 	switch o.Result {
 	case OK, Failed, Rejected:
 		h.answeredAt, h.unanswered = b.now, 0
@@ -98,7 +99,7 @@
 	if left <= 0 {
 		return false
 	}
-	if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) {
+	if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {
 		b.repeats.isWithheld = true
 		return false
 	}
@@ -136,6 +137,11 @@
 	return false
 }
 
+// isUnconfirmed reports whether repeats are withheld from the server because it does not show that it reads.
+func (b *Balancer) isUnconfirmed(s *server) bool {
+	return b.settings.ConfirmedRepeatsOnly && !s.confirmsReads
+}
+
 // repeatGuard counts what is not repeated because a server might not recognize it.
 type repeatGuard struct {
 	isWithheld      bool   // isRecognizedAt has refused a server only for a stall, since this was cleared
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -59,6 +59,7 @@
 	Quotas                 []float64     // ratio of the service, one for each tenant; may be empty
 	OverQuotaPriorityRatio float64       // priority over a tenant's quota, as a ratio of its class's
 	WarmingOverloadRatio   float64       // load over capacity at which a warming server collapses; 0: unknown
+	ConfirmedRepeatsOnly   bool          // repeats by key go only to servers that show that they read
 }
 
 // Validate returns an error that names the first setting that is out of its range.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -99,6 +99,9 @@
 	if s := set.Figures; s != nil {
 		features.StatsLogInterval = time.Duration(s.Every)
 	}
+	if s := set.Repeats; s != nil {
+		features.ConfirmedRepeatsOnly = s.ConfirmedOnly
+	}
 	if s := set.Storm; s != nil {
 		features.Admission = &agent.AdmissionOptions{MaxRemembered: s.Remember, LogInterval: time.Duration(s.LogEvery)}
 	}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -78,6 +78,8 @@
 	Payload any  // of an OK: what the client gets
 	Private bool // of an OK: the server says that it is for this client alone
 	Unread  bool // of a NotSent: the server had its head and did not ask for its body in time
+	// ConfirmsReads says that the server is known to ask for the body of a request whose head it has read.
+	ConfirmsReads bool
 	// FromOtherServer says that the result is that of a server which the balancer did not choose. What the chosen one did is
 	// not known then, nor where the request may have run.
 	FromOtherServer bool
@@ -153,7 +155,7 @@
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
 		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report,
-		RetryForbidden: a.isOverBudget, Unread: o.Unread})
+		RetryForbidden: a.isOverBudget, Unread: o.Unread, ConfirmsReads: o.ConfirmsReads})
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -60,11 +60,12 @@
 
 // AgentOptions is the optional features of the agents.
 type AgentOptions struct {
-	CoalescedClasses []string `toml:"join"`     // classes whose equal requests are coalesced
-	Gossip           bool     `toml:"peers"`    // agents exchange gossip
-	Recovery         bool     `toml:"recovery"` // agents store a baseline and recover from it after a power loss
-	Admission        string   `toml:"door"`     // admission control: "storm", "fleet" (all agents together), or in simulated time one of admissionvariants
-	KilledEarly      bool     `toml:"kill"`     // on sockets: at a planned restart clients use open connections until the process is killed, as early as the platform may
+	CoalescedClasses []string `toml:"join"`           // classes whose equal requests are coalesced
+	Gossip           bool     `toml:"peers"`          // agents exchange gossip
+	Recovery         bool     `toml:"recovery"`       // agents store a baseline and recover from it after a power loss
+	ConfirmedRepeats bool     `toml:"confirmed_only"` // repeats by key go only to servers that send 100 (Continue)
+	Admission        string   `toml:"door"`           // admission control: "storm", "fleet" (all agents together), or in simulated time one of admissionvariants
+	KilledEarly      bool     `toml:"kill"`           // on sockets: at a planned restart clients use open connections until the process is killed, as early as the platform may
 }
 
 // Event is one event of a script. Its type says which of the other fields apply; see eventTypes.
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -181,7 +181,7 @@
 	life := a.incarnation
 	ended := func(result balancer.Result, report balancer.Report) {
 		if a.incarnation == life {
-			a.handle(engine.Outcome{Attempt: at, Result: result, Report: report})
+			a.handle(engine.Outcome{Attempt: at, Result: result, Report: report, ConfirmsReads: !w.script.Fleet.OmitsContinue && result == balancer.OK})
 		}
 	}
 	if s == nil || a.knownServers[s.id].state == balancer.Removed || a.isForbidden(at) {
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -358,6 +358,18 @@
 	playsCleanly(t, s)
 }
 
+// Agents that repeat by key only to servers that send 100 (Continue) run no refund twice where none does, and none where all do.
+func TestConfirmedRepeatsRunRefundsOnce(t *testing.T) {
+	for _, omitsContinue := range []bool{false, true} {
+		s, err := LoadScript("../../scenarios/22-resets-while-servers-stall.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Fleet.OmitsContinue, s.Agents.ConfirmedRepeats = omitsContinue, true
+		playsCleanly(t, s)
+	}
+}
+
 // Servers that don't run what was given up before they took it run no refund twice, whenever they stall.
 func TestServersThatRejectAbandonedRequestsRunRefundsOnce(t *testing.T) {
 	for _, file := range []string{"21-server-reads-late.toml", "22-resets-while-servers-stall.toml"} {
--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -12,7 +12,7 @@
 	"appleledge/internal/golden"
 )
 
-// goldenFile is what the committed file with every section but [storm] sets.
+// goldenFile is what the committed file with every section but [storm] and [repeats] sets.
 var goldenFile = File{
 	ExternalProcessor: &ExternalProcessor{Listen: "127.0.0.1:9012", MaxConnections: 17, MaxStreams: 257, MaxOpen: 513, MaxMessage: 32769,
 		MaxSubset: 1025, DecisionValid: Duration(401 * time.Millisecond), FirstMessage: Duration(4 * time.Second),
@@ -42,13 +42,14 @@
 	external, members, join, storm, ties := DefaultExternalProcessor(), DefaultMembership(), DefaultJoin(), DefaultStorm(), DefaultAffinity()
 	figures, recovery, peers, overload := DefaultFigures(), DefaultRecovery(), DefaultPeers(), DefaultOverload()
 	return File{ExternalProcessor: &external, Membership: &members, Join: &join, Storm: &storm, Affinity: &ties, Figures: &figures,
-		Recovery: &recovery, Peers: &peers, Overload: &overload, Telemetry: &Telemetry{}, Generations: &Generations{}}
+		Recovery: &recovery, Peers: &peers, Overload: &overload, Telemetry: &Telemetry{}, Generations: &Generations{}, Repeats: &Repeats{}}
 }
 
 // The committed files are read as the values that stand above. They set every key to something that is not its default.
 func TestGoldenSettings(t *testing.T) {
 	keys := map[string]int{}
-	for name, want := range map[string]File{"all.toml": goldenFile, "storm.toml": {Storm: &Storm{Remember: 4098, LogEvery: Duration(21 * time.Second)}}} {
+	for name, want := range map[string]File{"all.toml": goldenFile, "storm.toml": {Storm: &Storm{Remember: 4098, LogEvery: Duration(21 * time.Second)}},
+		"repeats.toml": {Repeats: &Repeats{ConfirmedOnly: true}}} {
 		f, err := Parse("f.toml", golden.Read(t, "settings/"+name))
 		if err != nil {
 			t.Fatal(err)
@@ -134,7 +135,7 @@
 // A key that is not known is refused in each section.
 func TestGoldenUnknownKeys(t *testing.T) {
 	sections := regexp.MustCompile(`(?m)^\[.*\]$`)
-	for _, name := range []string{"all.toml", "storm.toml"} {
+	for _, name := range []string{"all.toml", "storm.toml", "repeats.toml"} {
 		text := string(golden.Read(t, "settings/"+name))
 		for _, at := range sections.FindAllStringIndex(text, -1) {
 			_, err := Parse("f.toml", []byte(text[:at[1]]+"\nsome_key = 1"+text[at[1]:]))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	Recovery          *Recovery          `toml:"recovery"`
 	Peers             *Peers             `toml:"peers"`
 	Overload          *Overload          `toml:"overload"`
+	Repeats           *Repeats           `toml:"repeats"`
 
 	name  string
 	lines map[string]int
@@ -44,7 +45,7 @@
 		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations) &&
 		reflect.DeepEqual(f.Affinity, other.Affinity) && reflect.DeepEqual(f.Figures, other.Figures) &&
 		reflect.DeepEqual(f.Recovery, other.Recovery) && reflect.DeepEqual(f.Peers, other.Peers) &&
-		reflect.DeepEqual(f.Overload, other.Overload)
+		reflect.DeepEqual(f.Overload, other.Overload) && reflect.DeepEqual(f.Repeats, other.Repeats)
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
@@ -89,6 +90,9 @@
 	if f.Recovery != nil {
 		out["recovery"] = f.Recovery
 	}
+	if f.Repeats != nil {
+		out["repeats"] = f.Repeats
+	}
 	return out
 }
 
--- a/internal/upstream/http1/expectcontinue.go
+++ b/internal/upstream/http1/expectcontinue.go
@@ -99,7 +99,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && mayOmit:
 		b.RecordOmittedContinue()
-		return s.mayGoOn(c, a)
+		return !s.ConfirmedRepeatsOnly && s.mayGoOn(c, a)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		b.RecordUnansweredExpectation()
 		out.Unread = true
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -59,14 +59,16 @@
 	Clock             engine.Clock
 	ReportFields      []string        // names of the values of a load report that are used
 	OnMalformedReport func(err error) // is called for each malformed load report, from any goroutine
-	AllowsLargeBodies bool            // bodies may have up to MaxLargeBody bytes, peers may be slow, and a response may end with its connection
+	// ConfirmedRepeatsOnly: what can't be held until its backend asks for it is not repeated by key.
+	ConfirmedRepeatsOnly bool
+	AllowsLargeBodies    bool // bodies may have up to MaxLargeBody bytes, peers may be slow, and a response may end with its connection
 }
 
 // RoundTrip makes the attempt and returns its outcome. It blocks until the response is complete, its first part has arrived
 // where it is large, or the attempt's deadline has passed. It never reports an attempt that may have run as not run.
 func (s *Transport) RoundTrip(ctx context.Context, a *engine.Attempt) engine.Outcome {
 	out := engine.Outcome{Attempt: a, Result: balancer.NotSent, Report: balancer.NoReport}
-	if a.Forbidden {
+	if a.Forbidden || s.ConfirmedRepeatsOnly && a.IsKeyedRepeat && !awaitsContinue(a) {
 		return out
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Clock.At(a.Deadline))
@@ -85,6 +87,7 @@
 	if keep, passed := s.exchange(c, a, &out); !passed {
 		s.Pool.Release(c, keep)
 	}
+	out.ConfirmsReads = backendOf(a).ContinueSupport() == connpool.ContinueSent
 	return out
 }
 
--- a/internal/upstream/http1/twosteps_test.go
+++ b/internal/upstream/http1/twosteps_test.go
@@ -179,3 +179,27 @@
 		}
 	}
 }
+
+// An agent repeats only what its backend confirms to read. What can't be held until then, as it has no body or its backend sends no 100, is
+// not written at all; first attempts are.
+func TestConfirmedRepeatsOnly(t *testing.T) {
+	b := newHeadBackend(t, func(*http.Request, bool) string { return "" })
+	f := newFixture(t, b.addr, 8)
+	f.ConfirmedRepeatsOnly = true
+	first, bodyless := f.keyed(false), f.keyed(true)
+	bodyless.Call.Payload.(*Request).Body = nil
+	for _, c := range []struct {
+		name    string
+		attempt *engine.Attempt
+		want    balancer.Result
+	}{
+		{"repeat without a body", bodyless, balancer.NotSent},
+		{"first attempt", first, balancer.OK},
+		{"repeat whose backend may omit 100", f.keyed(true), balancer.NotSent},
+		{"repeat whose backend omits 100", f.keyed(true), balancer.NotSent},
+	} {
+		if out := f.RoundTrip(t.Context(), c.attempt); out.Result != c.want || out.ConfirmsReads {
+			t.Errorf("%s: %v, confirms %v", c.name, out.Result, out.ConfirmsReads)
+		}
+	}
+}
