Repeats: what servers do is learned by what they have read; unread heads cost nothing

One stall switched the guard off for good. Now silence is a server that sends none only if it answered what was written later; two waits in vain bound what is waited for. - A wait cut short by a deadline taught; a 100 that came while another repeat waited was passed over; a 100 cut at the end of a wait was read as the answer; a pause of the agent counted as the server's silence; what an attempt expects was decided twice; 417 to a first attempt failed it. - An unread head used up attempts and retry budget, kept a server from repeats for good, and a connection that broke behind a head erased what was known of stalls. - confirmed_only withheld what could have been confirmed, and repeated a first attempt whose connection broke while it lay unread.

--- /dev/null
+++ b/internal/agent/unreadattempt_test.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"appleledge/internal/besteffort"
+)
+
+// breakableNetwork is a way to a backend whose connections can be broken on both sides, as by a firewall that forgets them.
+type breakableNetwork struct {
+	addr  string
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+func newBreakableNetwork(t *testing.T, backend string) *breakableNetwork {
+	n := &breakableNetwork{}
+	n.addr, _ = rawServer(t, func(c net.Conn, _ *bufio.Reader) {
+		to, err := net.Dial("tcp", backend)
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		n.conns = append(n.conns, c.(*net.TCPConn), to.(*net.TCPConn))
+		n.mu.Unlock()
+		go func() { besteffort.IgnoreResult(io.Copy(c, to)) }()
+		besteffort.IgnoreResult(io.Copy(to, c))
+	})
+	return n
+}
+
+// breakAll resets all connections.
+func (n *breakableNetwork) breakAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		besteffort.Ignore(c.SetLinger(0))
+		besteffort.Close(c)
+	}
+}
+
+// A refund lies unread at a backend that has just stopped when the network breaks its connections. It is repeated at the other backend, which
+// reads and sends 100 (Continue). The first one goes on when the pod has forgotten that, and finds the refund complete.
+func TestFirstAttemptLiesUnreadWhereItsConnectionBreaks(t *testing.T) {
+	firstAttemptLiesUnread(t, Features{})
+}
+
+// The same with confirmed_only: nothing shows that the first backend has read the refund, so that it is not repeated.
+func TestConfirmedOnlyWhereAFirstAttemptLiesUnread(t *testing.T) {
+	firstAttemptLiesUnread(t, Features{ConfirmedRepeatsOnly: true})
+}
+
+func firstAttemptLiesUnread(t *testing.T, with Features) {
+	p := newRefundPod(t)
+	p.loses, p.features = false, with
+	var ways [2]*breakableNetwork
+	for i, b := range p.backends {
+		ways[i] = newBreakableNetwork(t, b.addr)
+		b.addr = ways[i].addr
+	}
+	a := p.start(t)
+	for _, b := range p.backends {
+		b.stopped.fire()
+	}
+	answer := make(chan reply, 1)
+	go func() { answer <- a.refund(t, tracedKey) }()
+	first := 0
+	select {
+	case <-p.backends[0].isReached.happened:
+	case <-p.backends[1].isReached.happened:
+		first = 1
+	}
+	p.backends[1-first].goesOn.fire()
+	p.log("the network breaks the connections to %s", p.backends[first].name)
+	ways[first].breakAll()
+	p.log("the client has its answer: %d", await(t, "the client's answer", answer).status)
+	p.mu.Lock()
+	ranElsewhere := len(p.ranAt[tracedKey]) > 0
+	p.mu.Unlock()
+	if ranElsewhere {
+		p.awaitForgotten()
+	}
+	p.backends[first].goesOn.fire()
+	eventually(t, "the first backend has taken the refund", func() bool { return p.hasLogged(p.backends[first].name + " has \"" + tracedKey) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.ranAt[tracedKey]); n != 1 {
+		t.Errorf("the refund ran %d times\n%s", n, strings.Join(p.trace, "\n"))
+	}
+}
+
+// hasLogged reports whether an event of the trace has this text.
+func (p *refundPod) hasLogged(text string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Contains(strings.Join(p.trace, "\n"), text)
+}
+
+// Backends reject expectations by 417, as they may, and serve what has none. Refunds are served as before agents asked for 100 (Continue).
+func TestRefundsWhereExpectationsAreRejected(t *testing.T) {
+	for _, with := range []Features{{}, {ConfirmedRepeatsOnly: true}} {
+		var entries []string
+		for i := range 4 {
+			addr, _ := rawServer(t, rejectExpectations)
+			entries = append(entries, entryText(fmt.Sprint("s-", i), addr, "Ready", 0))
+		}
+		a := startOn(t, newFakeDiscovery(t, 1, entries...), time.Millisecond, func(*Config) {}, with, slog.New(slog.DiscardHandler))
+		failed := 0
+		for i := range 20 {
+			if got := a.refund(t, fmt.Sprint("key ", i)); got.status != http.StatusOK {
+				failed++
+			}
+		}
+		if failed > 0 {
+			t.Errorf("confirmed_only %v: %d of 20 refunds were not served", with.ConfirmedRepeatsOnly, failed)
+		}
+	}
+}
+
+// rejectExpectations answers the requests of a connection: those that expect something by 417.
+func rejectExpectations(c net.Conn, in *bufio.Reader) {
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		text := served
+		if r.Header.Get("Expect") != "" {
+			text = "HTTP/1.1 417 No\r\nContent-Length: 0\r\n\r\n"
+		}
+		besteffort.IgnoreResult(io.Copy(io.Discard, r.Body))
+		besteffort.IgnoreResult(io.WriteString(c, text))
+	}
+}
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -43,10 +43,10 @@
 	Failed                      // an error came back; it may have run
 	Rejected                    // rejected before it was read; it never ran
 	TimedOut                    // no answer in the time allowed; it may have run
-	ConnectFailed               // no connection in time; it never ran
+	ConnectFailed               // no connection in time, or it broke before the last byte; it never ran
 	Reset                       // the connection broke; it may have run
 	Cancelled                   // withdrawn; it may have run
-	NotSent                     // never left the agent: too late, or no room for another attempt
+	NotSent                     // its last byte never left the agent: too late, no room, or its head unread
 )
 
 // ResultNames are the results' names in logs and metrics.
@@ -123,8 +123,10 @@
 		RetryForbidden bool
 		// Unread says of a NotSent that the server did not read the attempt's head in the time allowed.
 		Unread bool
-		// ConfirmsReads says that the server is known to ask for the body of a request whose head it has read.
-		ConfirmsReads bool
+		// HeadWritten says of a ConnectFailed that the connection was there, and broke behind the head.
+		HeadWritten bool
+		// NeverConfirms says that the server is known not to ask for the body of a request whose head it has read.
+		NeverConfirms bool
 		Report        Report
 	}
 	// ResponseStarted says that a streamed answer has begun: the attempt can't be replaced any more.
--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -61,7 +61,7 @@
 // not be connected to was cut off, and has not read late.
 func (b *Balancer) recordStall(a *attempt, o Outcome) {
 	h := &a.server.stalls
-	a.server.confirmsReads = a.server.confirmsReads || o.ConfirmsReads
+	a.server.neverConfirms = o.NeverConfirms
 	switch o.Result {
 	case OK, Failed, Rejected:
 		h.answeredAt, h.unanswered = b.now, 0
@@ -82,10 +82,22 @@
 			b.repeats.unread++
 		}
 	case ConnectFailed:
+		if o.HeadWritten { // the server was not cut off
+			return
+		}
 		*h = stallHistory{answeredAt: b.now, answeredSend: h.answeredSend}
 	}
 }
 
+// forgetUnread lets an attempt whose head was not read count neither as one of its request nor as a retry: it
+// has cost its server nothing, and another one may read.
+func (b *Balancer) forgetUnread(r *request, o Outcome) {
+	if o.Result == NotSent && o.Unread {
+		r.unread++
+		b.retries.tokens = min(b.retries.tokens+1, maxRetryBudget)
+	}
+}
+
 // maxTakeDelay is how long after its send a server may take a request, by what was seen of it lately.
 func (b *Balancer) maxTakeDelay(s *server) time.Duration {
 	return s.stalls.longest(b.now, stallMemoryHorizons*b.horizon)
@@ -107,8 +119,9 @@
 }
 
 // mayBeTakenLater reports whether the server of the first attempt may take it when the pod has forgotten a
-// repeat that is sent now. Of an attempt whose connection broke, the server has read it or mostly never will,
-// and of one that its caller ended, the caller knows more: there only a stall that was seen lately counts.
+// repeat that is sent now. Of an attempt whose connection broke, the server has mostly read it, and of one
+// that its caller ended, the caller knows more: there only a stall that was seen lately counts, but where
+// repeats are confirmed only.
 func (b *Balancer) mayBeTakenLater(first *attempt, window time.Duration) bool {
 	s := first.server
 	switch {
@@ -116,7 +129,7 @@
 		return false
 	case s.stalls.answeredSend >= first.sentAt:
 		return false
-	case first.isBrokenOff:
+	case first.isBrokenOff && !b.settings.ConfirmedRepeatsOnly:
 		return first.sentAt+b.maxTakeDelay(s) >= b.now+window
 	}
 	return true
@@ -125,7 +138,8 @@
 // isSilent reports whether the server owes an answer for longer than is usual, or has not read the head of a
 // repeat, and has answered nothing that was sent since: it may have stopped reading.
 func (b *Balancer) isSilent(s *server) bool {
-	if s.stalls.unreadSend > s.stalls.answeredSend {
+	unread := s.stalls.unreadSend
+	if unread > s.stalls.answeredSend && b.now-unread < stallMemoryHorizons*b.horizon {
 		return true
 	}
 	for _, a := range s.inFlight {
@@ -139,7 +153,7 @@
 
 // isUnconfirmed reports whether repeats are withheld from the server because it does not show that it reads.
 func (b *Balancer) isUnconfirmed(s *server) bool {
-	return b.settings.ConfirmedRepeatsOnly && !s.confirmsReads
+	return b.settings.ConfirmedRepeatsOnly && s.neverConfirms
 }
 
 // repeatGuard counts what is not repeated because a server might not recognize it.
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -23,6 +23,7 @@
 	class        *Class // as of its arrival
 	attempts     []*attempt
 	inFlight     int  // attempts
+	unread       int  // attempts that have ended with their head unread
 	isClosed     bool // it is owed no final answer any more
 	token        uint64
 	firstAttempt attempt // room for the first of attempts, which most requests have alone
@@ -136,6 +137,7 @@
 	a.server.inFlight = slices.DeleteFunc(a.server.inFlight, func(other *attempt) bool { return other == a })
 	b.recordReport(a.server, o.Report)
 	b.recordStall(a, o)
+	b.forgetUnread(r, o)
 	b.recordOutcome(a, o)
 	switch {
 	case r.isClosed || o.RequestClosed:
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -35,8 +35,9 @@
 // mayAttempt reports whether the request may have another attempt anywhere: it is open, in time, within its
 // number of attempts, and has none in flight or one that may be hedged.
 func (b *Balancer) mayAttempt(r *request) bool {
-	return !r.isClosed && b.now < r.Deadline && len(r.attempts) < b.settings.MaxAttempts &&
-		(r.MaxAttempts == 0 || len(r.attempts) < r.MaxAttempts) &&
+	attempts := len(r.attempts) - r.unread
+	return !r.isClosed && b.now < r.Deadline && attempts < b.settings.MaxAttempts &&
+		(r.MaxAttempts == 0 || attempts < r.MaxAttempts) &&
 		r.inFlight <= 1 && (r.inFlight == 0 || !r.ManualRetry && b.settings.AllowHedging)
 }
 
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -32,7 +32,7 @@
 	Incarnation   Incarnation   // of the server, when the attempt was made
 	Sent          time.Duration // when the attempt was made
 	Deadline      time.Duration // when to stop waiting
-	WriteDeadline time.Duration // when it is too late to begin: Deadline, or earlier for a retry under an idempotency key
+	WriteDeadline time.Duration // when it is too late to write the last byte that is held back: Deadline, or earlier for a retry under an idempotency key
 
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
@@ -72,14 +72,15 @@
 
 // Outcome is how an attempt ended. Every attempt gets exactly one.
 type Outcome struct {
-	Attempt *Attempt
-	Result  balancer.Result
-	Report  balancer.Report
-	Payload any  // of an OK: what the client gets
-	Private bool // of an OK: the server says that it is for this client alone
-	Unread  bool // of a NotSent: the server had its head and did not ask for its body in time
-	// ConfirmsReads says that the server is known to ask for the body of a request whose head it has read.
-	ConfirmsReads bool
+	Attempt     *Attempt
+	Result      balancer.Result
+	Report      balancer.Report
+	Payload     any  // of an OK: what the client gets
+	Private     bool // of an OK: the server says that it is for this client alone
+	Unread      bool // of a NotSent: the server was sent its head and did not ask for its body in time
+	HeadWritten bool // of a ConnectFailed: the connection was there, and broke behind the head
+	// NeverConfirms says that the server is known not to ask for the body of a request whose head it has read.
+	NeverConfirms bool
 	// FromOtherServer says that the result is that of a server which the balancer did not choose. What the chosen one did is
 	// not known then, nor where the request may have run.
 	FromOtherServer bool
@@ -155,7 +156,7 @@
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
 		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report,
-		RetryForbidden: a.isOverBudget, Unread: o.Unread, ConfirmsReads: o.ConfirmsReads})
+		RetryForbidden: a.isOverBudget, Unread: o.Unread, HeadWritten: o.HeadWritten, NeverConfirms: o.NeverConfirms})
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
--- a/internal/upstream/connpool/continuesupport.go
+++ b/internal/upstream/connpool/continuesupport.go
@@ -1,6 +1,9 @@
 package connpool
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // ContinueSupport says whether a backend answers Expect: 100-continue by an interim response (RFC 9110, section 10.1.1).
 type ContinueSupport int32
@@ -13,13 +16,15 @@
 	ContinueOmitted                 // it sends none, or rejects the expectation
 )
 
-// maxUnansweredExpectations is how many requests wait in vain for 100 (Continue) of a backend of which nothing else is known.
-const maxUnansweredExpectations = 2
+// maxVainWaits is how many requests in a row wait in vain for 100 (Continue). Then a backend that has sent it before counts as
+// not known, and another one is not waited for.
+const maxVainWaits = 2
 
 // continueRecord is what was learned of one backend. It is safe for concurrent use.
 type continueRecord struct {
-	support    atomic.Int32
-	unanswered atomic.Int32
+	support       atomic.Int32
+	vainWaits     atomic.Int32
+	answeredWrite atomic.Int64 // the latest time at which a request was written that it has answered, on the clock of the callers
 }
 
 // ContinueSupport returns what is known of this incarnation of the backend.
@@ -32,27 +37,48 @@
 	switch b.ContinueSupport() {
 	case ContinueOmitted:
 		return false
-	case ContinueUnknown:
-		return b.continues.unanswered.Load() < maxUnansweredExpectations
+	case ContinueSent:
+		return true
 	}
-	return true
+	return b.continues.vainWaits.Load() < maxVainWaits
 }
 
 // RecordContinue notes that the backend has sent 100 (Continue).
-func (b *Backend) RecordContinue() { b.continues.support.Store(int32(ContinueSent)) }
+func (b *Backend) RecordContinue() {
+	b.continues.vainWaits.Store(0)
+	b.continues.support.Store(int32(ContinueSent))
+}
 
 // RecordUnseenContinue notes that the backend has served a request that expected 100 (Continue) without sending one.
 func (b *Backend) RecordUnseenContinue() {
 	b.continues.support.CompareAndSwap(int32(ContinueUnknown), int32(ContinueUnseen))
 }
 
-// RecordOmittedContinue notes that the backend sends no 100 (Continue), or rejects the expectation. One that has sent it
-// before may not have read the request yet.
-func (b *Backend) RecordOmittedContinue() {
-	if s := b.ContinueSupport(); s != ContinueSent {
-		b.continues.support.CompareAndSwap(int32(s), int32(ContinueOmitted))
+// RecordRejectedExpectation notes that the backend rejects requests that expect 100 (Continue).
+func (b *Backend) RecordRejectedExpectation() { b.continues.support.Store(int32(ContinueOmitted)) }
+
+// RecordAnswer notes that the backend has answered a request that was written from that time on.
+func (b *Backend) RecordAnswer(written time.Duration) {
+	for {
+		latest := b.continues.answeredWrite.Load()
+		if int64(written) <= latest || b.continues.answeredWrite.CompareAndSwap(latest, int64(written)) {
+			return
+		}
 	}
 }
 
-// RecordUnansweredExpectation notes that the backend has said nothing in the time for which 100 (Continue) was waited for.
-func (b *Backend) RecordUnansweredExpectation() { b.continues.unanswered.Add(1) }
+// RecordVainWait notes that the backend has said nothing in the time for which 100 (Continue) was waited for, behind a head that
+// was written then. It reports whether the backend is known to send none now: it has answered what was written later.
+func (b *Backend) RecordVainWait(headWritten time.Duration) (isOmitted bool) {
+	support := b.ContinueSupport()
+	hasReadLater := b.continues.answeredWrite.Load() > int64(headWritten)
+	isLastWait := b.continues.vainWaits.Add(1) >= maxVainWaits
+	switch {
+	case support == ContinueSent && (hasReadLater || isLastWait):
+		b.continues.vainWaits.Store(0)
+		b.continues.support.CompareAndSwap(int32(support), int32(ContinueUnknown))
+	case support != ContinueSent && hasReadLater:
+		b.continues.support.CompareAndSwap(int32(support), int32(ContinueOmitted))
+	}
+	return b.ContinueSupport() == ContinueOmitted
+}
--- a/internal/upstream/http1/expectcontinue.go
+++ b/internal/upstream/http1/expectcontinue.go
@@ -19,8 +19,11 @@
 
 // Limits of the time for which a repeat waits for 100 (Continue).
 const (
-	maxContinueWait = 200 * time.Millisecond
-	maxUnseenWait   = 50 * time.Millisecond // of a backend that may send none; behind it the body follows
+	maxContinueWait        = 200 * time.Millisecond // of a backend that has sent one
+	maxUnknownContinueWait = 100 * time.Millisecond // of others
+	minInformativeWait     = 50 * time.Millisecond  // a shorter one, cut by a deadline, shows nothing
+	// lateReadTime is for what lies there when the wait ends: the agent's own process may have stood still.
+	lateReadTime = 5 * time.Millisecond
 )
 
 const (
@@ -37,32 +40,52 @@
 	return len(r.Body) > 0 || r.Upload != nil && r.Upload.Length != 0
 }
 
-// awaitsContinue reports whether an attempt's body is held until its backend asks for it.
-func awaitsContinue(a *engine.Attempt) bool {
-	b := backendOf(a)
-	return a.IsKeyedRepeat && a.Call.Payload.(*Request).hasBody() && b != nil && b.MayConfirm()
+// expectation is what an attempt asks of its backend by Expect: 100-continue.
+type expectation int
+
+const (
+	noExpectation    expectation = iota
+	learnsOnly                   // a first attempt, whose body follows at once, shows whether the backend sends 100 (Continue)
+	bodyHeld                     // the body is held until 100 (Continue) has come
+	bodyNeverWritten             // it can't be held, and may not be written otherwise
+)
+
+// expectationOf returns what an attempt is to ask for, by what is known of its backend now.
+func (s *Transport) expectationOf(a *engine.Attempt) expectation {
+	b, hasBody := backendOf(a), a.Call.Payload.(*Request).hasBody()
+	switch {
+	case a.IsKeyedRepeat && hasBody && b != nil && b.MayConfirm():
+		return bodyHeld
+	case a.IsKeyedRepeat && s.ConfirmedRepeatsOnly:
+		return bodyNeverWritten
+	case a.Call.IdempotencyWindow > 0 && hasBody && b != nil && b.ContinueSupport() == connpool.ContinueUnknown:
+		return learnsOnly
+	}
+	return noExpectation
 }
 
-// expectsContinue reports whether an attempt asks for 100 (Continue): because its body is held until it comes, or, of a first
-// attempt whose body follows at once, to learn whether the backend sends it.
-func expectsContinue(a *engine.Attempt) bool {
-	b := backendOf(a)
-	learns := a.Call.IdempotencyWindow > 0 && a.Call.Payload.(*Request).hasBody() && b != nil && b.ContinueSupport() == connpool.ContinueUnknown
-	return learns || awaitsContinue(a)
+// setHeader sets the header of a request that asks for 100 (Continue).
+func (e expectation) setHeader(req *http.Request) {
+	if e == learnsOnly || e == bodyHeld {
+		req.Header.Set(expectHeader, expectContinue)
+	}
 }
 
 // isExpecting reports whether a request asks for 100 (Continue).
 func isExpecting(req *http.Request) bool { return req.Header.Get(expectHeader) != "" }
 
-// recordContinue learns from a final response to a request that expected 100 (Continue). Other responses than these may stand
-// in its place.
-func recordContinue(a *engine.Attempt, req *http.Request, resp *http.Response) {
+// recordFinalResponse learns from the final response to an attempt. A rejected expectation proves that it has not run (RFC 9110,
+// section 15.5.18), and the agent alone made it expect something.
+func recordFinalResponse(a *engine.Attempt, req *http.Request, resp *http.Response, begun time.Duration, out *engine.Outcome) {
+	b := backendOf(a)
+	b.RecordAnswer(begun)
 	switch {
 	case !isExpecting(req):
 	case resp.StatusCode == http.StatusExpectationFailed:
-		backendOf(a).RecordOmittedContinue()
-	case resp.StatusCode == http.StatusOK:
-		backendOf(a).RecordUnseenContinue()
+		b.RecordRejectedExpectation()
+		out.Result = balancer.NotSent
+	case resp.StatusCode == http.StatusOK: // other responses may stand in the place of 100 (Continue)
+		b.RecordUnseenContinue()
 	}
 }
 
@@ -89,22 +112,19 @@
 // awaitContinue waits until the backend asks for the body of a request whose head is written, and reports whether the body may
 // be written. Otherwise the outcome of the attempt is set.
 func (s *Transport) awaitContinue(c *connpool.Conn, a *engine.Attempt, req *http.Request, out *engine.Outcome) bool {
-	b, wait := backendOf(a), maxContinueWait
-	mayOmit := b.ContinueSupport() == connpool.ContinueUnseen
-	if mayOmit {
-		wait = maxUnseenWait
+	b, wait, headWritten := backendOf(a), maxContinueWait, s.Clock.Now()
+	if b.ContinueSupport() != connpool.ContinueSent {
+		wait = maxUnknownContinueWait
 	}
 	c.AllowBytes(maxResponseHeadBytes)
-	resp, err := s.readContinue(c, req, min(a.WriteDeadline, s.Clock.Now()+wait))
+	resp, err := s.readContinue(c, req, min(a.WriteDeadline, headWritten+wait))
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && mayOmit:
-		b.RecordOmittedContinue()
-		return !s.ConfirmedRepeatsOnly && s.mayGoOn(c, a)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		b.RecordUnansweredExpectation()
-		out.Unread = true
+	case isSilence(err) && a.WriteDeadline < headWritten+minInformativeWait:
+	case isSilence(err):
+		out.Unread = !b.RecordVainWait(headWritten)
+		return !out.Unread && !s.ConfirmedRepeatsOnly && s.mayGoOn(c, a)
 	case err != nil:
-		out.Result = balancer.ConnectFailed
+		out.Result, out.HeadWritten = balancer.ConnectFailed, true
 	case resp.StatusCode == http.StatusContinue:
 		b.RecordContinue()
 		return s.mayGoOn(c, a)
@@ -114,6 +134,11 @@
 	return false
 }
 
+// isSilence reports whether a read failed because nothing came in time, and not in the middle of a response.
+func isSilence(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errMalformedResponse)
+}
+
 // mayGoOn reports whether the body of a request whose head is written may follow.
 func (s *Transport) mayGoOn(c *connpool.Conn, a *engine.Attempt) bool {
 	return s.maySend(c, a) && c.SetDeadline(s.Clock.At(a.Deadline)) == nil
@@ -123,6 +148,9 @@
 func (s *Transport) readContinue(c *connpool.Conn, req *http.Request, until time.Duration) (*http.Response, error) {
 	for range maxInterimResponses {
 		resp, err := s.readHead(c, req, until)
+		if isSilence(err) {
+			resp, err = s.readHead(c, req, s.Clock.Now()+lateReadTime)
+		}
 		if err != nil || resp.StatusCode == http.StatusContinue || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
@@ -134,7 +162,7 @@
 // that says, no backend made it for the complete request: it is never served.
 func (s *Transport) recordEarlyResponse(a *engine.Attempt, resp *http.Response, out *engine.Outcome) {
 	if resp.StatusCode == http.StatusExpectationFailed {
-		backendOf(a).RecordOmittedContinue()
+		backendOf(a).RecordRejectedExpectation()
 		return
 	}
 	out.Report = ReadReport(resp.Header, s.ReportFields, s.OnMalformedReport)
--- /dev/null
+++ b/internal/upstream/http1/heldbody_test.go
@@ -0,0 +1,73 @@
+package http1
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"appleledge/internal/balancer"
+	"appleledge/internal/upstream/connpool"
+)
+
+// Bodies of other forms are held, too: chunked, chunked and empty, large.
+func TestBodiesOfOtherForms(t *testing.T) {
+	for name, u := range map[string]*Upload{
+		"chunked":           {Length: -1, Prefix: []byte("abc"), Rest: strings.NewReader("de"), ClientTimeout: time.Second},
+		"chunked and empty": {Length: -1, Rest: strings.NewReader(""), ClientTimeout: time.Second},
+		"large":             {Length: 3 << 20, Rest: io.LimitReader(zeros{}, 3<<20), ClientTimeout: time.Second},
+		"one byte":          {Length: 1, Prefix: []byte("a"), Rest: strings.NewReader(""), ClientTimeout: time.Second},
+	} {
+		b := newStallingBackend(t)
+		f := newFixture(t, b.addr, 8)
+		f.AllowsLargeBodies = true
+		f.Pool.Backend("b").RecordContinue()
+		end := b.begin()
+		a := f.keyed(true)
+		a.Call.Payload.(*Request).Upload = u
+		out := f.RoundTrip(t.Context(), a)
+		end()
+		time.Sleep(50 * time.Millisecond)
+		if n := b.complete.Load(); out.Result != balancer.NotSent || !out.Unread || n != 0 || u.Consumed() {
+			t.Errorf("%s: %v, unread %v, complete %d, consumed %v", name, out.Result, out.Unread, n, u.Consumed())
+		}
+		a = f.keyed(true)
+		a.Call.Payload.(*Request).Upload = u
+		if out := f.RoundTrip(t.Context(), a); out.Result != balancer.OK {
+			t.Errorf("%s: then %v", name, out.Result)
+		}
+	}
+}
+
+// Many repeats and first attempts at one backend, that learn beside each other (for the race detector). None is lost, and no place of a connection stays taken.
+func TestManyAttemptsLearn(t *testing.T) {
+	b := newStallingBackend(t)
+	f := newFixture(t, b.addr, 300)
+	var all sync.WaitGroup
+	var failed atomic.Int64
+	for i := range 60 {
+		all.Go(func() {
+			a := f.keyed(i%2 == 0)
+			if out := f.RoundTrip(t.Context(), a); out.Result != balancer.OK {
+				failed.Add(1)
+				t.Logf("repeat %v: %v, unread %v", a.IsKeyedRepeat, out.Result, out.Unread)
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("%d of 60 were not served; known as %d", failed.Load(), f.Pool.Backend("b").ContinueSupport())
+	if f.Pool.Backend("b").ContinueSupport() != connpool.ContinueSent {
+		t.Error("its 100s have come and are not known")
+	}
+	end := b.begin()
+	for range 60 {
+		all.Go(func() { f.RoundTrip(t.Context(), f.keyed(true)) })
+	}
+	all.Wait()
+	end()
+	if n := f.open(); n != 0 {
+		t.Logf("%d connections are open", n)
+	}
+}
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -68,7 +68,7 @@
 // where it is large, or the attempt's deadline has passed. It never reports an attempt that may have run as not run.
 func (s *Transport) RoundTrip(ctx context.Context, a *engine.Attempt) engine.Outcome {
 	out := engine.Outcome{Attempt: a, Result: balancer.NotSent, Report: balancer.NoReport}
-	if a.Forbidden || s.ConfirmedRepeatsOnly && a.IsKeyedRepeat && !awaitsContinue(a) {
+	if a.Forbidden || s.expectationOf(a) == bodyNeverWritten {
 		return out
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Clock.At(a.Deadline))
@@ -87,7 +87,7 @@
 	if keep, passed := s.exchange(c, a, &out); !passed {
 		s.Pool.Release(c, keep)
 	}
-	out.ConfirmsReads = backendOf(a).ContinueSupport() == connpool.ContinueSent
+	out.NeverConfirms = !backendOf(a).MayConfirm()
 	return out
 }
 
@@ -97,8 +97,8 @@
 	return b
 }
 
-// maySend reports whether the request may still be written. It is asked just before the first byte: a dial may have taken
-// long, and meanwhile the backend may have begun to drain or restarted, the request may have been answered, or the backends
+// maySend reports whether the request may still be written. It is asked just before the first byte, and once more before a
+// body that was held back: a dial or a wait may have taken long, and meanwhile the backend may have begun to drain or restarted, the request may have been answered, or the backends
 // may have forgotten its idempotency key, so that a retry would run twice.
 func (s *Transport) maySend(c *connpool.Conn, a *engine.Attempt) bool {
 	return s.Clock.Now() < a.WriteDeadline && !a.Call.Closed() && s.Pool.AcceptsRequests(backendOf(a)) &&
@@ -108,6 +108,7 @@
 // exchange writes the request and reads the response. keep reports whether the connection can be reused, and passed whether
 // the rest of the response, and with it the connection, belongs to the outcome's payload.
 func (s *Transport) exchange(c *connpool.Conn, a *engine.Attempt, out *engine.Outcome) (keep, passed bool) {
+	begun := s.Clock.Now()
 	req, until, ok := s.writeRequest(c, a, out)
 	if !ok {
 		return false, false
@@ -122,7 +123,7 @@
 		out.Payload = body
 		out.Private = isPrivate(resp.Header) || body.Rest != nil // a stream can be read only once
 	}
-	recordContinue(a, req, resp)
+	recordFinalResponse(a, req, resp, begun, out)
 	return !resp.Close, body.Rest != nil
 }
 
@@ -137,13 +138,16 @@
 		a.UploadFinished(until)
 		return req, until, c.SetDeadline(s.Clock.At(until)) == nil
 	}
-	req, text, err := s.encodeRequest(a)
+	expects := s.expectationOf(a)
+	req, text, err := s.encodeRequest(a, expects)
 	if err != nil || c.SetDeadline(s.Clock.At(a.Deadline)) != nil {
 		return nil, 0, false
 	}
-	if awaitsContinue(a) {
+	switch expects {
+	case bodyNeverWritten:
+	case bodyHeld:
 		ok = s.writeConfirmed(c, a, req, text, out)
-	} else {
+	default:
 		ok = s.writeLast(c, text, out)
 	}
 	if !ok {
@@ -265,7 +269,7 @@
 }
 
 // encodeRequest returns the request for the backend and its encoding.
-func (s *Transport) encodeRequest(a *engine.Attempt) (*http.Request, []byte, error) {
+func (s *Transport) encodeRequest(a *engine.Attempt, expects expectation) (*http.Request, []byte, error) {
 	in := a.Call.Payload.(*Request)
 	req := &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header.Clone(),
 		ContentLength: int64(len(in.Body)), Body: http.NoBody}
@@ -274,9 +278,7 @@
 	}
 	left := max(0, a.Deadline-s.Clock.Now())
 	req.Header.Set(requesthead.TimeoutHeader, strconv.FormatInt(left.Microseconds(), 10)+"u")
-	if expectsContinue(a) {
-		req.Header.Set(expectHeader, expectContinue)
-	}
+	expects.setHeader(req)
 	var text bytes.Buffer
 	if err := req.Write(&text); err != nil {
 		return nil, nil, fmt.Errorf("writing the request: %w", err)
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -106,10 +106,12 @@
 	body := &uploadReader{Upload: u}
 	req = &http.Request{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header.Clone(), ContentLength: u.Length, Body: body}
 	req.Header.Set(requesthead.TimeoutHeader, strconv.FormatInt(u.ClientTimeout.Microseconds(), 10)+"u")
-	if expectsContinue(a) {
-		req.Header.Set(expectHeader, expectContinue)
+	expects := s.expectationOf(a)
+	if expects == bodyNeverWritten {
+		return req, false
 	}
-	to := &confirmingWriter{deadlineWriter: deadlineWriter{Conn: c}, isConfirmed: !awaitsContinue(a),
+	expects.setHeader(req)
+	to := &confirmingWriter{deadlineWriter: deadlineWriter{Conn: c}, isConfirmed: expects != bodyHeld,
 		confirm: func() bool { return s.awaitContinue(c, a, req, out) }}
 	if a.IsKeyedRepeat { // its last byte has to be in the backends' window, too
 		to.last = s.Clock.At(a.WriteDeadline)
@@ -127,7 +129,12 @@
 	// A server that rejects a request may answer before the request is complete, and close.
 	c.AllowBytes(maxResponseHeadBytes)
 	resp, err := s.readFinalHead(c, a, req, s.Clock.Now()+earlyResponseTimeout)
-	if err == nil && ClassifyResponse(resp.StatusCode, resp.Header) == balancer.Rejected {
+	switch {
+	case err != nil:
+	case resp.StatusCode == http.StatusExpectationFailed && isExpecting(req):
+		backendOf(a).RecordRejectedExpectation()
+		return req, false
+	case ClassifyResponse(resp.StatusCode, resp.Header) == balancer.Rejected:
 		out.Result = balancer.Rejected
 		return req, false
 	}
