Upstream: of a request that is given up nothing goes out any more

What callers could see: a request's last part lies in the agent's own kernel, as its server reads nothing and has no room. The agent gives the attempt up and closes; the kernel sends the rest when the server reads again, which finds the request complete, perhaps when its pod has forgotten the key.

Evidence: TestWhatIsGivenUpGoesOutNoMore, 60 KiB to a small receive buffer: timed out after 0.3 s and "the backend found it complete: true" before; passes now. The close of an attempt that has timed out drops what is unsent.

--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -115,7 +115,9 @@
 	}
 	resp, body, err := s.readResponse(c, a, req, until)
 	if err != nil {
-		out.Result = resultOfReadError(err)
+		if out.Result = resultOfReadError(err); out.Result == balancer.TimedOut {
+			c.DropUnsent()
+		}
 		return false, false
 	}
 	out.Report = ReadReport(resp.Header, s.ReportFields, s.OnMalformedReport)
