Upstream: an upload whose reader fails behind its last byte may have run

net/http writes a body's last byte before it learns that the reader behind it has failed. The attempt was then reported as not sent, though the server may have the request complete. Found by review; no way there is known from the present downstream. TestUploadWhoseReaderFailsBehindItsLastByte (4,096 bytes) failed before: "the backend has it complete, and it counts as not sent".

--- a/internal/upstream/http1/heldbody_test.go
+++ b/internal/upstream/http1/heldbody_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -71,3 +72,24 @@
 		t.Logf("%d connections are open", n)
 	}
 }
+
+// The client's side of a large body fails behind its last byte, which is out by then, as the body fills net/http's buffer. The backend has the
+// request complete: the attempt may have run, and must not be said not to have.
+func TestUploadWhoseReaderFailsBehindItsLastByte(t *testing.T) {
+	for _, length := range []int64{4096, 4097} {
+		b := newHeadBackend(t, func(*http.Request, bool) string { return "" })
+		f := newFixture(t, b.addr, 8)
+		a := f.keyed(false)
+		rest := io.MultiReader(io.LimitReader(zeros{}, length), failingReader{})
+		a.Call.Payload.(*Request).Upload = &Upload{Length: length, Rest: rest, ClientTimeout: time.Second}
+		out := f.RoundTrip(t.Context(), a)
+		time.Sleep(50 * time.Millisecond)
+		if b.complete.Load() != 0 && out.Result == balancer.NotSent {
+			t.Errorf("%d bytes: the backend has it complete, and it counts as not sent", length)
+		}
+	}
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -58,13 +58,18 @@
 // uploadReader is an attempt's view of an Upload: its prefix from the start, then the shared rest.
 type uploadReader struct {
 	*Upload
-	prefixOffset int // bytes of Prefix that were read
+	prefixOffset int   // bytes of Prefix that were read
+	total        int64 // bytes that were read, of Prefix and Rest
 }
 
+// isComplete reports whether all of a body of known length was read. A body of another length ends by its last chunk.
+func (p *uploadReader) isComplete() bool { return p.Length >= 0 && p.total >= p.Length }
+
 func (p *uploadReader) Read(to []byte) (int, error) {
 	if p.prefixOffset < len(p.Prefix) {
 		n := copy(to, p.Prefix[p.prefixOffset:])
 		p.prefixOffset += n
+		p.total += int64(n)
 		return n, nil
 	}
 	p.reading.Lock()
@@ -74,6 +79,7 @@
 	}
 	p.consumed.Store(true)
 	n, err := p.Rest.Read(to)
+	p.total += int64(n)
 	if err != nil && err != io.EOF {
 		p.readError.Store(&err)
 	}
@@ -123,6 +129,9 @@
 		return req, true
 	case errors.Is(err, errNotConfirmed), a.IsKeyedRepeat && s.Clock.Now() >= a.WriteDeadline:
 		return req, false
+	case (u.ReadError() != nil || errors.Is(err, errUploadAborted)) && body.isComplete():
+		out.Result = balancer.Reset // its last byte may be out
+		return req, false
 	case u.ReadError() != nil || errors.Is(err, errUploadAborted):
 		return req, false // the client's side failed, or the request has its answer
 	}
