Engine: a repeat is written a tick before its window ends

The balancer asks for a tick's margin when it decides, as the server may see the repeat that much later. The dial, and now the wait for 100, come behind that, and the limit for the write was the window's last instant. Found by review: TestRepeatIsWrittenATickBeforeItsWindowEnds, 5 ms over before.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -258,6 +258,9 @@
 	return out
 }
 
+// Tick returns the resolution of the clock, by which a repeat is sent before its window ends.
+func (b *Balancer) Tick() time.Duration { return b.settings.Tick }
+
 // Stats is what a Balancer estimates of the servers and of its own requests.
 type Stats struct {
 	Utilization          float64 // of the servers, as they report it (0..1)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -91,6 +91,7 @@
 	c := e.calls[act.Request]
 	e.counters.attemptSent(c, act.WarmingUp)
 	earlierSent := c.mayHaveRunSince
+	act.TakeDelay += e.balancer.Tick() // what a server sees may be as late as a tick of its clock
 	a := c.newAttempt(act, e.clock.Now())
 	a.Incarnation, a.engine = e.pool.Incarnation(act.Server), e
 	for _, h := range e.attemptHooks {
--- a/internal/engine/repeat_test.go
+++ b/internal/engine/repeat_test.go
@@ -174,3 +174,14 @@
 		}
 	}
 }
+
+// A repeat must be taken a tick before its window ends, since the server may see it that much later. Its body may follow long behind the
+// decision: the limit for writing it holds the margin, too.
+func TestRepeatIsWrittenATickBeforeItsWindowEnds(t *testing.T) {
+	x := newRepeatFixture(t, newBindingFixture, func(*bindingFixture) {})
+	sent := x.now
+	again := x.retryAfter(keyedClass, balancer.Reset, func(*Call) {})
+	if end := sent + window - 5*time.Millisecond; again == nil || again.WriteDeadline > end {
+		t.Errorf("%+v, to be written until %v", again, end)
+	}
+}
