Emulator: a server that reads nothing leaves all that comes in the kernel

In a read stall net/http went on reading heads and bodies and only the handler waited, so the server sent 100 (Continue) and noticed closes in its stall; a stopped process does neither.

Whether a held request was given up is asked of the socket when it is about to run, so no order of the close and the stall's end is missed.

--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -39,7 +39,7 @@
 type ConnFaults struct {
 	ResetRatio   float64 // share of requests after which the connection breaks, having run
 	CorruptRatio float64 // share of answers that are noise
-	ReadsNothing bool    // what comes is taken, and counts as received, when this ends
+	ReadsNothing bool    // what comes stays in the kernel, as for a stopped process; it is taken, and counts as received, when this ends
 }
 
 // FormServer is a Server on a loopback socket, by the platform's HTTP/1.1 protocol: 200 with a load report, 500, or 503
@@ -56,13 +56,14 @@
 	srv     *http.Server
 	served  sync.WaitGroup
 
+	reads    readGate
+	listener *limitedListener
+
 	mu             sync.Mutex
 	model          *Server
 	connFaults     ConnFaults
-	readStall      chan struct{} // closed when the server reads again; nil: it reads
-	unread         int           // requests that wait for that
 	random         *rand.Rand
-	lastArrival    time.Time                  // the latest request, as the kernel received it
+	lastArrival    time.Time                  // of the latest request's first bytes, as the kernel received them
 	pending        map[uint64]chan Completion // of requests that wait for their end
 	arrived        uint64
 	timer          *time.Timer // wakes the model
@@ -106,7 +107,8 @@
 	f.timer = time.AfterFunc(idleTimerInterval, f.wake)
 	f.srv = &http.Server{Handler: f, IdleTimeout: limits.IdleTimeout, ReadHeaderTimeout: limits.IdleTimeout, ConnState: f.connState,
 		ConnContext: withConn}
-	f.served.Go(func() { besteffort.Ignore(f.srv.Serve(&limitedListener{Listener: l, maxConns: limits.MaxConns})) })
+	f.listener = &limitedListener{Listener: l, maxConns: limits.MaxConns, gate: &f.reads, arrived: f.noteArrival, open: map[*countedConn]bool{}}
+	f.served.Go(func() { besteffort.Ignore(f.srv.Serve(f.listener)) })
 	return f, nil
 }
 
@@ -155,13 +157,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.connFaults = w
-	switch {
-	case w.ReadsNothing && f.readStall == nil:
-		f.readStall = make(chan struct{})
-	case !w.ReadsNothing && f.readStall != nil:
-		close(f.readStall)
-		f.readStall = nil
-	}
+	f.reads.set(w.ReadsNothing)
 }
 
 // InFlight counts the requests in the server.
@@ -171,14 +167,13 @@
 	return f.model.InFlight()
 }
 
-// Unread counts the requests that have come while the server reads nothing.
+// Unread counts the requests that have come, whole or in part, while the server read nothing, and that it has not taken since. A server
+// that rejects abandoned requests doesn't count those.
 func (f *FormServer) Unread() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.unread
+	return f.listener.count(func(c *countedConn) bool { return c.isUnread() && (!f.rejectsAbandoned || !c.hasPeerClosed()) })
 }
 
-// LastArrival is when the latest request came; zero if none has.
+// LastArrival is when the first bytes of the latest request came, though the server may not have read them yet; zero if none has.
 func (f *FormServer) LastArrival() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -247,6 +242,9 @@
 
 // ServeHTTP serves a request.
 func (f *FormServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := connOf(r.Context())
+	cameAt := conn.beginRequest()
+	defer conn.endRequest()
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, known := f.classes[name]
 	id := r.Header.Get("X-Request-ID")
@@ -254,11 +252,15 @@
 		http.Error(w, "unknown class, or no X-Request-ID", http.StatusNotFound)
 		return
 	}
+	f.noteArrival(cameAt)
+	if !conn.pass() { // reading the body would send 100 (Continue)
+		panic(http.ErrAbortHandler)
+	}
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
 		http.Error(w, "the body is not whole", http.StatusBadRequest)
 		return
 	}
-	received, open := f.receive(r)
+	received, open := f.receive(conn)
 	if !open {
 		panic(http.ErrAbortHandler)
 	}
@@ -283,38 +285,23 @@
 	}
 }
 
-// receive returns when a request that was read whole counts as received. A server that reads nothing takes it only when that
-// ends. open is false if the server was closed before, or the request was given up and the server rejects such ones.
-func (f *FormServer) receive(r *http.Request) (at time.Time, open bool) {
-	cameAt := requestReceivedAt(r.Context())
+// noteArrival notes that the first bytes of a request came at that time.
+func (f *FormServer) noteArrival(at time.Time) {
 	f.mu.Lock()
-	if cameAt.After(f.lastArrival) {
-		f.lastArrival = cameAt
-	}
-	stalled := f.readStall
-	if stalled != nil {
-		f.unread++
-	}
-	f.mu.Unlock()
-	if stalled == nil {
-		return cameAt, true
-	}
-	defer func() {
-		f.mu.Lock()
-		f.unread--
-		f.mu.Unlock()
-	}()
-	var abandoned <-chan struct{}
-	if f.rejectsAbandoned {
-		abandoned = r.Context().Done()
+	defer f.mu.Unlock()
+	if at.After(f.lastArrival) {
+		f.lastArrival = at
 	}
-	select {
-	case <-stalled:
-		return time.Now(), !f.rejectsAbandoned || r.Context().Err() == nil
-	case <-abandoned:
-	case <-f.done:
+}
+
+// receive returns when a request that was read whole counts as received. A server that reads nothing takes it only when that
+// ends. open is false if the server was closed before, or the request was given up and the server rejects such ones.
+func (f *FormServer) receive(conn *countedConn) (at time.Time, open bool) {
+	if !conn.pass() {
+		return time.Time{}, false
 	}
-	return time.Time{}, false
+	at, wasHeld := conn.takeRequest()
+	return at, !wasHeld || !f.rejectsAbandoned || !conn.hasPeerClosed()
 }
 
 // timeLeft returns for how long the sender still waited when it wrote the request; 0 where it does not say.
@@ -397,9 +384,11 @@
 type limitedListener struct {
 	net.Listener
 	maxConns int
+	gate     *readGate
+	arrived  func(at time.Time) // is called by connections
 
 	mu   sync.Mutex
-	open int
+	open map[*countedConn]bool
 }
 
 // Accept returns the next connection that there is room for.
@@ -409,39 +398,52 @@
 		if err != nil {
 			return nil, err
 		}
-		l.mu.Lock()
-		full := l.maxConns > 0 && l.open >= l.maxConns
-		if !full {
-			l.open++
-		}
-		l.mu.Unlock()
-		if full {
-			besteffort.Close(c)
-			continue
-		}
-		stamped, err := newStampedConn(c)
+		stalling, err := newStallingConn(c, l.gate, l.arrived)
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{stampedConn: stamped, l: l}, nil
+		if counted := (&countedConn{stallingConn: stalling, l: l}); l.add(counted) {
+			return counted, nil
+		}
+		besteffort.Close(c)
+	}
+}
+
+// add reports whether there is room for a connection, and counts it as open if so.
+func (l *limitedListener) add(c *countedConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.maxConns > 0 && len(l.open) >= l.maxConns {
+		return false
+	}
+	l.open[c] = true
+	return true
+}
+
+// count counts the open connections for which is reports true.
+func (l *limitedListener) count(is func(c *countedConn) bool) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if is(c) {
+			n++
+		}
 	}
+	return n
 }
 
 // countedConn gives its place in a limitedListener back when it is closed first.
 type countedConn struct {
-	*stampedConn
-	l    *limitedListener
-	once sync.Once
+	*stallingConn
+	l *limitedListener
 }
 
 // Close closes the connection.
 func (c *countedConn) Close() error {
-	c.once.Do(func() {
-		c.l.mu.Lock()
-		c.l.open--
-		c.l.mu.Unlock()
-	})
-	return c.stampedConn.Close()
+	c.l.mu.Lock()
+	delete(c.l.open, c)
+	c.l.mu.Unlock()
+	return c.stallingConn.Close()
 }
 
 // SetLinger is that of the connection: 0 makes a close a reset.
--- a/internal/emulator/formserver_test.go
+++ b/internal/emulator/formserver_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -239,3 +241,195 @@
 		t.Errorf("ran: %+v", all)
 	}
 }
+
+// dialServer opens a connection to a server that ends with the test.
+func dialServer(t *testing.T, f *FormServer) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", f.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { besteffort.Close(c) })
+	return c
+}
+
+// expectingHead is the head of a refund with the key, whose body "form" is to follow when 100 (Continue) has come.
+func expectingHead(key string) string {
+	return fmt.Sprintf("POST /refund-record HTTP/1.1\r\nHost: h\r\nX-Request-ID: %[1]s\r\nIdempotency-Key: %[1]s\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n", key)
+}
+
+// requireSilence fails the test if a byte, or the end of the connection, comes within a while.
+func requireSilence(t *testing.T, c net.Conn) {
+	t.Helper()
+	besteffort.Ignore(c.SetReadDeadline(time.Now().Add(150 * time.Millisecond)))
+	var one [1]byte
+	if n, err := c.Read(one[:]); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes, %q, %v", n, one[:n], err)
+	}
+	besteffort.Ignore(c.SetReadDeadline(time.Now().Add(agenttest.Patience)))
+}
+
+// requireStatus reads a response's head and fails the test if its status is another.
+func requireStatus(t *testing.T, c net.Conn, from *bufio.Reader, status int) {
+	t.Helper()
+	besteffort.Ignore(c.SetReadDeadline(time.Now().Add(agenttest.Patience)))
+	resp, err := http.ReadResponse(from, nil)
+	if err != nil || resp.StatusCode != status {
+		t.Fatalf("%v, %v where %d was to come", resp, err, status)
+	}
+}
+
+// A stopped process reads no head, so it can't ask for a body. A client sends the head of a refund during a stall: nothing comes back
+// until the stall ends, then 100 (Continue), and the refund runs once its body has come.
+func TestNoContinueDuringAReadStall(t *testing.T) {
+	f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{})
+	kept := dialServer(t, f) // has carried a request already: the server waits for the next one on it
+	fromKept := bufio.NewReader(kept)
+	besteffort.IgnoreResult(io.WriteString(kept, "GET /form-check HTTP/1.1\r\nHost: h\r\nX-Request-ID: 1\r\n\r\n"))
+	resp, err := http.ReadResponse(fromKept, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	besteffort.IgnoreResult(io.Copy(io.Discard, resp.Body))
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	fresh := dialServer(t, f)
+	fromFresh := bufio.NewReader(fresh)
+	besteffort.IgnoreResult(io.WriteString(kept, expectingHead("kept")))
+	besteffort.IgnoreResult(io.WriteString(fresh, expectingHead("fresh")))
+	requireSilence(t, kept)
+	requireSilence(t, fresh)
+	if n := f.Unread(); n != 2 {
+		t.Errorf("%d heads are unread", n)
+	}
+	f.SetConnFaults(ConnFaults{})
+	requireStatus(t, kept, fromKept, http.StatusContinue)
+	requireStatus(t, fresh, fromFresh, http.StatusContinue)
+	if n := len(ledger.Effects()); n != 0 {
+		t.Errorf("%d ran without their bodies", n)
+	}
+	besteffort.IgnoreResult(io.WriteString(kept, "form"))
+	besteffort.IgnoreResult(io.WriteString(fresh, "form"))
+	requireStatus(t, kept, fromKept, http.StatusOK)
+	requireStatus(t, fresh, fromFresh, http.StatusOK)
+	if n := len(ledger.Effects()); n != 2 {
+		t.Errorf("%d of 2 ran", n)
+	}
+}
+
+// The stall begins between the head, which has been read, and the body. The head stays with the server: it runs the refund when the stall has
+// ended, counts it as received then, and for drains from its head.
+func TestReadStallBetweenHeadAndBody(t *testing.T) {
+	f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{})
+	c := dialServer(t, f)
+	from := bufio.NewReader(c)
+	besteffort.IgnoreResult(io.WriteString(c, expectingHead("k")))
+	requireStatus(t, c, from, http.StatusContinue)
+	headAt := f.LastArrival()
+	if headAt.IsZero() {
+		t.Error("no time of arrival with the head")
+	}
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	besteffort.IgnoreResult(io.WriteString(c, "form"))
+	requireSilence(t, c)
+	if n := f.Arrived() + len(ledger.Effects()); n != 0 || f.Unread() != 1 {
+		t.Errorf("%d taken, %d unread", n, f.Unread())
+	}
+	ends := f.now()
+	f.SetConnFaults(ConnFaults{})
+	requireStatus(t, c, from, http.StatusOK)
+	if e := ledger.Effects(); len(e) != 1 || e[0].At < ends {
+		t.Errorf("%+v, after reading began again at %v", e, ends)
+	}
+	if !f.LastArrival().Equal(headAt) {
+		t.Errorf("the latest request came at %v, its head at %v", f.LastArrival(), headAt)
+	}
+}
+
+// An answer to what was read before the stall goes out in it, also where more waits behind the request; that is read later.
+func TestReadStallLetsAnswersOut(t *testing.T) {
+	f, _ := start(t, Spec{Cores: 1, Speed: 0.05, Slots: 1}, ListenOptions{}) // a tenth of a second or two
+	c := dialServer(t, f)
+	from := bufio.NewReader(c)
+	request := "GET /form-check HTTP/1.1\r\nHost: h\r\nX-Request-ID: 1\r\n\r\n"
+	besteffort.IgnoreResult(io.WriteString(c, request))
+	agenttest.Eventually(t, "it is held", func() bool { return f.InFlight() == 1 })
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	besteffort.IgnoreResult(io.WriteString(c, request))
+	besteffort.Ignore(c.SetReadDeadline(time.Now().Add(agenttest.Patience)))
+	resp, err := http.ReadResponse(from, nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	besteffort.IgnoreResult(io.Copy(io.Discard, resp.Body))
+	agenttest.Eventually(t, "the next one waits", func() bool { return f.Unread() == 1 })
+	if n := f.Arrived(); n != 1 {
+		t.Errorf("%d requests were taken", n)
+	}
+	f.SetConnFaults(ConnFaults{})
+	requireStatus(t, c, from, http.StatusOK)
+}
+
+// A server that is killed in its stall breaks its connections, and runs nothing of what waits on them.
+func TestCloseDuringAReadStall(t *testing.T) {
+	f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{})
+	read, unread := dialServer(t, f), dialServer(t, f)
+	from := bufio.NewReader(read)
+	besteffort.IgnoreResult(io.WriteString(read, expectingHead("read")))
+	requireStatus(t, read, from, http.StatusContinue)
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	besteffort.IgnoreResult(io.WriteString(read, "form"))
+	besteffort.IgnoreResult(io.WriteString(unread, expectingHead("unread")+"form"))
+	agenttest.Eventually(t, "both wait", func() bool { return f.Unread() == 2 })
+	f.Close()
+	for _, c := range []net.Conn{read, unread} {
+		besteffort.Ignore(c.SetReadDeadline(time.Now().Add(agenttest.Patience)))
+		if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%d bytes, %v", n, err)
+		}
+	}
+	if n := len(ledger.Effects()); n != 0 || f.Unread() != 0 {
+		t.Errorf("%d ran, %d are unread", n, f.Unread())
+	}
+}
+
+// A sender closes in the stall a request whose head the server had read before: a server that rejects abandoned requests doesn't run it,
+// another one does, when the stall ends.
+func TestRequestAbandonedBehindItsHead(t *testing.T) {
+	for _, rejects := range []bool{true, false} {
+		f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{RejectsAbandoned: rejects})
+		c := dialServer(t, f)
+		besteffort.IgnoreResult(io.WriteString(c, expectingHead("k")))
+		requireStatus(t, c, bufio.NewReader(c), http.StatusContinue)
+		f.SetConnFaults(ConnFaults{ReadsNothing: true})
+		besteffort.IgnoreResult(io.WriteString(c, "form"))
+		agenttest.Eventually(t, "the body waits", func() bool { return f.Unread() == 1 })
+		besteffort.Close(c)
+		if rejects {
+			agenttest.Eventually(t, "the close was seen", func() bool { return f.Unread() == 0 })
+		}
+		f.SetConnFaults(ConnFaults{})
+		isAny := func(*countedConn) bool { return true }
+		agenttest.Eventually(t, "it has been dealt with", func() bool { return f.listener.count(isAny) == 0 && f.InFlight() == 0 })
+		if n := len(ledger.Effects()); (n == 0) != rejects {
+			t.Errorf("%d ran at a server that rejects abandoned requests: %v", n, rejects)
+		}
+	}
+}
+
+// For drains a request counts from when it came. That its sender gives it up later in the stall, which the kernel notes behind the
+// same bytes, changes nothing.
+func TestGivingUpInAReadStallIsNoArrival(t *testing.T) {
+	f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{})
+	f.SetConnFaults(ConnFaults{ReadsNothing: true})
+	c := dialServer(t, f)
+	besteffort.IgnoreResult(io.WriteString(c, expectingHead("k")+"form"))
+	agenttest.Eventually(t, "it has come", func() bool { return f.Unread() == 1 })
+	came := f.LastArrival()
+	requireSilence(t, c)
+	besteffort.Close(c)
+	f.SetConnFaults(ConnFaults{})
+	agenttest.Eventually(t, "it is taken", func() bool { return len(ledger.Effects()) == 1 })
+	if came.IsZero() || !f.LastArrival().Equal(came) {
+		t.Errorf("it came at %v, then at %v", came, f.LastArrival())
+	}
+}
--- a/internal/emulator/receivetime.go
+++ b/internal/emulator/receivetime.go
@@ -49,42 +49,64 @@
 
 // Read reads, and notes when the kernel received it. As for all connections, it is not called by two goroutines at a time.
 func (c *stampedConn) Read(p []byte) (int, error) {
-	var n, controlBytes int
-	var failed error
+	var got received
 	err := c.raw.Read(func(fd uintptr) (done bool) {
-		for {
-			n, controlBytes, _, _, failed = unix.Recvmsg(int(fd), p, c.control[:], 0)
-			if !errors.Is(failed, unix.EINTR) {
-				return !errors.Is(failed, unix.EAGAIN)
-			}
-		}
+		got = c.receive(fd, p, 0)
+		return !errors.Is(got.err, unix.EAGAIN)
 	})
+	return c.result(got, err, p)
+}
+
+// received is what one call to the kernel returned.
+type received struct {
+	n   int
+	at  time.Time // when the kernel received it; zero: not known
+	err error
+}
+
+// receive asks the kernel for what has come, without waiting.
+func (c *stampedConn) receive(fd uintptr, p []byte, flags int) (got received) {
+	for {
+		var controlBytes int
+		got.n, controlBytes, _, _, got.err = unix.Recvmsg(int(fd), p, c.control[:], flags)
+		if errors.Is(got.err, unix.EINTR) {
+			continue
+		}
+		if got.err == nil {
+			got.at = timestamp(c.control[:controlBytes])
+		}
+		return got
+	}
+}
+
+// result turns what the kernel returned for p, or the error of the wait for it, into what Read returns, and notes the time.
+func (c *stampedConn) result(got received, waitErr error, p []byte) (int, error) {
 	switch {
-	case err != nil:
-		return 0, err
-	case failed != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvmsg", failed)}
-	case n == 0 && len(p) > 0:
+	case waitErr != nil:
+		return 0, waitErr
+	case got.err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvmsg", got.err)}
+	case got.n == 0 && len(p) > 0:
 		return 0, io.EOF
 	}
-	if at, ok := timestamp(c.control[:controlBytes]); ok {
-		c.received.Store(at.UnixNano())
+	if !got.at.IsZero() {
+		c.received.Store(got.at.UnixNano())
 	}
-	return n, nil
+	return got.n, nil
 }
 
-// timestamp finds the kernel's timestamp among the control messages of a read.
-func timestamp(control []byte) (time.Time, bool) {
+// timestamp finds the kernel's timestamp among the control messages of a read; zero if there is none.
+func timestamp(control []byte) time.Time {
 	messages, err := unix.ParseSocketControlMessage(control)
 	if err != nil {
-		return time.Time{}, false
+		return time.Time{}
 	}
 	for _, m := range messages {
 		if m.Header.Level == unix.SOL_SOCKET && m.Header.Type == unix.SO_TIMESTAMPING && len(m.Data) >= timespecBytes {
-			return time.Unix(int64(binary.NativeEndian.Uint64(m.Data)), int64(binary.NativeEndian.Uint64(m.Data[timespecBytes/2:]))), true
+			return time.Unix(int64(binary.NativeEndian.Uint64(m.Data)), int64(binary.NativeEndian.Uint64(m.Data[timespecBytes/2:])))
 		}
 	}
-	return time.Time{}, false
+	return time.Time{}
 }
 
 // timespecBytes is the size of a timespec of a 64-bit kernel: seconds, then nanoseconds.
@@ -96,20 +118,12 @@
 	return time.Unix(0, nanos), nanos != 0
 }
 
-// connKey is the key of a request's stampedConn in its context.
+// connKey is the key of a request's connection in its context.
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// requestReceivedAt returns when the kernel received the last byte of the request whose context this is, if its body has been
-// read; the present if that is not known.
-func requestReceivedAt(ctx context.Context) time.Time {
-	if counted, ok := ctx.Value(connKey{}).(*countedConn); ok {
-		if at, known := counted.receivedAt(); known {
-			return at
-		}
-	}
-	return time.Now()
-}
+// connOf returns the connection of the request whose context this is.
+func connOf(ctx context.Context) *countedConn { return ctx.Value(connKey{}).(*countedConn) }
