Emulator: servers that send no 100 (Continue), by the script's omits_continue

There are servers of both kinds, and an agent can't wait for 100 at those that send none. net/http sends it whenever a handler reads the body, so the connection keeps it from the wire. On sockets the key of scripts takes effect.

TestExpectationsAtBothKindsOfServers: with the option declared and nothing behind it, a server that omits 100 answered "H" of HTTP/1.1 100 before the body.

--- a/internal/emulator/formserver.go
+++ b/internal/emulator/formserver.go
@@ -79,6 +79,8 @@
 	MaxConns    int           // open at a time; further ones are closed at once. 0: no limit
 	// RejectsAbandoned: a request whose sender has closed its connection before the server takes it is not run.
 	RejectsAbandoned bool
+	// OmitsContinue: no 100 (Continue) is sent to a request that expects one; its body is read all the same.
+	OmitsContinue bool
 }
 
 // addrInUseRetryTime is how long Listen retries while the address belongs to an earlier process or server.
@@ -107,7 +109,8 @@
 	f.timer = time.AfterFunc(idleTimerInterval, f.wake)
 	f.srv = &http.Server{Handler: f, IdleTimeout: limits.IdleTimeout, ReadHeaderTimeout: limits.IdleTimeout, ConnState: f.connState,
 		ConnContext: withConn}
-	f.listener = &limitedListener{Listener: l, maxConns: limits.MaxConns, gate: &f.reads, arrived: f.noteArrival, open: map[*countedConn]bool{}}
+	f.listener = &limitedListener{Listener: l, maxConns: limits.MaxConns, omitsContinue: limits.OmitsContinue,
+		gate: &f.reads, arrived: f.noteArrival, open: map[*countedConn]bool{}}
 	f.served.Go(func() { besteffort.Ignore(f.srv.Serve(f.listener)) })
 	return f, nil
 }
@@ -383,9 +386,10 @@
 // limitedListener closes connections beyond a limit at once, as a full connection table does.
 type limitedListener struct {
 	net.Listener
-	maxConns int
-	gate     *readGate
-	arrived  func(at time.Time) // is called by connections
+	maxConns      int
+	omitsContinue bool
+	gate          *readGate
+	arrived       func(at time.Time) // is called by connections
 
 	mu   sync.Mutex
 	open map[*countedConn]bool
@@ -438,6 +442,17 @@
 	l *limitedListener
 }
 
+// continueResponse is what net/http writes, in one call, before it reads the body of a request that expects it.
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// Write writes to the connection, except for 100 (Continue) where the server omits that: net/http can't be told to.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if c.l.omitsContinue && string(p) == continueResponse {
+		return len(p), nil
+	}
+	return c.stallingConn.Write(p)
+}
+
 // Close closes the connection.
 func (c *countedConn) Close() error {
 	c.l.mu.Lock()
--- a/internal/emulator/formserver_test.go
+++ b/internal/emulator/formserver_test.go
@@ -279,6 +279,19 @@
 	}
 }
 
+// requireServed reads a whole response and fails the test if it is not 200.
+func requireServed(t *testing.T, c net.Conn, from *bufio.Reader) {
+	t.Helper()
+	besteffort.Ignore(c.SetReadDeadline(time.Now().Add(agenttest.Patience)))
+	resp, err := http.ReadResponse(from, nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if text, err := io.ReadAll(resp.Body); err != nil || !strings.HasPrefix(string(text), "form ") {
+		t.Errorf("%q, %v", text, err)
+	}
+}
+
 // A stopped process reads no head, so it can't ask for a body. A client sends the head of a refund during a stall: nothing comes back
 // until the stall ends, then 100 (Continue), and the refund runs once its body has come.
 func TestNoContinueDuringAReadStall(t *testing.T) {
@@ -433,3 +446,31 @@
 		t.Errorf("it came at %v, then at %v", came, f.LastArrival())
 	}
 }
+
+// There are servers of two kinds. One asks for the body of a request that expects 100 (Continue); the other one says nothing and waits. Both
+// answer when the body has come, and go on to the next request of the connection, here one whose body comes with its head.
+func TestExpectationsAtBothKindsOfServers(t *testing.T) {
+	for _, omits := range []bool{false, true} {
+		t.Run(fmt.Sprint("omits ", omits), func(t *testing.T) {
+			f, ledger := start(t, Spec{Cores: 2, Speed: 1, Slots: 4}, ListenOptions{OmitsContinue: omits})
+			c := dialServer(t, f)
+			from := bufio.NewReader(c)
+			requireContinue := func() {
+				if !omits {
+					requireStatus(t, c, from, http.StatusContinue)
+				}
+			}
+			besteffort.IgnoreResult(io.WriteString(c, expectingHead("1")))
+			requireContinue()
+			requireSilence(t, c)
+			besteffort.IgnoreResult(io.WriteString(c, "form"))
+			requireServed(t, c, from)
+			besteffort.IgnoreResult(io.WriteString(c, expectingHead("2")+"form"))
+			requireContinue()
+			requireServed(t, c, from)
+			if n := len(ledger.Effects()); n != 2 {
+				t.Errorf("%d of 2 ran", n)
+			}
+		})
+	}
+}
--- a/internal/scenario/live_server.go
+++ b/internal/scenario/live_server.go
@@ -39,7 +39,7 @@
 	}
 	srv, err := emulator.Listen(m.id, model, classes, 0, l.modelEpoch,
 		emulator.ListenOptions{Addr: place.Addr(), IdleTimeout: idleClose, MaxConns: 400 * m.kind.cores,
-			RejectsAbandoned: l.script.Fleet.RejectsAbandoned})
+			RejectsAbandoned: l.script.Fleet.RejectsAbandoned, OmitsContinue: l.script.Fleet.OmitsContinue})
 	if err != nil {
 		s.isDead = true
 		l.err = err
