--- a/internal/scenario/soak.go
+++ b/internal/scenario/soak.go
@@ -157,6 +157,7 @@
 		s.Events = append(s.Events, agentEvents(random, number+1, drawTime(random, lasts, drainTimeOfAgent))...)
 	}
 	slices.SortStableFunc(s.Events, func(a, b Event) int { return int(a.At.From - b.At.From) })
+	s.Fleet.OmitsContinue = random.Float64() < 0.5 // drawn last, so that all else of a seed's day is as it was before servers were of two kinds
 	return s
 }
 
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -49,7 +49,7 @@
 func TestSoakScriptFollowsFromItsSeed(t *testing.T) {
 	const lasts = 30 * time.Second
 	drawn := map[string]bool{}
-	crowds := 0
+	crowds, omitting := 0, 0
 	for seed := range uint64(200) {
 		s := SoakScript(seed, lasts)
 		if !reflect.DeepEqual(s, SoakScript(seed, lasts)) {
@@ -58,6 +58,9 @@
 		if s.Clients.IdleConns > 0 {
 			crowds++
 		}
+		if s.Fleet.OmitsContinue {
+			omitting++
+		}
 		checkSoakEvents(t, seed, s, lasts)
 		for _, e := range s.Events {
 			drawn[e.Type] = true
@@ -71,4 +74,7 @@
 	if crowds == 0 || crowds == 200 {
 		t.Errorf("%d of 200 days have a crowd", crowds)
 	}
+	if omitting < 70 || omitting > 130 { // of 200, half: 4 standard deviations
+		t.Errorf("on %d of 200 days servers send no 100", omitting)
+	}
 }
