--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -13,6 +13,8 @@
 	retryFile     = "internal/balancer/retry.go"
 	repeatFile    = "internal/balancer/repeat.go"
 	transportFile = "internal/upstream/http1/transport.go"
+
+	expectContinueFile = "internal/upstream/http1/expectcontinue.go"
 )
 
 // faults are the faults that the soak is measured by.
@@ -20,7 +22,7 @@
 	{"none", nil},
 	{"window-not-checked", []edit{
 		{repeatFile, "if left <= 0 {", "if left < -24*time.Hour {"},
-		{repeatFile, "if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) {", "if b.isSilent(s) || b.mayBeTakenLater(first, window) {"},
+		{repeatFile, "if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {", "if b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {"},
 		{transportFile, "s.Clock.Now() < a.WriteDeadline && ", ""},
 	}},
 	{"scope-not-checked", []edit{
@@ -28,11 +30,14 @@
 		{retryFile, "if r.class.Effect != IdempotentByKey || r.class.DedupScope != DedupCell {\n\t\treturn nil", "if r != nil {\n\t\treturn nil"},
 	}},
 	{"hedged-though-perhaps-unread", []edit{
-		{repeatFile, "b.isSilent(s) || b.mayBeTakenLater(first, window) {", "false {"},
+		{repeatFile, "b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {", "b.isUnconfirmed(s) {"},
 	}},
 	{"written-counts-as-not-run", []edit{
 		{transportFile, "\treturn balancer.Reset\n", "\treturn balancer.ConnectFailed\n"},
 	}},
+	{"body-written-without-100", []edit{
+		{expectContinueFile, "s.awaitContinue(c, a, req, out) && ", ""},
+	}},
 	{"refused-though-it-may-have-run", []edit{
 		{retryFile, "if first == nil || r.class.Effect == Idempotent {\n\t\treturn true\n\t}\n\tclientReturns", "if first == nil || first != nil {\n\t\treturn true\n\t}\n\tclientReturns"},
 	}},
