Soak: a server that no request has reached is not late in a drain

The time of a last arrival that never was is Go's zero time; its distance from the run saturates, and the subtraction behind it wraps round. The bound is the same; it is asked where a request came. TestServerWithoutRequestsIsNotLateInADrain failed without.

--- a/internal/scenario/live_server.go
+++ b/internal/scenario/live_server.go
@@ -82,12 +82,23 @@
 		return
 	}
 	s.isDead = true
-	if last := s.formServer.LastArrival().Sub(s.run.epoch); s.drainListedAt > 0 && last-s.drainListedAt > drainGrace+listDeliveryTolerance {
-		s.run.addViolation("3", "%s got a request %v after the list said that it drains", s.id, last-s.drainListedAt)
+	if last, late := s.arrivedAfterDrain(); late {
+		s.run.addViolation("3", "%s got a request %v after the list said that it drains", s.id, last)
 	}
 	s.formServer.Close()
 }
 
+// arrivedAfterDrain returns how long after the list said that the server drains its last request came, and whether that was too long.
+// A server that no request has reached has no such time.
+func (s *liveServer) arrivedAfterDrain() (after time.Duration, tooLate bool) {
+	last := s.formServer.LastArrival()
+	if s.drainListedAt == 0 || last.IsZero() {
+		return 0, false
+	}
+	after = last.Sub(s.run.epoch) - s.drainListedAt
+	return after, after > drainGrace+listDeliveryTolerance
+}
+
 // hasCollapsed implements serverHost.
 func (s *liveServer) hasCollapsed() bool { return !s.isDead && s.formServer.Collapsed() }
 
--- a/internal/scenario/live_test.go
+++ b/internal/scenario/live_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"appleledge/internal/emulator"
 )
 
 // program builds the agent.
@@ -99,3 +101,17 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A server that drains and that no request ever reached is not blamed for one: the zero time is 292 years before any drain, which wraps round.
+func TestServerWithoutRequestsIsNotLateInADrain(t *testing.T) {
+	model := emulator.NewServer("s", emulator.Spec{Cores: 1, Speed: 1, Slots: 1}, emulator.NewPod(0, time.Second, emulator.NewLedger()), 1, 0, true)
+	f, err := emulator.Listen("s", model, classes, 0, time.Now(), emulator.ListenOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	s := &liveServer{formServer: f, run: &liveRun{epoch: time.Now()}, drainListedAt: 3 * time.Second}
+	if after, tooLate := s.arrivedAfterDrain(); tooLate {
+		t.Errorf("a request %v after the drain", after)
+	}
+}
