Engine: a repeat by key is given up when its window ends

Its answer would be of no use to the pod's other servers then, but it could still have served the client: what is lost so was too little to be seen.

--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -121,7 +121,9 @@
 	}
 	a.WriteDeadline = a.Deadline
 	if c.mayHaveRunSince != 0 && c.IdempotencyWindow > 0 { // the balancer judges by the time now, but the dial may outlast the window
-		a.WriteDeadline = min(a.Deadline, c.mayHaveRunSince+c.IdempotencyWindow-act.TakeDelay)
+		windowEnd := c.mayHaveRunSince + c.IdempotencyWindow
+		a.Deadline = min(a.Deadline, windowEnd) // a server that rejects what was given up may take it later, and must not run it
+		a.WriteDeadline = min(a.Deadline, windowEnd-act.TakeDelay)
 		a.IsKeyedRepeat = true
 	}
 	c.noteSend(now)
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -382,6 +382,19 @@
 	}
 }
 
+// The same where pods forget sooner than an agent would wait for a repeat: it gives the repeat up when its window ends. The servers send no
+// 100 (Continue), so that repeats are written into stalls.
+func TestAbandonedRepeatsRunOnceWithShortWindows(t *testing.T) {
+	for _, window := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+		s, err := LoadScript("../../scenarios/22-resets-while-servers-stall.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Fleet.RejectsAbandoned, s.Fleet.OmitsContinue, s.Fleet.DedupWindow = true, true, Span{window, window}
+		playsCleanly(t, s)
+	}
+}
+
 // Guards against a refund that runs twice because one server stalled: it took its request when the pod had forgotten the repeat.
 func TestRefundsRunOnceWhereAServerReadsLate(t *testing.T) {
 	s, err := LoadScript("../../scenarios/21-server-reads-late.toml")
