Balancer: a failing test of what is withheld and yet rejected

mayReject knows nothing of stalls. Where all servers drop each other's repeats (scope "all"), a request that is withheld, as its first server may take it when a repeat is forgotten, ends as a Reject: its client is told that trying again is harmless, and sends the very repeat that was withheld.

--- /dev/null
+++ b/internal/balancer/reject_test.go
@@ -0,0 +1,28 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+)
+
+// All servers of the fleet drop each other's repeats, so that a client may be told that trying again is harmless. A server has stalled
+// lately, and may take a request when the repeat is forgotten: the balancer does not repeat the request. Its client must not be asked to.
+func TestWhatIsWithheldForAStallIsNotRejected(t *testing.T) {
+	set := testSettings()
+	set.Classes[keyed].DedupScope = DedupFleet
+	h := newTestBalancer(t, set, 1, 1, 1)
+	ids := h.fill("s0")
+	h.at += 1500 * time.Millisecond
+	for _, id := range ids {
+		h.timeOut(id, "s0")
+	}
+	s := h.endpoints.byID["s0"]
+	h.readmit(s)
+	s.health = serverHealth{lastSignOfLife: h.at}
+	h.refresh(s)
+	id := h.sendKeyedTo("s0")
+	h.at += 50 * time.Millisecond
+	if actions := h.end(id, "s0", 0, Reset, NoReport); len(actions) != 1 || actions[0].Kind != Fail || h.Stats().WithheldRetries != 1 {
+		t.Errorf("%+v, %d withheld", actions, h.Stats().WithheldRetries)
+	}
+}
