Balancer: with confirmed_only, an external caller repeats nothing that may have run

Found on reading through. TestConfirmedOnlyWithholdsRepeatsOfExternalCallers failed before: after a 500 "again at s1". What never ran may be tried again, as before. Off without [repeats].

--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -156,6 +156,17 @@
 	return b.settings.ConfirmedRepeatsOnly && s.neverConfirms
 }
 
+// mayBeConfirmed reports whether the agent writes the request itself, where repeats are confirmed only: it
+// can't hold back what an external caller writes.
+func (b *Balancer) mayBeConfirmed(r *request) bool {
+	isExternal := r.ManualRetry && !r.StreamsBody
+	if b.settings.ConfirmedRepeatsOnly && isExternal {
+		b.repeats.isWithheld = true
+		return false
+	}
+	return true
+}
+
 // repeatGuard counts what is not repeated because a server might not recognize it.
 type repeatGuard struct {
 	isWithheld      bool   // isRecognizedAt has refused a server only for a stall, since this was cleared
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -29,7 +29,7 @@
 	scope := r.class.DedupScope
 	return r.class.Effect == IdempotentByKey &&
 		(scope != DedupZone || s.Zone == first.zone) && (scope != DedupCell || s.Cell == first.cell) &&
-		b.isRecognizedAt(s, first, r.class.DedupWindow)
+		b.isRecognizedAt(s, first, r.class.DedupWindow) && b.mayBeConfirmed(r)
 }
 
 // mayAttempt reports whether the request may have another attempt anywhere: it is open, in time, within its
--- a/internal/balancer/unreadrepeat_test.go
+++ b/internal/balancer/unreadrepeat_test.go
@@ -102,3 +102,20 @@
 		t.Errorf("%d hedges were left unread; behind the reset %v later: %+v", hedges, h.at-sent, actions)
 	}
 }
+
+// Where repeats are confirmed only, an external caller gets no further attempt of what may have run: it writes the request itself, and the
+// agent can't hold its body back. What never ran may be tried again.
+func TestConfirmedOnlyWithholdsRepeatsOfExternalCallers(t *testing.T) {
+	set := testSettings()
+	set.ConfirmedRepeatsOnly = true
+	for result, wants := range map[Result]bool{Failed: false, Rejected: true} {
+		h := newTestBalancer(t, set, 1, 1)
+		h.serve(50, "")
+		id, to, _ := h.sendManualRequest(keyed, "s0", "s1")
+		h.answerFrom(to)
+		h.end(id, to, 0, result, NoReport)
+		if again, final := h.retry(id, "s0", "s1"); (again != "") != wants {
+			t.Errorf("result %v: again at %q, %v", result, again, final)
+		}
+	}
+}
