Scenarios: confirmed_only reaches the agents on sockets

Found on reading through. TestConfirmedOnlyIsInTheAgentsSettings failed before ("the agent's flags are []").

--- a/internal/scenario/live_agent.go
+++ b/internal/scenario/live_agent.go
@@ -74,6 +74,9 @@
 	if len(l.script.Agents.CoalescedClasses) > 0 {
 		own["join"] = map[string]any{"classes": l.script.Agents.CoalescedClasses}
 	}
+	if l.script.Agents.ConfirmedRepeats {
+		own["repeats"] = map[string]any{"confirmed_only": true}
+	}
 	switch l.script.Agents.Admission {
 	case "":
 	case "storm":
--- a/internal/scenario/live_test.go
+++ b/internal/scenario/live_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"appleledge/internal/emulator"
+	"appleledge/internal/settings"
 )
 
 // program builds the agent.
@@ -115,3 +116,18 @@
 		t.Errorf("a request %v after the drain", after)
 	}
 }
+
+// A script's confirmed_only reaches the agents on sockets, too: in their own settings.
+func TestConfirmedOnlyIsInTheAgentsSettings(t *testing.T) {
+	l, a := &liveRun{dir: t.TempDir()}, &liveAgent{}
+	l.script.Agents.ConfirmedRepeats = true
+	if err := l.writeAgentSettings(a); err != nil {
+		t.Fatal(err)
+	}
+	if len(a.flags) != 2 {
+		t.Fatalf("the agent's flags are %q", a.flags)
+	}
+	if set, err := settings.Load(a.flags[1]); err != nil || set.Repeats == nil || !set.Repeats.ConfirmedOnly {
+		t.Errorf("%+v, %v", set.Repeats, err)
+	}
+}
