Tests: what no test held when the code was broken line by line

Not found, and held now, each seen to fail with its line broken: - a backend that answers what was written behind a head omits 100 (TestAnswerToALaterRequestShowsThat100IsOmitted; none with confirmed_only) - a 100 ends a row of timeouts (TestContinueEndsARowOfTimeouts) - a 100 that is cut where a wait ends, at a backend that is known to read (TestContinueIsCutWhereTheWaitEnds had nothing by which the body followed) - the balancer's part of confirmed_only, apart from the transport's - the way of confirmed_only from the settings file to balancer and transport, and into File.Equal, by which a change is logged - HeadWritten and OmitsContinue from the transport to the balancer (TestWhatTransportsSeeReachesTheBalancer) Two more of the 44 were checks that the tests' new backend had blinded for a moment (the last byte of a large repeat, a short wait); they see again.

--- a/internal/agent/unreadattempt_test.go
+++ b/internal/agent/unreadattempt_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +142,25 @@
 		besteffort.IgnoreResult(io.WriteString(c, text))
 	}
 }
+
+// With confirmed_only, a refund without a body is not repeated: there is nothing to hold back until its backend shows that it reads.
+func TestConfirmedOnlyRepeatsNothingWithoutABody(t *testing.T) {
+	for _, confirmedOnly := range []bool{false, true} {
+		var refunds atomic.Int64
+		fail := func(c net.Conn, r *http.Request, n int) bool {
+			if refunds.Add(1) == 1 {
+				return says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")(c, r, n)
+			}
+			return says(served)(c, r, n)
+		}
+		one, two := newBackend(t, fail), newBackend(t, fail)
+		list := newFakeDiscovery(t, 1, entryText("s-1", one.Addr().String(), "Ready", 0), entryText("s-2", two.Addr().String(), "Ready", 0))
+		a := startOn(t, list, time.Millisecond, func(*Config) {}, Features{ConfirmedRepeatsOnly: confirmedOnly}, slog.New(slog.DiscardHandler))
+		r := a.newRequest(t, http.MethodPost, "/refund-record", "")
+		r.Header.Set("Idempotency-Key", tracedKey)
+		got, want := send(t, r), map[bool]int64{false: 2, true: 1}[confirmedOnly]
+		if n := refunds.Load(); n != want || (got.status == http.StatusOK) == confirmedOnly {
+			t.Errorf("confirmed_only %v: %d attempts, the client has %d", confirmedOnly, n, got.status)
+		}
+	}
+}
--- a/internal/balancer/unreadrepeat_test.go
+++ b/internal/balancer/unreadrepeat_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -119,3 +120,28 @@
 		}
 	}
 }
+
+// sendManualUpload brings a keyed request whose body is forwarded while it comes, and returns its id and where it goes, or the final answer.
+func (h *testBalancer) sendManualUpload(among ...string) (id, to string, final []ActionKind) {
+	h.ids++
+	id = fmt.Sprint("u", h.ids)
+	to, final = destination(h.Handle(h.at, Request{ID: id, Class: keyed, Deadline: h.at + 2*time.Second, AllowedServers: among, ManualRetry: true, StreamsBody: true}))
+	return id, to, final
+}
+
+// Where repeats are confirmed only, a server that is known to send no 100 (Continue) gets none, until it is known to send it.
+func TestConfirmedOnlyWithholdsRepeatsFromServersThatOmitContinue(t *testing.T) {
+	set := testSettings()
+	set.ConfirmedRepeatsOnly = true
+	h := newTestBalancer(t, set, 1, 1) // both in one cell
+	for _, omits := range []bool{true, false} {
+		h.at += time.Millisecond
+		known, to, _ := h.sendManualRequest(0, "s1")
+		h.Handle(h.at, Outcome{Request: known, Server: to, Result: OK, OmitsContinue: omits, RequestClosed: true, Report: NoReport})
+		id, _, _ := h.sendManualUpload("s0")
+		h.end(id, "s0", 0, Failed, NoReport)
+		if again, final := h.retry(id, "s1"); (again == "s1") == omits {
+			t.Errorf("omits 100 (Continue) %v: again at %q, %v", omits, again, final)
+		}
+	}
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,6 +9,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"appleledge/internal/agent"
+	"appleledge/internal/settings"
 )
 
 func TestFlags(t *testing.T) {
@@ -27,6 +30,20 @@
 	}
 }
 
+// The section [repeats] reaches the agent.
+func TestRepeatsAreConfirmedOnlyWhereTheSettingsSaySo(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "[repeats]\n": false, "[repeats]\nconfirmed_only = true\n": true} {
+		set, err := settings.Parse("own.toml", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var features agent.Features
+		if addFeatures(&features, set); features.ConfirmedRepeatsOnly != want {
+			t.Errorf("%q: %v", text, features.ConfirmedRepeatsOnly)
+		}
+	}
+}
+
 // On a signal the settings are read again: what is wrong with them is logged, and so is that a change has to wait.
 func TestRecheck(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "own.toml")
--- a/internal/engine/repeat_test.go
+++ b/internal/engine/repeat_test.go
@@ -21,8 +21,12 @@
 type repeatFixture struct{ *bindingFixture }
 
 func newRepeatFixture(t *testing.T, newFixture func(*testing.T, func(*bindingFixture)) *bindingFixture, change func(*bindingFixture)) *repeatFixture {
+	return newRepeatFixtureWith(t, balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 4, AllowHedging: true, Classes: testClasses()}, newFixture, change)
+}
+
+func newRepeatFixtureWith(t *testing.T, set balancer.Settings, newFixture func(*testing.T, func(*bindingFixture)) *bindingFixture, change func(*bindingFixture)) *repeatFixture {
 	return &repeatFixture{newFixture(t, func(x *bindingFixture) {
-		b, err := balancer.New(balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 4, AllowHedging: true, Classes: testClasses()}, 1)
+		b, err := balancer.New(set, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -185,3 +189,46 @@
 		t.Errorf("%+v, to be written until %v", again, end)
 	}
 }
+
+// What a transport sees of a server has to reach the balancer, which decides by it: that it sends no 100 (Continue), where repeats are
+// confirmed only, and that a connection broke behind a head, so that a stall that was seen before is remembered. The other server of
+// the pod gets the repeat of what has failed at the first, or it doesn't.
+func TestWhatTransportsSeeReachesTheBalancer(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmedOnly bool
+		outcome       Outcome
+		isSent        bool
+	}{
+		"sends 100":                    {true, Outcome{Result: balancer.OK}, true},
+		"omits 100":                    {true, Outcome{Result: balancer.OK, OmitsContinue: true}, false},
+		"could not be connected to":    {false, Outcome{Result: balancer.ConnectFailed}, true},
+		"broke behind a head":          {false, Outcome{Result: balancer.ConnectFailed, HeadWritten: true}, false},
+		"left a head unread":           {false, Outcome{Result: balancer.NotSent, Unread: true}, false},
+		"was not sent for another end": {false, Outcome{Result: balancer.NotSent}, true},
+	} {
+		set := balancer.Settings{Balancers: 1, Tick: 5e6, MaxAttempts: 4, Classes: testClasses(), ConfirmedRepeatsOnly: c.confirmedOnly}
+		x := newRepeatFixtureWith(t, set, newBindingFixture, func(*bindingFixture) {})
+		at := func(server string) func(*Call) { return func(call *Call) { call.Candidates = []string{server} } }
+		if c.outcome.Result == balancer.ConnectFailed { // the server has stalled before
+			for range 2 {
+				x.endAttempt(x.arrive(safeClass, func(call *Call) { at("s1")(call); call.MaxAttempts = 1 }), balancer.TimedOut)
+			}
+			for range 10 {
+				x.endAttempt(x.arrive(safeClass, at("s1")), balancer.OK)
+			}
+		}
+		x.now += time.Millisecond
+		seen := x.arrive(safeClass, func(call *Call) { at("s1")(call); call.MaxAttempts = 1 })
+		c.outcome.Attempt, c.outcome.Report = seen, balancer.NoReport
+		x.Handle(c.outcome)
+		x.now += time.Millisecond
+		first := x.arrive(keyedClass, func(*Call) {})
+		for first.Server != "s0" { // one at s1 stays without an answer, which would be a sign of life
+			first = x.arrive(keyedClass, func(*Call) {})
+		}
+		again := x.sentBy(func() { x.endAttempt(first, balancer.Failed) })
+		if (again != nil && again.Server == "s1") != c.isSent {
+			t.Errorf("%s: the repeat is %+v", name, again)
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -102,3 +102,22 @@
 		}
 	})
 }
+
+// A change of [repeats] is a change of the file: it has to be logged that it counts from the next start.
+func TestRepeatsCountInEqual(t *testing.T) {
+	with, err := Parse("f.toml", []byte("[repeats]\nconfirmed_only = true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	without, err := Parse("f.toml", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same, err := Parse("f.toml", []byte("\n[repeats]\nconfirmed_only = true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if with.Equal(without) || !with.Equal(same) {
+		t.Errorf("equal to none: %v, to the same further down: %v", with.Equal(without), with.Equal(same))
+	}
+}
--- a/internal/upstream/http1/continuelearning_test.go
+++ b/internal/upstream/http1/continuelearning_test.go
@@ -110,6 +110,44 @@
 	}
 }
 
+// A backend answers another request that was written behind the head of a repeat, and sends no 100: it reads, and omits it. The repeat
+// follows at once, and later ones don't wait. Where repeats are confirmed only, none is written.
+func TestAnswerToALaterRequestShowsThat100IsOmitted(t *testing.T) {
+	for _, confirmedOnly := range []bool{false, true} {
+		b := newContinueBackend(t, neverContinues)
+		f := newFixture(t, b.addr, 8)
+		f.ConfirmedRepeatsOnly = confirmedOnly
+		f.Pool.Backend("b").RecordAnswer(f.Clock.Now() + time.Hour) // as of the other request
+		want := map[bool]balancer.Result{false: balancer.OK, true: balancer.NotSent}[confirmedOnly]
+		if out := f.RoundTrip(t.Context(), f.keyedRepeat(testWindow)); out.Result != want || !out.OmitsContinue || out.Unread {
+			t.Errorf("confirmed only %v: result %v, omits 100: %v, unread: %v", confirmedOnly, out.Result, out.OmitsContinue, out.Unread)
+		}
+		began := f.Clock.Now()
+		out := f.RoundTrip(t.Context(), f.keyedRepeat(testWindow))
+		if took := f.Clock.Now() - began; out.Result != want || took >= maxUnknownContinueWait {
+			t.Errorf("confirmed only %v: the next one: result %v after %v", confirmedOnly, out.Result, took)
+		}
+	}
+}
+
+// Timeouts count in a row: a backend that has sent 100 between two stalls is waited for in the second as in the first.
+func TestContinueEndsARowOfTimeouts(t *testing.T) {
+	b := newContinueBackend(t, alwaysContinues)
+	f := newFixture(t, b.addr, 8)
+	for range 2 * maxTimeoutsInARow {
+		if out := f.RoundTrip(t.Context(), f.keyedRepeat(testWindow)); out.Result != balancer.OK {
+			t.Errorf("between two stalls: %v", out.Result)
+		}
+		repeatInAStall(t, f, b)
+		if s := f.Pool.Backend("b").ContinueSupport(); s != connpool.ContinueSent {
+			t.Errorf("behind a stall it is known as %d", s)
+		}
+	}
+}
+
+// maxTimeoutsInARow is how many timeouts in a row there may be for a backend to be known still, and one more.
+const maxTimeoutsInARow = 2
+
 // Repeats go only to backends that confirm. While a repeat dials, another attempt learns that the backend sends no 100. The repeat
 // must not be written.
 func TestConfirmedOnlyAndLearnedDuringTheDial(t *testing.T) {
@@ -200,7 +238,7 @@
 	}
 }
 
-// A backend that may omit 100 sends one whose bytes are cut where the wait ends. The body follows, and the backend serves it.
+// A backend that may omit 100 sends one whose bytes are cut where the wait ends. Its rest must not be read as the answer to the request.
 func TestContinueIsCutWhereTheWaitEnds(t *testing.T) {
 	l := agenttest.Listen(t)
 	agenttest.ServeConns(t, l, func(c net.Conn) {
@@ -217,6 +255,7 @@
 	})
 	f := newFixture(t, l.Addr().String(), 8)
 	f.Pool.Backend("b").RecordUnseenContinue()
+	f.Pool.Backend("b").RecordAnswer(f.Clock.Now() + time.Hour) // it reads: were nothing here, the body would follow
 	out := f.RoundTrip(t.Context(), f.keyedRepeat(testWindow))
 	if out.Result == balancer.Reset {
 		t.Error("its answer is taken for spoilt: the body followed, and the rest of its 100 was read as an answer")
