--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -170,7 +170,7 @@
 }
 
 // Only what a backend needs goes on to it: other headers could change how it reads the message. Expect is the agent's own, and comes once:
-// the backend answers without 100 (Continue), so that it is known to send none.
+// behind a first answer there is nothing to learn by a request whose body follows at once.
 func TestForwardedHeaders(t *testing.T) {
 	b := newBackend(t, says(served))
 	a := start(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -32,7 +32,7 @@
 	Incarnation   Incarnation   // of the server, when the attempt was made
 	Sent          time.Duration // when the attempt was made
 	Deadline      time.Duration // when to stop waiting
-	WriteDeadline time.Duration // when it is too late to write the last byte that is held back: Deadline, or earlier for a retry under an idempotency key
+	WriteDeadline time.Duration // when it is too late to begin, or to write a body that was held back: Deadline, or earlier for a keyed repeat
 
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
--- a/internal/upstream/connpool/backend.go
+++ b/internal/upstream/connpool/backend.go
@@ -9,7 +9,8 @@
 )
 
 // Backend is one incarnation of a backend under one address: a restart or another address makes a new Backend.
-// All its fields but id, addr, started and continues are guarded by the pool's lock.
+// It keeps what attempts learn of how it answers Expect: 100-continue, see ContinueSupport. All its fields but id, addr, started and
+// continues are guarded by the pool's lock.
 type Backend struct {
 	id, addr  string
 	started   time.Duration
