Repeats: the body waits until the first attempt is known to be read

It is written to a server that has just stopped reading, the network breaks the connection, the agent repeats it elsewhere in the pod, and the first server takes it when it goes on and the pod has forgotten the key.

Cause: a reset counted as read. Of a broken connection the balancer asked for no sign of the first attempt's server, as most resets are the server's own; but Linux lets a process read what lay there before a reset.

A live server's reset gives the agent the same error (TestRepeatMeetsBackendThatStops), so that only what came behind the request can tell the two apart.

Change: an attempt notes what shows that it was read or never will be (a byte behind it, the end of its connection without a reset); a repeat knows its original. The head of a repeat goes out as before, and its body waits, besides 100 (Continue), until the original is read: by such a sign, by an answer of the same process to what was written later, or by 100 of that process itself to the repeat. Up to 200 ms; then the next repeat goes to the first server, once, and else the request fails. First attempts go on asking for 100, without waiting, at servers that send it though the body is there. What can't be held is written only behind a sign.

Why it works: what lies unread gives none of these signs, and behind each of them it is taken already or gone.

No check of an older test changed.

--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -123,6 +123,8 @@
 		RetryForbidden bool
 		// Unread says of a NotSent that the server did not read the attempt's head in the time allowed.
 		Unread bool
+		// OriginalUnread says of a NotSent that nothing shows that the server of the first attempt has read that.
+		OriginalUnread bool
 		// HeadWritten says of a ConnectFailed that the connection was there, and broke behind the head.
 		HeadWritten bool
 		// OmitsContinue says that the server is known not to ask for the body of a request whose head it has read.
--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// markOriginalUnread notes that a repeat was not sent as the first attempt may lie unread.
+func (r *request) markOriginalUnread(o Outcome) {
+	if first := r.firstThatMayHaveRun(); o.Result == NotSent && o.OriginalUnread && first != nil {
+		first.isUnread = true
+	}
+}
+
 // maxTakeDelay is how long after its send a server may take a request, by what was seen of it lately.
 func (b *Balancer) maxTakeDelay(s *server) time.Duration {
 	return s.stalls.longest(b.now, stallMemoryHorizons*b.horizon)
@@ -111,7 +118,7 @@
 	if left <= 0 {
 		return false
 	}
-	if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {
+	if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, s, window) || b.isUnconfirmed(s) {
 		b.repeats.isWithheld = true
 		return false
 	}
@@ -119,16 +126,19 @@
 }
 
 // mayBeTakenLater reports whether the server of the first attempt may take it when the pod has forgotten a
-// repeat that is sent now. Of an attempt whose connection broke, the server has mostly read it, and of one
-// that its caller ended, the caller knows more: there only a stall that was seen lately counts, but where
-// repeats are confirmed only.
-func (b *Balancer) mayBeTakenLater(first *attempt, window time.Duration) bool {
+// repeat that is sent to a server now. Of an attempt whose connection broke, the transport holds the repeat
+// until there is a sign that the first one was read, and of one that an external caller ended, that one knows
+// more: there only a stall that was seen lately counts, but where repeats are confirmed only. Where there was
+// no sign, the repeat goes to the server of the first attempt, once: if that asks for its body, it reads.
+func (b *Balancer) mayBeTakenLater(first *attempt, to *server, window time.Duration) bool {
 	s := first.server
 	switch {
 	case s == nil: // an attempt of an earlier request: its server is not known
 		return false
 	case s.stalls.answeredSend >= first.sentAt:
 		return false
+	case first.isUnread:
+		return to != s || first.request.countAttempts(s) > 1
 	case first.isBrokenOff && !b.settings.ConfirmedRepeatsOnly:
 		return first.sentAt+b.maxTakeDelay(s) >= b.now+window
 	}
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -40,6 +40,7 @@
 	isInFlight    bool
 	hasNotRun     bool // its outcome proves that it had no effect
 	isBrokenOff   bool // its connection broke, or its caller ended it, before an answer
+	isUnread      bool // a repeat was not sent, as nothing shows that the server has read this one
 	isSendingBody bool // the request's body still arrives: the server owes nothing yet
 }
 
@@ -138,6 +139,7 @@
 	b.recordReport(a.server, o.Report)
 	b.recordStall(a, o)
 	b.forgetUnread(r, o)
+	r.markOriginalUnread(o)
 	b.recordOutcome(a, o)
 	switch {
 	case r.isClosed || o.RequestClosed:
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -54,6 +54,16 @@
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.server == s })
 }
 
+// countAttempts counts the attempts that were made at the server.
+func (r *request) countAttempts(s *server) (n int) {
+	for _, a := range r.attempts {
+		if a.server == s {
+			n++
+		}
+	}
+	return n
+}
+
 // firstThatMayHaveRun is the first attempt that is not proved to have had no effect; nil: there is none.
 func (r *request) firstThatMayHaveRun() *attempt {
 	if r.Earlier.MayHaveRun {
--- a/internal/balancer/unreadrepeat_test.go
+++ b/internal/balancer/unreadrepeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -145,3 +146,38 @@
 		}
 	}
 }
+
+// A repeat was not sent, as nothing shows that the server of the first attempt has read that. From then on a repeat goes to that server alone, once:
+// its 100 (Continue) is the sign. When the server has answered something that was sent no earlier, others may get it.
+func TestRepeatOfWhatMayLieUnreadGoesToItsServerOnce(t *testing.T) {
+	set := testSettings()
+	set.MaxAttempts = 10
+	for _, answers := range []bool{false, true} {
+		h := newTestBalancer(t, set, 1, 1) // both in one cell
+		h.serve(50, "")
+		h.at += time.Millisecond
+		id, _, _ := h.sendManualRequest(keyed, "s0")
+		h.end(id, "s0", 0, Reset, NoReport)
+		notSent := func(attempt int, to string) {
+			h.Handle(h.at, Outcome{Request: id, Attempt: attempt, Server: to, Result: NotSent, OriginalUnread: true, Report: NoReport})
+		}
+		if to, final := h.retry(id, "s1"); to != "s1" {
+			t.Fatalf("no repeat whose body the caller holds: %v", final)
+		}
+		notSent(1, "s1")
+		if answers {
+			h.answerFrom("s0")
+			if to, final := h.retry(id, "s1"); to != "s1" {
+				t.Errorf("not repeated elsewhere though the first server reads: %v", final)
+			}
+			continue
+		}
+		if to, final := h.retry(id, "s0", "s1"); to != "s0" {
+			t.Errorf("repeated at %q, %v", to, final)
+		}
+		notSent(2, "s0")
+		if to, final := h.retry(id, "s0", "s1"); to != "" || !slices.Contains(final, Fail) {
+			t.Errorf("a second time at %q, %v", to, final)
+		}
+	}
+}
--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -22,7 +22,7 @@
 	{"none", nil},
 	{"window-not-checked", []edit{
 		{repeatFile, "if left <= 0 {", "if left < -24*time.Hour {"},
-		{repeatFile, "if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {", "if b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {"},
+		{repeatFile, "if left <= b.maxTakeDelay(s) || b.isSilent(s) || b.mayBeTakenLater(first, s, window) || b.isUnconfirmed(s) {", "if b.isSilent(s) || b.mayBeTakenLater(first, s, window) || b.isUnconfirmed(s) {"},
 		{transportFile, "s.Clock.Now() < a.WriteDeadline && ", ""},
 	}},
 	{"scope-not-checked", []edit{
@@ -30,7 +30,7 @@
 		{retryFile, "if r.class.Effect != IdempotentByKey || r.class.DedupScope != DedupCell {\n\t\treturn nil", "if r != nil {\n\t\treturn nil"},
 	}},
 	{"hedged-though-perhaps-unread", []edit{
-		{repeatFile, "b.isSilent(s) || b.mayBeTakenLater(first, window) || b.isUnconfirmed(s) {", "b.isUnconfirmed(s) {"},
+		{repeatFile, "b.isSilent(s) || b.mayBeTakenLater(first, s, window) || b.isUnconfirmed(s) {", "b.isUnconfirmed(s) {"},
 	}},
 	{"written-counts-as-not-run", []edit{
 		{transportFile, "\treturn balancer.Reset\n", "\treturn balancer.ConnectFailed\n"},
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -37,8 +37,10 @@
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
 	IsKeyedRepeat  bool          // it repeats, under an idempotency key, what may have run
+	Original       *Attempt      // of a keyed repeat: the first attempt that may have run; nil: this process has made none
 
 	writtenAt    atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
+	isRead       atomic.Bool   // its server has shown that it has read it, or will never read it
 	isOverBudget bool          // it is Forbidden by the fleet's retry budget
 	ended        bool          // its outcome is known
 	isBound      bool          // the table of bindings counts it
@@ -56,10 +58,20 @@
 	}
 }
 
+// MarkRead says that the server has shown that it has read the attempt, or that it will never read it. It may be called from any
+// goroutine.
+func (a *Attempt) MarkRead() { a.isRead.Store(true) }
+
+// IsRead reports whether MarkRead was called.
+func (a *Attempt) IsRead() bool { return a.isRead.Load() }
+
+// WrittenAt returns when the attempt was written completely, or made where that was not told.
+func (a *Attempt) WrittenAt() time.Duration { return max(a.Sent, time.Duration(a.writtenAt.Load())) }
+
 // waited is for how long the server has had the attempt. Of a transport that does not tell when it wrote it, that is counted from
 // when the attempt was made.
 func (a *Attempt) waited(now time.Duration) time.Duration {
-	return now - max(a.Sent, a.bodySentAt, time.Duration(a.writtenAt.Load()))
+	return now - max(a.WrittenAt(), a.bodySentAt)
 }
 
 // UploadFinished says that the last byte of an Upload was written, and when the client will have given up its answer. It may
@@ -79,6 +91,8 @@
 	Private     bool // of an OK: the server says that it is for this client alone
 	Unread      bool // of a NotSent: the server was sent its head and did not ask for its body in time
 	HeadWritten bool // of a ConnectFailed: the connection was there, and broke behind the head
+	// OriginalUnread says of a NotSent that nothing shows that the server of the first attempt has read that.
+	OriginalUnread bool
 	// OmitsContinue says that the server is known not to ask for the body of a request whose head it has read.
 	OmitsContinue bool
 	// FromOtherServer says that the result is that of a server which the balancer did not choose. What the chosen one did is
@@ -124,9 +138,9 @@
 		windowEnd := c.mayHaveRunSince + c.IdempotencyWindow
 		a.Deadline = min(a.Deadline, windowEnd) // a server that rejects what was given up may take it later, and must not run it
 		a.WriteDeadline = min(a.Deadline, windowEnd-act.TakeDelay)
-		a.IsKeyedRepeat = true
+		a.IsKeyedRepeat, a.Original = true, c.original
 	}
-	c.noteSend(now)
+	c.noteSend(a)
 	c.attemptsMade++
 	c.inFlight++
 	return a
@@ -159,7 +173,7 @@
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
 		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report,
-		RetryForbidden: a.isOverBudget, Unread: o.Unread, HeadWritten: o.HeadWritten, OmitsContinue: o.OmitsContinue})
+		RetryForbidden: a.isOverBudget, Unread: o.Unread, OriginalUnread: o.OriginalUnread, HeadWritten: o.HeadWritten, OmitsContinue: o.OmitsContinue})
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
@@ -172,30 +186,31 @@
 	c.attemptsEnded++
 	switch result {
 	case balancer.NotSent, balancer.ConnectFailed, balancer.Rejected:
-		c.withdrawSend(a.Sent)
+		c.withdrawSend(a)
 	}
 }
 
-// noteSend notes when an attempt was sent that may run.
-func (c *Call) noteSend(at time.Duration) {
+// noteSend notes an attempt that is sent and may run.
+func (c *Call) noteSend(a *Attempt) {
 	if c.mayHaveRunSince == 0 {
-		c.mayHaveRunSince = at
+		c.mayHaveRunSince, c.original = a.Sent, a
 		return
 	}
-	c.laterSends = append(c.laterSends, at)
+	c.laterSends = append(c.laterSends, a)
 }
 
 // withdrawSend takes back the send of an attempt that has not run. The call may have run since the next of the others.
-func (c *Call) withdrawSend(at time.Duration) {
-	switch i := slices.Index(c.laterSends, at); {
-	case c.mayHaveRunSince != at && i >= 0:
+func (c *Call) withdrawSend(a *Attempt) {
+	switch i := slices.Index(c.laterSends, a); {
+	case i >= 0:
 		c.laterSends = slices.Delete(c.laterSends, i, i+1)
-	case c.mayHaveRunSince != at:
+	case c.original != a:
 	case len(c.laterSends) > 0:
-		c.mayHaveRunSince = c.laterSends[0]
+		c.original = c.laterSends[0]
+		c.mayHaveRunSince = c.original.Sent
 		c.laterSends = c.laterSends[1:]
 	default:
-		c.mayHaveRunSince = 0
+		c.mayHaveRunSince, c.original = 0, nil
 	}
 }
 
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -45,15 +45,16 @@
 
 	// Owned by the engine's goroutine:
 	attemptsMade    int
-	inFlight        int             // attempts without an outcome
-	attemptsEnded   int             // attempts that were handed over and have ended
-	mayHaveRunSince time.Duration   // when the first attempt was sent that may have run; 0 without one
-	laterSends      []time.Duration // when the others were sent that may have run, in order
-	external        ExternalCaller  // the responder, where it is one
-	lastAttempt     *Attempt        // the latest attempt of an external caller's call
-	arrivedAt       time.Duration   // when the engine got its arrival
-	isCountedOpen   bool            // counters has it as open
-	isFlight        bool            // it stands for coalesced calls, and is no client's own
+	inFlight        int            // attempts without an outcome
+	attemptsEnded   int            // attempts that were handed over and have ended
+	mayHaveRunSince time.Duration  // when the first attempt was sent that may have run; 0 without one
+	original        *Attempt       // that attempt; nil without one, and where it was made under another id
+	laterSends      []*Attempt     // the others that may have run, in order
+	external        ExternalCaller // the responder, where it is one
+	lastAttempt     *Attempt       // the latest attempt of an external caller's call
+	arrivedAt       time.Duration  // when the engine got its arrival
+	isCountedOpen   bool           // counters has it as open
+	isFlight        bool           // it stands for coalesced calls, and is no client's own
 	member          *coalesce.Member[*Call]
 	permit          *admission.Permit // of one that admission let in
 	binding         generation.Binding
--- a/internal/engine/repeat_test.go
+++ b/internal/engine/repeat_test.go
@@ -232,3 +232,31 @@
 		}
 	}
 }
+
+// A repeat names the first attempt that may have run, so that its transport can ask whether that was read: the hedge where the first attempt
+// never ran, and none where an earlier call made it.
+func TestRepeatNamesItsOriginal(t *testing.T) {
+	newFixture := func() *repeatFixture { return newRepeatFixture(t, newBindingFixture, func(*bindingFixture) {}) }
+	x := newFixture()
+	first := x.arrive(keyedClass, func(*Call) {})
+	x.answerOthers()
+	if again := x.sentBy(func() { x.endAttempt(first, balancer.Reset) }); again == nil || first.Original != nil || again.Original != first {
+		t.Errorf("behind a reset: %+v", again)
+	}
+	x = newFixture()
+	first, hedge := x.hedge(keyedClass)
+	if hedge.Original != first {
+		t.Errorf("a hedge: %+v", hedge)
+	}
+	x.endAttempt(first, balancer.Rejected)
+	x.answerOthers()
+	if again := x.sentBy(func() { x.endAttempt(hedge, balancer.Reset) }); again == nil || again.Original != hedge {
+		t.Errorf("behind a hedge whose first attempt never ran: %+v", again)
+	}
+	x = newFixture()
+	sameKey := func(c *Call) { c.IdempotencyKey = "k" }
+	x.arrive(keyedClass, sameKey)
+	if again := x.arrive(keyedClass, sameKey); !again.IsKeyedRepeat || again.Original != nil {
+		t.Errorf("under another id: %+v", again)
+	}
+}
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -209,7 +209,7 @@
 		write()
 		return
 	}
-	confirmation := continueExchange{agent: a, life: life, attempt: at, server: s, write: write, ended: ended}
+	confirmation := continueExchange{agent: a, life: life, attempt: at, server: s, write: write}
 	confirmation.start()
 }
 
--- a/internal/scenario/sim_continue.go
+++ b/internal/scenario/sim_continue.go
@@ -14,8 +14,7 @@
 	attempt *engine.Attempt
 	server  *simServer
 	write   func() // sends the body
-	ended   func(balancer.Result, balancer.Report)
-	isOver  bool // the body is written, or will not be
+	isOver  bool   // the body is written, or will not be
 }
 
 // start sends the head.
@@ -31,8 +30,14 @@
 		return
 	}
 	c.isOver = true
+	c.endNotSent(engine.Outcome{Unread: true})
+}
+
+// endNotSent ends an attempt whose body was not written.
+func (c *continueExchange) endNotSent(out engine.Outcome) {
+	out.Attempt, out.Result, out.Report = c.attempt, balancer.NotSent, balancer.NoReport
 	if c.agent.incarnation == c.life {
-		c.agent.handle(engine.Outcome{Attempt: c.attempt, Result: balancer.NotSent, Report: balancer.NoReport, Unread: true})
+		c.agent.handle(out)
 	}
 }
 
@@ -42,6 +47,7 @@
 	if c.isOver {
 		return
 	}
+	c.attempt.MarkRead()
 	w.scheduleAfter(w.drawNetworkDelay(), c.continued)
 }
 
@@ -51,8 +57,9 @@
 		return
 	}
 	c.isOver = true
-	if !c.maySend() {
-		c.ended(balancer.NotSent, balancer.NoReport)
+	isOriginalRead := c.attempt.Original == nil || c.attempt.Original.IsRead()
+	if !c.maySend() || !isOriginalRead {
+		c.endNotSent(engine.Outcome{OriginalUnread: !isOriginalRead})
 		return
 	}
 	c.write()
--- a/internal/scenario/sim_server.go
+++ b/internal/scenario/sim_server.go
@@ -103,6 +103,9 @@
 	if *timedOut && w.script.Fleet.RejectsAbandoned {
 		return
 	}
+	if !w.script.Fleet.OmitsContinue { // its 100 (Continue) says so
+		at.MarkRead()
+	}
 	s.advance()
 	reply := func(result balancer.Result, report balancer.Report) {
 		w.scheduleAfter(w.drawNetworkDelay(), func() {
--- a/internal/upstream/connpool/backend.go
+++ b/internal/upstream/connpool/backend.go
@@ -9,7 +9,7 @@
 )
 
 // Backend is one incarnation of a backend under one address: a restart or another address makes a new Backend.
-// It keeps what attempts learn of how it answers Expect: 100-continue, see ContinueSupport. All its fields but id, addr, started and
+// It keeps what attempts learn of how it reads and answers, see ContinueSupport and AwaitAnswer. All its fields but id, addr, started and
 // continues are guarded by the pool's lock.
 type Backend struct {
 	id, addr  string
--- a/internal/upstream/connpool/continuesupport.go
+++ b/internal/upstream/connpool/continuesupport.go
@@ -1,6 +1,7 @@
 package connpool
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -25,6 +26,10 @@
 	support       atomic.Int32
 	timeouts      atomic.Int32
 	answeredWrite atomic.Int64 // the latest time at which a request was written that it has answered, on the clock of the callers
+	isBodyNoted   atomic.Bool  // it has sent 100 (Continue) where the body followed at once, each time so far
+
+	mu       sync.Mutex
+	answered chan struct{} // closed by the next answer; nil: nobody waits for it
 }
 
 // ContinueSupport returns what is known of this incarnation of the backend.
@@ -49,8 +54,21 @@
 	b.continues.support.Store(int32(ContinueSent))
 }
 
+// RecordContinueWithBody notes that the backend has sent 100 (Continue) to a request whose body followed at once.
+func (b *Backend) RecordContinueWithBody() {
+	b.continues.isBodyNoted.Store(true)
+	b.RecordContinue()
+}
+
+// SendsContinueWithBody reports whether the backend sends 100 (Continue) also where the body follows at once: then one that is
+// missing behind a break shows that the request may not have been read.
+func (b *Backend) SendsContinueWithBody() bool {
+	return b.ContinueSupport() == ContinueSent && b.continues.isBodyNoted.Load()
+}
+
 // RecordUnseenContinue notes that the backend has served a request that expected 100 (Continue) without sending one.
 func (b *Backend) RecordUnseenContinue() {
+	b.continues.isBodyNoted.Store(false)
 	b.continues.support.CompareAndSwap(int32(ContinueUnknown), int32(ContinueUnseen))
 }
 
@@ -61,9 +79,55 @@
 func (b *Backend) RecordAnswer(written time.Duration) {
 	for {
 		latest := b.continues.answeredWrite.Load()
-		if int64(written) <= latest || b.continues.answeredWrite.CompareAndSwap(latest, int64(written)) {
+		if int64(written) <= latest {
 			return
 		}
+		if b.continues.answeredWrite.CompareAndSwap(latest, int64(written)) {
+			break
+		}
+	}
+	b.continues.mu.Lock()
+	defer b.continues.mu.Unlock()
+	if b.continues.answered != nil {
+		close(b.continues.answered)
+		b.continues.answered = nil
+	}
+}
+
+// hasAnswered reports whether the backend has answered a request that was written at that time or later.
+func (b *Backend) hasAnswered(written time.Duration) bool {
+	latest := b.continues.answeredWrite.Load()
+	return latest != 0 && latest >= int64(written)
+}
+
+// nextAnswer returns a channel that the next answer closes.
+func (b *Backend) nextAnswer() <-chan struct{} {
+	b.continues.mu.Lock()
+	defer b.continues.mu.Unlock()
+	if b.continues.answered == nil {
+		b.continues.answered = make(chan struct{})
+	}
+	return b.continues.answered
+}
+
+// AwaitAnswer waits until the backend has answered a request that was written at that time or later, for the wait at most. It
+// reports whether it has: then it has read what it was sent before.
+func (b *Backend) AwaitAnswer(written, wait time.Duration) bool {
+	if wait <= 0 || b.hasAnswered(written) {
+		return b.hasAnswered(written)
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		next := b.nextAnswer()
+		if b.hasAnswered(written) {
+			return true
+		}
+		select {
+		case <-next:
+		case <-timeout.C:
+			return false
+		}
 	}
 }
 
--- a/internal/upstream/http1/expectcontinue.go
+++ b/internal/upstream/http1/expectcontinue.go
@@ -16,6 +16,9 @@
 // written to it when it reads again, perhaps after the backends have forgotten the idempotency key. So the head of a repeat is
 // written with Expect: 100-continue (RFC 9110, section 10.1.1), and its body only when 100 (Continue) shows that the backend
 // reads. Without one the connection is closed, and the attempt has not run.
+//
+// The same holds for the backend of the first attempt: if it has not read that when its connection breaks, it may do so when the
+// key is forgotten. So the body waits, too, until the first attempt shows that it was read (originalread.go).
 
 // MaxContinueWait limits the time for which a repeat waits for 100 (Continue) of a backend that has sent one before.
 const MaxContinueWait = 200 * time.Millisecond
@@ -47,7 +50,7 @@
 
 const (
 	noExpectation    expectation = iota
-	learnsOnly                   // a first attempt, whose body follows at once, shows whether the backend sends 100 (Continue)
+	bodyFollows                  // a first attempt's, at once: 100 (Continue) shows that the backend sends it, and that it has read the request
 	bodyHeld                     // the body is held until 100 (Continue) has come
 	bodyNeverWritten             // it can't be held, and may not be written otherwise
 )
@@ -60,15 +63,20 @@
 		return bodyHeld
 	case a.IsKeyedRepeat && s.ConfirmedRepeatsOnly:
 		return bodyNeverWritten
-	case a.Call.IdempotencyWindow > 0 && hasBody && b != nil && b.ContinueSupport() == connpool.ContinueUnknown:
-		return learnsOnly
+	case a.Call.IdempotencyWindow > 0 && hasBody && b != nil && asksFirstAttempts(b):
+		return bodyFollows
 	}
 	return noExpectation
 }
 
+// asksFirstAttempts reports whether first attempts at the backend are to ask for 100 (Continue).
+func asksFirstAttempts(b *connpool.Backend) bool {
+	return b.ContinueSupport() == connpool.ContinueUnknown || b.SendsContinueWithBody()
+}
+
 // setHeader sets the header of a request that asks for 100 (Continue).
 func (e expectation) setHeader(req *http.Request) {
-	if e == learnsOnly || e == bodyHeld {
+	if e == bodyFollows || e == bodyHeld {
 		req.Header.Set(expectHeader, expectContinue)
 	}
 }
@@ -78,19 +86,29 @@
 
 // recordFinalResponse learns from the final response to an attempt. A rejected expectation proves that it has not run (RFC 9110,
 // section 15.5.18), and the agent alone made it expect something.
-func recordFinalResponse(a *engine.Attempt, req *http.Request, resp *http.Response, begun time.Duration, out *engine.Outcome) {
+func recordFinalResponse(a *engine.Attempt, req *http.Request, final finalHead, begun time.Duration, out *engine.Outcome) {
 	b := backendOf(a)
 	b.RecordAnswer(begun)
 	switch {
 	case !isExpecting(req):
-	case resp.StatusCode == http.StatusExpectationFailed:
+	case final.head.StatusCode == http.StatusExpectationFailed:
 		b.RecordRejectedExpectation()
 		out.Result = balancer.NotSent
-	case resp.StatusCode == http.StatusOK: // other responses may stand in the place of 100 (Continue)
+	case a.IsKeyedRepeat || final.hasContinued:
+	case final.head.StatusCode == http.StatusOK: // other responses may stand in the place of 100 (Continue)
 		b.RecordUnseenContinue()
 	}
 }
 
+// recordContinue learns from 100 (Continue) that came behind a complete request.
+func recordContinue(a *engine.Attempt) {
+	if a.IsKeyedRepeat { // its body waited for an earlier one
+		backendOf(a).RecordContinue()
+		return
+	}
+	backendOf(a).RecordContinueWithBody()
+}
+
 // writeConfirmed writes the head of an attempt, waits until the backend asks for the body, and writes that. It reports false,
 // with the outcome of the attempt set, if the request could not be written completely; then it has not run.
 func (s *Transport) writeConfirmed(c *connpool.Conn, a *engine.Attempt, req *http.Request, text []byte, out *engine.Outcome) bool {
@@ -111,8 +129,8 @@
 	return true
 }
 
-// awaitContinue waits until the backend asks for the body of a request whose head is written, and reports whether the body may
-// be written. Otherwise the outcome of the attempt is set.
+// awaitContinue waits until the backend asks for the body of a request whose head is written and the first attempt is known to be
+// read, and reports whether the body may be written. Otherwise the outcome of the attempt is set.
 func (s *Transport) awaitContinue(c *connpool.Conn, a *engine.Attempt, req *http.Request, out *engine.Outcome) bool {
 	b, wait, headWritten := backendOf(a), MaxContinueWait, s.Clock.Now()
 	if b.ContinueSupport() != connpool.ContinueSent {
@@ -124,12 +142,13 @@
 	case isSilence(err) && a.WriteDeadline < headWritten+minInformativeWait: // not sent, and nothing is learned
 	case isSilence(err):
 		out.Unread = !b.RecordContinueTimeout(headWritten)
-		return !out.Unread && !s.ConfirmedRepeatsOnly && s.mayGoOn(c, a)
+		return !out.Unread && !s.ConfirmedRepeatsOnly && s.awaitOriginalRead(a, headWritten, out) && s.mayGoOn(c, a)
 	case err != nil:
 		out.Result, out.HeadWritten = balancer.ConnectFailed, true
 	case resp.StatusCode == http.StatusContinue:
 		b.RecordContinue()
-		return s.mayGoOn(c, a)
+		a.MarkRead()
+		return s.awaitOriginalRead(a, headWritten, out) && s.mayGoOn(c, a)
 	default:
 		s.recordEarlyResponse(a, resp, out)
 	}
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -77,7 +77,12 @@
 // roundTrip makes the attempt, and leaves to RoundTrip what is known of its backend behind it.
 func (s *Transport) roundTrip(ctx context.Context, a *engine.Attempt) engine.Outcome {
 	out := engine.Outcome{Attempt: a, Result: balancer.NotSent, Report: balancer.NoReport}
-	if a.Forbidden || s.expectationOf(a) == bodyNeverWritten {
+	expects := s.expectationOf(a)
+	if a.Forbidden || expects == bodyNeverWritten {
+		return out
+	}
+	if expects != bodyHeld && !isOriginalRead(a, 0) {
+		out.OriginalUnread = true
 		return out
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Clock.At(a.Deadline))
@@ -121,20 +126,20 @@
 	if !ok {
 		return false, false
 	}
-	resp, body, err := s.readResponse(c, a, req, until)
+	got, err := s.readResponse(c, a, req, until)
 	if err != nil {
 		if out.Result = resultOfReadError(err); out.Result == balancer.TimedOut {
 			c.DropUnsent()
 		}
 		return false, false
 	}
-	out.Report = ReadReport(resp.Header, s.ReportFields, s.OnMalformedReport)
-	if out.Result = ClassifyResponse(resp.StatusCode, resp.Header); out.Result == balancer.OK {
-		out.Payload = body
-		out.Private = isPrivate(resp.Header) || body.Rest != nil // a stream can be read only once
+	out.Report = ReadReport(got.head.Header, s.ReportFields, s.OnMalformedReport)
+	if out.Result = ClassifyResponse(got.head.StatusCode, got.head.Header); out.Result == balancer.OK {
+		out.Payload = got.body
+		out.Private = isPrivate(got.head.Header) || got.body.Rest != nil // a stream can be read only once
 	}
-	recordFinalResponse(a, req, resp, begun, out)
-	return !resp.Close, body.Rest != nil
+	recordFinalResponse(a, req, got.finalHead, begun, out)
+	return !got.head.Close, got.body.Rest != nil
 }
 
 // writeRequest writes the request and returns the deadline of its response. If it could not be written completely, the
@@ -187,32 +192,46 @@
 // errMalformedResponse is a response that no backend made for the request. The request may have run.
 var errMalformedResponse = errors.New("spoilt answer")
 
+// finalHead is the head of the final response to a request.
+type finalHead struct {
+	head         *http.Response
+	hasContinued bool // 100 (Continue), which the request asked for, came before it
+}
+
+// receivedResponse is a complete response, or its first part where it is large.
+type receivedResponse struct {
+	finalHead
+	body *Response
+}
+
 // readResponse reads a response. It fails as soon as the bytes can't become one, as a malformed response may never end.
-func (s *Transport) readResponse(c *connpool.Conn, a *engine.Attempt, req *http.Request, until time.Duration) (*http.Response, *Response, error) {
+func (s *Transport) readResponse(c *connpool.Conn, a *engine.Attempt, req *http.Request, until time.Duration) (receivedResponse, error) {
 	c.AllowBytes(maxResponseHeadBytes) // http.ReadResponse takes a head of any length
-	resp, err := s.readFinalHead(c, a, req, until)
+	final, err := s.readFinalHead(c, a, req, until)
 	if err != nil {
-		return nil, nil, err
+		return receivedResponse{}, err
 	}
-	body, err := s.readBody(c, resp, until)
+	body, err := s.readBody(c, final.head, until)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, err)
+		return receivedResponse{}, fmt.Errorf("%w: %w", errMalformedResponse, err)
 	}
-	return resp, body, nil
+	return receivedResponse{final, body}, nil
 }
 
 // readFinalHead reads the head of the final response, past interim ones. Each of these may come long before the next.
-func (s *Transport) readFinalHead(c *connpool.Conn, a *engine.Attempt, req *http.Request, until time.Duration) (*http.Response, error) {
+func (s *Transport) readFinalHead(c *connpool.Conn, a *engine.Attempt, req *http.Request, until time.Duration) (final finalHead, err error) {
 	for range maxInterimResponses {
-		resp, err := s.readHead(c, req, until)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		final.head, err = s.readHead(c, req, until)
+		recordReadSign(c, a, final.head, err)
+		if err != nil || final.head.StatusCode >= http.StatusOK {
+			return final, err
 		}
-		if resp.StatusCode == http.StatusContinue && isExpecting(req) {
-			backendOf(a).RecordContinue()
+		if final.head.StatusCode == http.StatusContinue && isExpecting(req) {
+			final.hasContinued = true
+			recordContinue(a)
 		}
 	}
-	return nil, fmt.Errorf("%w: too many interim answers", errMalformedResponse)
+	return finalHead{}, fmt.Errorf("%w: too many interim answers", errMalformedResponse)
 }
 
 // readHead waits for a response and reads its head. The time for that counts from its first byte.
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -137,13 +137,13 @@
 	}
 	// A server that rejects a request may answer before the request is complete, and close.
 	c.AllowBytes(maxResponseHeadBytes)
-	resp, err := s.readFinalHead(c, a, req, s.Clock.Now()+earlyResponseTimeout)
+	early, err := s.readFinalHead(c, a, req, s.Clock.Now()+earlyResponseTimeout)
 	switch {
 	case err != nil:
-	case resp.StatusCode == http.StatusExpectationFailed && isExpecting(req):
+	case early.head.StatusCode == http.StatusExpectationFailed && isExpecting(req):
 		backendOf(a).RecordRejectedExpectation()
 		return req, false
-	case ClassifyResponse(resp.StatusCode, resp.Header) == balancer.Rejected:
+	case ClassifyResponse(early.head.StatusCode, early.head.Header) == balancer.Rejected:
 		out.Result = balancer.Rejected
 		return req, false
 	}
