Repeats: none goes to a server that is known to send no 100 (Continue)

It runs, its connection breaks, the agent repeats it at a server that stopped reading a moment before and sends no 100 (Continue); the pod forgets the key, the stall ends, and the server takes the repeat.

Cause: what can't be held until its server shows that it reads was written all the same: to servers known to send no 100 at once, and to one that had left two heads unanswered in stalls before it ever sent one. In the first moments of a stall nothing that such a server gives tells it from one that reads.

Change: by default the balancer chooses no such server for a repeat by key, and the transport writes it none. A server that left two heads unanswered gets no repeat whole either, and is asked again after 30 s. confirmed_only = false of [repeats], stated, is the behaviour before, with a warning in the log.

Why it works: the last byte of a repeat with a body goes out only behind a 100 of its own server, so that one which had stopped before never gets it complete.

Four tests of the transport (TestAnswerToALaterRequestShowsThat100IsOmitted, TestBackendThatNoLongerSends100, TestRejectionBehind100, TestBackendThatOmitsContinueIsLearned) ask that a repeat be written whole to such a backend: that is the fault, where it is not asked for. They now set what allows it, their checks as they were; TestNoRepeatIsWrittenWithoutContinue holds the default for the same backends. For the same reason TestAbandonedRepeatsRunOnceWithShortWindows sets it, so that repeats are written into stalls still, and TestRefundsRunOnceWhereServersReadLateWithoutContinue plays both.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -153,6 +153,9 @@
 func (a *assembly) openEngine() error {
 	options := a.cfg.Site.Balancer
 	options.ConfirmedRepeatsOnly = a.features.ConfirmedRepeatsOnly
+	if options.AllowUnconfirmedRepeats = a.features.AllowUnconfirmedRepeats; options.AllowUnconfirmedRepeats {
+		a.log.Warn("confirmed_only of [repeats] is false: what may have run is also sent again to servers that send no 100 (Continue), and may run twice there")
+	}
 	policy, err := balancer.New(options, a.cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/agent/downstream.go
+++ b/internal/agent/downstream.go
@@ -73,11 +73,12 @@
 func (a *assembly) serveClients(ctx context.Context) error {
 	var malformedReport sync.Once
 	transport := &upstreamhttp1.Transport{
-		Pool:                 a.pool,
-		Clock:                a.clock,
-		AllowsLargeBodies:    a.largeBodies != nil,
-		ConfirmedRepeatsOnly: a.features.ConfirmedRepeatsOnly,
-		ReportFields:         a.cfg.Site.ReportFields,
+		Pool:                    a.pool,
+		Clock:                   a.clock,
+		AllowsLargeBodies:       a.largeBodies != nil,
+		ConfirmedRepeatsOnly:    a.features.ConfirmedRepeatsOnly,
+		AllowUnconfirmedRepeats: a.features.AllowUnconfirmedRepeats,
+		ReportFields:            a.cfg.Site.ReportFields,
 		OnMalformedReport: func(err error) {
 			malformedReport.Do(func() { a.log.Warn("passing over a malformed report; further ones are not logged", "error", err) })
 		},
--- a/internal/agent/features.go
+++ b/internal/agent/features.go
@@ -38,8 +38,10 @@
 	Generations      *GenerationOptions // configurations that operators plan and apply
 	StatsLogInterval time.Duration      // between two log lines with counters
 
-	// ConfirmedRepeatsOnly: repeats by key go only to servers that are known to show that they read.
+	// ConfirmedRepeatsOnly: repeats by key are made only of what an answer shows to be read, and by this agent itself.
 	ConfirmedRepeatsOnly bool
+	// AllowUnconfirmedRepeats: repeats by key go also to servers that do not show that they read, and may run twice there.
+	AllowUnconfirmedRepeats bool
 
 	FS          atomicfile.FS // of snapshots and bindings; nil: the machine's
 	ClockOffset time.Duration // added to the wall clock, for tests
--- a/internal/agent/stalledrepeat_test.go
+++ b/internal/agent/stalledrepeat_test.go
@@ -62,6 +62,7 @@
 	firstRun chan *podBackend // who has run the traced refund first
 	mayReset signal
 	omits100 bool // where the body is there already, as RFC 9110, section 10.1.1 allows
+	rejects  bool // what expects 100, by 417
 	loses    bool // the answer of the first run
 	features Features
 	conns    sync.WaitGroup
@@ -179,6 +180,10 @@
 		}
 		stopAt(beforeContinue)
 		isOmitted := b.pod.omits100 && sockstate.Peek(c.TCPConn) == sockstate.Readable
+		if r.Header.Get("Expect") != "" && b.pod.rejects {
+			besteffort.IgnoreResult(io.WriteString(c, "HTTP/1.1 417 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+			return
+		}
 		if r.Header.Get("Expect") == "100-continue" && !isOmitted {
 			besteffort.IgnoreResult(io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"))
 		}
--- a/internal/agent/unreadattempt_test.go
+++ b/internal/agent/unreadattempt_test.go
@@ -184,3 +184,29 @@
 		p.mu.Unlock()
 	}
 }
+
+// A backend runs a refund and resets its connection; it is known to send no 100 (Continue). Nothing shows that another one of the pod reads just then: the refund is
+// not sent again, and the client learns in time that it may have run. Where unconfirmed repeats are allowed, it is sent again.
+func TestRefundIsNotRepeatedWhereBackendsSendNoContinue(t *testing.T) {
+	for _, allowed := range []bool{false, true} {
+		p := newRefundPod(t)
+		p.rejects, p.features.AllowUnconfirmedRepeats = true, allowed
+		a := p.start(t)
+		answer := make(chan reply, 1)
+		go func() { answer <- a.refund(t, tracedKey) }()
+		await(t, "the first run", p.firstRun)
+		p.mayReset.fire()
+		got := await(t, "the client's answer", answer)
+		completed := 0
+		p.mu.Lock()
+		for _, event := range p.trace {
+			if strings.Contains(event, "has \""+tracedKey+"\" complete") {
+				completed++
+			}
+		}
+		if want := map[bool]int{false: 1, true: 2}[allowed]; completed != want || (got.status == http.StatusOK) != allowed || got.status == http.StatusServiceUnavailable {
+			t.Errorf("allowed %v: the client has %d, the refund came complete %d times\n%s", allowed, got.status, completed, strings.Join(p.trace, "\n"))
+		}
+		p.mu.Unlock()
+	}
+}
--- a/internal/balancer/repeat.go
+++ b/internal/balancer/repeat.go
@@ -161,9 +161,10 @@
 	return false
 }
 
-// isUnconfirmed reports whether repeats are withheld from the server because it does not show that it reads.
+// isUnconfirmed reports whether repeats are withheld from the server because it does not show that it reads:
+// in the first moments of a stall nothing tells it from one that does.
 func (b *Balancer) isUnconfirmed(s *server) bool {
-	return b.settings.ConfirmedRepeatsOnly && s.omitsContinue
+	return !b.settings.AllowUnconfirmedRepeats && s.omitsContinue
 }
 
 // mayBeConfirmed reports whether the agent writes the request itself, where repeats are confirmed only: it
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -59,7 +59,9 @@
 	Quotas                 []float64     // ratio of the service, one for each tenant; may be empty
 	OverQuotaPriorityRatio float64       // priority over a tenant's quota, as a ratio of its class's
 	WarmingOverloadRatio   float64       // load over capacity at which a warming server collapses; 0: unknown
-	ConfirmedRepeatsOnly   bool          // repeats by key go only to servers that show that they read
+	ConfirmedRepeatsOnly   bool          // repeats by key are made only of what an answer shows to be read
+	// AllowUnconfirmedRepeats: repeats by key go also to servers that do not show that they read.
+	AllowUnconfirmedRepeats bool
 }
 
 // Validate returns an error that names the first setting that is out of its range.
--- a/internal/balancer/unreadrepeat_test.go
+++ b/internal/balancer/unreadrepeat_test.go
@@ -122,12 +122,12 @@
 	}
 }
 
-// sendManualUpload brings a keyed request whose body is forwarded while it comes, and returns its id and where it goes, or the final answer.
-func (h *testBalancer) sendManualUpload(among ...string) (id, to string, final []ActionKind) {
+// sendManualUpload brings a keyed request whose body is forwarded while it comes, and returns its id and where it goes.
+func (h *testBalancer) sendManualUpload(among ...string) (id, to string) {
 	h.ids++
 	id = fmt.Sprint("u", h.ids)
-	to, final = destination(h.Handle(h.at, Request{ID: id, Class: keyed, Deadline: h.at + 2*time.Second, AllowedServers: among, ManualRetry: true, StreamsBody: true}))
-	return id, to, final
+	to, _ = destination(h.Handle(h.at, Request{ID: id, Class: keyed, Deadline: h.at + 2*time.Second, AllowedServers: among, ManualRetry: true, StreamsBody: true}))
+	return id, to
 }
 
 // Where repeats are confirmed only, a server that is known to send no 100 (Continue) gets none, until it is known to send it.
@@ -139,7 +139,7 @@
 		h.at += time.Millisecond
 		known, to, _ := h.sendManualRequest(0, "s1")
 		h.Handle(h.at, Outcome{Request: known, Server: to, Result: OK, OmitsContinue: omits, RequestClosed: true, Report: NoReport})
-		id, _, _ := h.sendManualUpload("s0")
+		id, _ := h.sendManualUpload("s0")
 		h.end(id, "s0", 0, Failed, NoReport)
 		if again, final := h.retry(id, "s1"); (again == "s1") == omits {
 			t.Errorf("omits 100 (Continue) %v: again at %q, %v", omits, again, final)
@@ -181,3 +181,27 @@
 		}
 	}
 }
+
+// The same by default. Where unconfirmed repeats are allowed, the server gets them.
+func TestNoRepeatToAServerThatOmitsContinue(t *testing.T) {
+	for _, allowed := range []bool{false, true} {
+		set := testSettings()
+		set.AllowUnconfirmedRepeats = allowed
+		h := newTestBalancer(t, set, 1, 1) // both in one cell
+		known, to, _ := h.sendManualRequest(0, "s1")
+		h.Handle(h.at, Outcome{Request: known, Server: to, Result: OK, OmitsContinue: true, RequestClosed: true, Report: NoReport})
+		id, first := h.sendManualUpload("s0")
+		h.end(id, first, 0, Failed, NoReport)
+		again, final := h.retry(id, "s0", "s1")
+		if want := map[bool]string{false: "s0", true: "s1"}[allowed]; again != want {
+			t.Errorf("allowed %v: again at %q, %v", allowed, again, final)
+		}
+		if allowed {
+			continue
+		}
+		h.Handle(h.at, Outcome{Request: id, Attempt: 1, Server: "s0", Result: NotSent, OmitsContinue: true, Report: NoReport})
+		if again, final := h.retry(id, "s0", "s1"); again != "" || !slices.Contains(final, Fail) || h.Stats().WithheldRetries != 1 {
+			t.Errorf("no server asks for its body: again at %q, %v, %d withheld", again, final, h.Stats().WithheldRetries)
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -100,7 +100,7 @@
 		features.StatsLogInterval = time.Duration(s.Every)
 	}
 	if s := set.Repeats; s != nil {
-		features.ConfirmedRepeatsOnly = s.ConfirmedOnly
+		features.ConfirmedRepeatsOnly, features.AllowUnconfirmedRepeats = s.ConfirmedOnly, set.AllowsUnconfirmedRepeats()
 	}
 	if s := set.Storm; s != nil {
 		features.Admission = &agent.AdmissionOptions{MaxRemembered: s.Remember, LogInterval: time.Duration(s.LogEvery)}
--- a/internal/scenario/live_agent.go
+++ b/internal/scenario/live_agent.go
@@ -74,8 +74,8 @@
 	if len(l.script.Agents.CoalescedClasses) > 0 {
 		own["join"] = map[string]any{"classes": l.script.Agents.CoalescedClasses}
 	}
-	if l.script.Agents.ConfirmedRepeats {
-		own["repeats"] = map[string]any{"confirmed_only": true}
+	if l.script.Agents.ConfirmedRepeats || l.script.Agents.AllowUnconfirmedRepeats {
+		own["repeats"] = map[string]any{"confirmed_only": l.script.Agents.ConfirmedRepeats}
 	}
 	switch l.script.Agents.Admission {
 	case "":
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -63,9 +63,11 @@
 	CoalescedClasses []string `toml:"join"`           // classes whose equal requests are coalesced
 	Gossip           bool     `toml:"peers"`          // agents exchange gossip
 	Recovery         bool     `toml:"recovery"`       // agents store a baseline and recover from it after a power loss
-	ConfirmedRepeats bool     `toml:"confirmed_only"` // repeats by key go only to servers that send 100 (Continue)
-	Admission        string   `toml:"door"`           // admission control: "storm", "fleet" (all agents together), or in simulated time one of admissionvariants
-	KilledEarly      bool     `toml:"kill"`           // on sockets: at a planned restart clients use open connections until the process is killed, as early as the platform may
+	ConfirmedRepeats bool     `toml:"confirmed_only"` // repeats by key are made only of what an answer shows to be read
+	// AllowUnconfirmedRepeats: repeats by key go also to servers that send no 100 (Continue).
+	AllowUnconfirmedRepeats bool   `toml:"allow_unconfirmed"`
+	Admission               string `toml:"door"` // admission control: "storm", "fleet" (all agents together), or in simulated time one of admissionvariants
+	KilledEarly             bool   `toml:"kill"` // on sockets: at a planned restart clients use open connections until the process is killed, as early as the platform may
 }
 
 // Event is one event of a script. Its type says which of the other fields apply; see eventTypes.
@@ -228,6 +230,8 @@
 		return "clients", 0, fmt.Errorf("forms: %d must be from 2 to %d", s.Clients.DistinctForms, maxForms)
 	case s.Agents.Admission != "" && s.Agents.Admission != fleetAdmission && s.Agents.Admission != omniscientAdmission && !slices.Contains(admissionvariants.Names(), s.Agents.Admission):
 		return "agents", 0, fmt.Errorf("door: %q is none; there are %s, %s", s.Agents.Admission, fleetAdmission, strings.Join(admissionvariants.Names(), ", "))
+	case s.Agents.ConfirmedRepeats && s.Agents.AllowUnconfirmedRepeats:
+		return "agents", 0, errors.New("confirmed_only, allow_unconfirmed: at most one of them")
 	case !s.Agents.check():
 		return "agents", 0, fmt.Errorf("join: %q names what is no class, or one that must not run twice; there is %q", s.Agents.CoalescedClasses, idempotentClass)
 	case len(s.Events) > maxEvents:
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -184,7 +184,7 @@
 			a.handle(engine.Outcome{Attempt: at, Result: result, Report: report, OmitsContinue: w.script.Fleet.OmitsContinue})
 		}
 	}
-	unconfirmed := at.IsKeyedRepeat && w.script.Fleet.OmitsContinue && w.script.Agents.ConfirmedRepeats
+	unconfirmed := at.IsKeyedRepeat && w.script.Fleet.OmitsContinue && !w.script.Agents.AllowUnconfirmedRepeats
 	if s == nil || a.knownServers[s.id].state == balancer.Removed || a.isForbidden(at) || unconfirmed {
 		w.scheduleAfter(0, func() { ended(balancer.NotSent, balancer.NoReport) })
 		return
--- a/internal/scenario/simulation.go
+++ b/internal/scenario/simulation.go
@@ -210,6 +210,7 @@
 	set := balancer.Settings{Balancers: w.script.Fleet.Agents, Tick: 5 * time.Millisecond, KeyAffinity: true, MaxAttempts: 5,
 		AllowHedging: true, MaxRetryAfter: time.Second, SlowStartInitialRatio: 0.32, SlowStartDuration: 8700 * time.Millisecond, WarmingOverloadRatio: 3,
 		OverQuotaPriorityRatio: overQuotaPriorityRatio, ConfirmedRepeatsOnly: w.script.Agents.ConfirmedRepeats,
+		AllowUnconfirmedRepeats: w.script.Agents.AllowUnconfirmedRepeats,
 		Classes: []balancer.Class{
 			{Name: "form-check", Effect: balancer.Idempotent, LatencyObjective: latencyObjective, Deadline: deadline, Priority: classPriorities[0]},
 			{Name: "refund-record", Effect: balancer.IdempotentByKey, DedupScope: balancer.DedupCell, DedupWindow: w.script.Fleet.dedupWindow(), LatencyObjective: latencyObjective, Deadline: deadline,
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -355,14 +355,17 @@
 	playsCleanly(t, s)
 }
 
-// Guards against a refund that runs twice where servers that read late send no 100 (Continue), so that hedges are written at once.
+// Guards against a refund that runs twice where servers that read late send no 100 (Continue), so that hedges are withheld, or written at once where
+// unconfirmed repeats are allowed.
 func TestRefundsRunOnceWhereServersReadLateWithoutContinue(t *testing.T) {
 	s, err := LoadScript("../../scenarios/21-server-reads-late.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Fleet.OmitsContinue = true
-	playsCleanly(t, s)
+	for _, allowsUnconfirmed := range []bool{false, true} {
+		s.Fleet.OmitsContinue, s.Agents.AllowUnconfirmedRepeats = true, allowsUnconfirmed
+		playsCleanly(t, s)
+	}
 }
 
 // Agents that repeat by key only to servers that send 100 (Continue) run no refund twice where none does, and none where all do.
@@ -387,11 +390,12 @@
 }
 
 // The same where pods forget sooner than an agent would wait for a repeat: it gives the repeat up when its window ends. The servers send no
-// 100 (Continue), so that repeats are written into stalls.
+// 100 (Continue) and unconfirmed repeats are allowed, so that repeats are written into stalls.
 func TestAbandonedRepeatsRunOnceWithShortWindows(t *testing.T) {
 	for _, window := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
 		s := resetsWhileServersStall(t)
 		s.Fleet.RejectsAbandoned, s.Fleet.OmitsContinue, s.Fleet.DedupWindow = true, true, Span{window, window}
+		s.Agents.AllowUnconfirmedRepeats = true
 		playsCleanly(t, s)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,7 +45,8 @@
 		reflect.DeepEqual(f.Telemetry, other.Telemetry) && reflect.DeepEqual(f.Generations, other.Generations) &&
 		reflect.DeepEqual(f.Affinity, other.Affinity) && reflect.DeepEqual(f.Figures, other.Figures) &&
 		reflect.DeepEqual(f.Recovery, other.Recovery) && reflect.DeepEqual(f.Peers, other.Peers) &&
-		reflect.DeepEqual(f.Overload, other.Overload) && reflect.DeepEqual(f.Repeats, other.Repeats)
+		reflect.DeepEqual(f.Overload, other.Overload) && reflect.DeepEqual(f.Repeats, other.Repeats) &&
+		f.AllowsUnconfirmedRepeats() == other.AllowsUnconfirmedRepeats()
 }
 
 // section is a part of the file that checks itself: check returns the key that is wrong, within the section, and what is
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -121,3 +121,19 @@
 		t.Errorf("equal to none: %v, to the same further down: %v", with.Equal(without), with.Equal(same))
 	}
 }
+
+// Only a file that states it lets repeats go to servers that send no 100 (Continue): by default, and with an empty section, none does.
+func TestUnconfirmedRepeatsAreStated(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "[repeats]\n": false, "[repeats]\nconfirmed_only = true\n": false, "[repeats]\nconfirmed_only = false\n": true} {
+		f, err := Parse("f.toml", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.AllowsUnconfirmedRepeats() != want {
+			t.Errorf("%q: allowed %v", text, !want)
+		}
+		if empty, err := Parse("f.toml", []byte("[repeats]\n")); err != nil || want && f.Equal(empty) {
+			t.Errorf("%q is taken for the default, %v", text, err)
+		}
+	}
+}
--- a/internal/upstream/connpool/continuesupport.go
+++ b/internal/upstream/connpool/continuesupport.go
@@ -18,8 +18,12 @@
 )
 
 // maxContinueTimeouts is after how many requests in a row that 100 (Continue) did not come for in time a backend that has sent it
-// before counts as not known, and another one is not waited for any more.
-const maxContinueTimeouts = 2
+// before counts as not known, and another one is not waited for until continueRetryInterval has passed: silence does not tell a
+// backend that stalled from one that sends none.
+const (
+	maxContinueTimeouts   = 2
+	continueRetryInterval = 30 * time.Second
+)
 
 // continueRecord is what was learned of one backend. It is safe for concurrent use.
 type continueRecord struct {
@@ -28,8 +32,9 @@
 	answeredWrite atomic.Int64 // the latest time at which a request was written that it has answered, on the clock of the callers
 	isBodyNoted   atomic.Bool  // it has sent 100 (Continue) where the body followed at once, each time so far
 
-	mu       sync.Mutex
-	answered chan struct{} // closed by the next answer; nil: nobody waits for it
+	mu          sync.Mutex
+	answered    chan struct{} // closed by the next answer; nil: nobody waits for it
+	lastTimeout time.Time     // when 100 (Continue) did not come in time, the last time
 }
 
 // ContinueSupport returns what is known of this incarnation of the backend.
@@ -45,7 +50,12 @@
 	case ContinueSent:
 		return true
 	}
-	return b.continues.timeouts.Load() < maxContinueTimeouts
+	if b.continues.timeouts.Load() < maxContinueTimeouts {
+		return true
+	}
+	b.continues.mu.Lock()
+	defer b.continues.mu.Unlock()
+	return time.Since(b.continues.lastTimeout) >= continueRetryInterval
 }
 
 // RecordContinue notes that the backend has sent 100 (Continue).
@@ -136,6 +146,9 @@
 func (b *Backend) RecordContinueTimeout(headWritten time.Duration) (isOmitted bool) {
 	support := b.ContinueSupport()
 	hasReadLater := b.continues.answeredWrite.Load() > int64(headWritten)
+	b.continues.mu.Lock()
+	b.continues.lastTimeout = time.Now()
+	b.continues.mu.Unlock()
 	isLast := b.continues.timeouts.Add(1) >= maxContinueTimeouts
 	switch {
 	case support == ContinueSent && (hasReadLater || isLast):
--- a/internal/upstream/http1/continuelearning_test.go
+++ b/internal/upstream/http1/continuelearning_test.go
@@ -110,13 +110,13 @@
 	}
 }
 
-// A backend answers another request that was written behind the head of a repeat, and sends no 100: it reads, and omits it. The repeat
-// follows at once, and later ones don't wait. Where repeats are confirmed only, none is written.
+// A backend answers another request that was written behind the head of a repeat, and sends no 100: it reads, and omits it. Where unconfirmed
+// repeats are allowed the repeat follows at once, and later ones don't wait. Where repeats are confirmed only, none is written.
 func TestAnswerToALaterRequestShowsThat100IsOmitted(t *testing.T) {
 	for _, confirmedOnly := range []bool{false, true} {
 		b := newContinueBackend(t, neverContinues)
 		f := newFixture(t, b.addr, 8)
-		f.ConfirmedRepeatsOnly = confirmedOnly
+		f.ConfirmedRepeatsOnly, f.AllowUnconfirmedRepeats = confirmedOnly, !confirmedOnly
 		f.Pool.Backend("b").RecordAnswer(f.Clock.Now() + time.Hour) // as of the other request
 		want := map[bool]balancer.Result{false: balancer.OK, true: balancer.NotSent}[confirmedOnly]
 		if out := f.RoundTrip(t.Context(), f.keyedRepeat(testWindow)); out.Result != want || !out.OmitsContinue || out.Unread {
@@ -168,6 +168,7 @@
 func TestBackendThatNoLongerSends100(t *testing.T) {
 	b := newContinueBackend(t, neverContinues)
 	f := newFixture(t, b.addr, 8)
+	f.AllowUnconfirmedRepeats = true
 	f.Pool.Backend("b").RecordContinue()
 	served := 0
 	for range 6 {
@@ -185,6 +186,7 @@
 func TestRejectionBehind100(t *testing.T) {
 	b := newContinueBackend(t, rejectsExpectations)
 	f := newFixture(t, b.addr, 8)
+	f.AllowUnconfirmedRepeats = true
 	f.Pool.Backend("b").RecordContinue()
 	for i := range 3 {
 		if out := f.RoundTrip(t.Context(), f.keyedRepeat(testWindow)); i == 2 && out.Result != balancer.OK {
--- a/internal/upstream/http1/expectcontinue.go
+++ b/internal/upstream/http1/expectcontinue.go
@@ -61,7 +61,7 @@
 	switch {
 	case a.IsKeyedRepeat && hasBody && b != nil && b.MaySendContinue():
 		return bodyHeld
-	case a.IsKeyedRepeat && s.ConfirmedRepeatsOnly:
+	case a.IsKeyedRepeat && (s.ConfirmedRepeatsOnly || hasBody && !s.AllowUnconfirmedRepeats):
 		return bodyNeverWritten
 	case a.Call.IdempotencyWindow > 0 && hasBody && b != nil && asksFirstAttempts(b):
 		return bodyFollows
@@ -142,7 +142,7 @@
 	case isSilence(err) && a.WriteDeadline < headWritten+minInformativeWait: // not sent, and nothing is learned
 	case isSilence(err):
 		out.Unread = !b.RecordContinueTimeout(headWritten)
-		return !out.Unread && !s.ConfirmedRepeatsOnly && s.awaitOriginalRead(a, headWritten, out) && s.mayGoOn(c, a)
+		return !out.Unread && s.AllowUnconfirmedRepeats && s.mayGoOn(c, a)
 	case err != nil:
 		out.Result, out.HeadWritten = balancer.ConnectFailed, true
 	case resp.StatusCode == http.StatusContinue:
--- a/internal/upstream/http1/expectcontinue_test.go
+++ b/internal/upstream/http1/expectcontinue_test.go
@@ -268,11 +268,12 @@
 }
 
 // A backend sends no 100 (Continue). Silence may be a stall as well, so that some repeats may wait for it in vain; they never ran. Then
-// repeats are written as first attempts are.
+// repeats are written as first attempts are, where unconfirmed ones are allowed.
 func TestBackendThatOmitsContinueIsLearned(t *testing.T) {
 	const maxInVain = 2
 	b := &expectBackend{onBody: says(agenttest.Served)}
 	f := newExpectFixture(t, b, 100)
+	f.AllowUnconfirmedRepeats = true
 	results := make([]balancer.Result, maxInVain+2)
 	for i := range results {
 		results[i] = f.RoundTrip(t.Context(), f.keyedRepeat(repeatWindow)).Result
@@ -368,3 +369,36 @@
 		t.Errorf("%d bytes of a repeat's body", sent)
 	}
 }
+
+// Backends that are known to send no 100 (Continue), as they omit it or reject the expectation, also when they once sent it. A repeat is never written to
+// them whole, as they may have stopped just then; it does not wait for them for long, and they are told apart from backends that ask.
+func TestNoRepeatIsWrittenWithoutContinue(t *testing.T) {
+	for name, answer := range map[string]answerHead{"omits": neverContinues, "rejects": rejectsExpectations} {
+		for _, hasSentIt := range []bool{false, true} {
+			b := newContinueBackend(t, answer)
+			f := newFixture(t, b.addr, 8)
+			if hasSentIt {
+				f.Pool.Backend("b").RecordContinue()
+			}
+			const repeats = 6
+			out, firsts, waited := engine.Outcome{}, int64(0), time.Duration(0)
+			for range repeats {
+				if f.RoundTrip(t.Context(), f.keyedFirst(testWindow)).Result == balancer.OK {
+					firsts++
+				}
+				began := f.Clock.Now()
+				out = f.RoundTrip(t.Context(), f.keyedRepeat(testWindow))
+				waited += f.Clock.Now() - began
+				if out.Result != balancer.NotSent {
+					t.Errorf("%s, has sent it %v: result %v", name, hasSentIt, out.Result)
+				}
+			}
+			if !out.OmitsContinue || firsts < repeats-1 || b.complete.Load() != firsts {
+				t.Errorf("%s, has sent it %v: known to omit %v, %d first attempts served, %d complete", name, hasSentIt, out.OmitsContinue, firsts, b.complete.Load())
+			}
+			if waited > 5*MaxContinueWait {
+				t.Errorf("%s, has sent it %v: %d repeats waited for %v", name, hasSentIt, repeats, waited)
+			}
+		}
+	}
+}
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -61,7 +61,9 @@
 	OnMalformedReport func(err error) // is called for each malformed load report, from any goroutine
 	// ConfirmedRepeatsOnly: what can't be held until its backend asks for it is not repeated by key.
 	ConfirmedRepeatsOnly bool
-	AllowsLargeBodies    bool // bodies may have up to MaxLargeBody bytes, peers may be slow, and a response may end with its connection
+	// AllowUnconfirmedRepeats: what can't be held is written at once, also to a backend that is known not to ask for it.
+	AllowUnconfirmedRepeats bool
+	AllowsLargeBodies       bool // bodies may have up to MaxLargeBody bytes, peers may be slow, and a response may end with its connection
 }
 
 // RoundTrip makes the attempt and returns its outcome. It blocks until the response is complete, its first part has arrived
@@ -81,7 +83,7 @@
 	if a.Forbidden || expects == bodyNeverWritten {
 		return out
 	}
-	if expects != bodyHeld && !isOriginalRead(a, 0) {
+	if expects != bodyHeld && !s.AllowUnconfirmedRepeats && !isOriginalRead(a, 0) {
 		out.OriginalUnread = true
 		return out
 	}
