--- a/internal/upstream/http1/originalread.go
+++ b/internal/upstream/http1/originalread.go
@@ -49,7 +49,6 @@
 	isSameProcess := b == backendOf(a)
 	if isSameProcess && a.IsRead() || b.AwaitAnswer(original.WrittenAt(), wait) {
 		original.MarkRead()
-		return true
 	}
-	return false
+	return original.IsRead() // it may have answered meanwhile
 }
--- a/internal/upstream/http1/originalread_test.go
+++ b/internal/upstream/http1/originalread_test.go
@@ -30,7 +30,12 @@
 // A first attempt may lie unread at a backend that has stopped. The repeat's body stays here, though its own backend asks for it, until the
 // first one answers something that was written later.
 func TestBodyWaitsUntilTheOriginalIsRead(t *testing.T) {
-	for name, answers := range map[string]bool{"no sign": false, "an answer to a later request": true} {
+	for name, sign := range map[string]func(f *fixture, original *engine.Attempt){
+		"no sign":                      nil,
+		"an answer to a later request": func(f *fixture, _ *engine.Attempt) { f.Pool.Backend("other").RecordAnswer(f.Clock.Now()) },
+		"its own answer":               func(_ *fixture, original *engine.Attempt) { original.MarkRead() },
+	} {
+		answers := sign != nil
 		for kind, upload := range map[string]*Upload{"": nil, ", large": {Length: 5, Prefix: []byte("abc"), Rest: strings.NewReader("de"), ClientTimeout: time.Second}} {
 			t.Run(name+kind, func(t *testing.T) {
 				t.Parallel()
@@ -41,10 +46,9 @@
 				if upload != nil {
 					withUpload(a, upload)
 				}
-				other := f.Pool.Backend("other")
-				other.RecordAnswer(a.Original.Sent - 1) // was written earlier
+				f.Pool.Backend("other").RecordAnswer(a.Original.Sent - 1) // was written earlier
 				if answers {
-					time.AfterFunc(20*time.Millisecond, func() { other.RecordAnswer(f.Clock.Now()) })
+					time.AfterFunc(20*time.Millisecond, func() { sign(f, a.Original) })
 				}
 				began := f.Clock.Now()
 				out := f.RoundTrip(t.Context(), a)
