Engine: one rule for what proves that an attempt has not run

Need: the rule stood three times, in the balancer, in calls and in the affinity binder (ROADMAP, found while reading); a result that is added to one and not to the others would let a repeat count as a first attempt. Measured: no behavior changes.

--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -53,8 +53,8 @@
 var ResultNames = [...]string{OK: "ok", Failed: "failed", Rejected: "rejected", TimedOut: "timed_out",
 	ConnectFailed: "connect_failed", Reset: "reset", Cancelled: "cancelled", NotSent: "not_sent"}
 
-// provesNotRun reports whether the result proves that the attempt had no effect.
-func (r Result) provesNotRun() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
+// ProvesNotRun reports whether the result proves that the attempt had no effect.
+func (r Result) ProvesNotRun() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
 
 // Event is an input of a Balancer: one of the types below.
 type Event interface{ event() }
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -132,7 +132,7 @@
 		return
 	}
 	a := r.attempts[o.Attempt]
-	a.isInFlight, a.hasNotRun = false, o.Result.provesNotRun()
+	a.isInFlight, a.hasNotRun = false, o.Result.ProvesNotRun()
 	a.isBrokenOff = o.Result == Reset || o.Result == Cancelled
 	r.inFlight--
 	a.server.inFlight = slices.DeleteFunc(a.server.inFlight, func(other *attempt) bool { return other == a })
--- a/internal/engine/affinity.go
+++ b/internal/engine/affinity.go
@@ -94,10 +94,10 @@
 	now := b.engine.clock.Now()
 	var r affinity.Record
 	var mustLog bool
-	switch result {
-	case balancer.NotSent, balancer.ConnectFailed, balancer.Rejected:
+	switch {
+	case result.ProvesNotRun():
 		r, mustLog = b.table.Unbind(now, a.Call.affinityKey)
-	case balancer.OK:
+	case result == balancer.OK:
 		r, mustLog = b.table.Complete(now, a.Call.affinityKey, affinity.OutcomeServed)
 	default:
 		r, mustLog = b.table.Complete(now, a.Call.affinityKey, affinity.OutcomeUnknown)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -184,8 +184,7 @@
 func (c *Call) attemptEnded(a *Attempt, result balancer.Result) {
 	c.inFlight--
 	c.attemptsEnded++
-	switch result {
-	case balancer.NotSent, balancer.ConnectFailed, balancer.Rejected:
+	if result.ProvesNotRun() {
 		c.withdrawSend(a)
 	}
 }
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -113,8 +113,8 @@
 }
 
 // maySend reports whether the request may still be written. It is asked just before the first byte, and once more before a
-// body that was held back: a dial or a wait may have taken long, and meanwhile the backend may have begun to drain or restarted, the request may have been answered, or the backends
-// may have forgotten its idempotency key, so that a retry would run twice.
+// body that was held back: a dial or a wait may have taken long. Meanwhile the backend may have begun to drain or restarted, the
+// request may have been answered, or the backends may have forgotten its idempotency key, so that a retry would run twice.
 func (s *Transport) maySend(c *connpool.Conn, a *engine.Attempt) bool {
 	return s.Clock.Now() < a.WriteDeadline && !a.Call.Closed() && s.Pool.AcceptsRequests(backendOf(a)) &&
 		(a.ConnectedSince == 0 || c.Opened.Before(s.Clock.At(a.ConnectedSince)))
