Scenarios: a fleet whose servers all drop each other's repeats (scope)

Change: scope = "fleet" of [fleet] makes one pod of all servers, in simulated time and on sockets, and tells agents so ("Group": "all"); "pod", or nothing, is as before. configuration takes the fleet in place of three of its figures. Measured: tests of the package pass; the golden texts of the scenarios are as they were.

--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -132,9 +132,9 @@
 // zone is the name of the only availability zone.
 const zone = "edinburgh-dc"
 
-// configuration is the file of the platform that an agent would get: its number among so many, where the list is, and how long pods drop
-// repeats.
-func configuration(discovery, listen string, number, agents int, seed uint64, dedupWindow time.Duration) ([]byte, error) {
+// configuration is the file of the platform that an agent would get: its number among those of the fleet, where the list is, and which servers
+// drop repeats for how long.
+func configuration(discovery, listen string, number int, seed uint64, fleet FleetSize) ([]byte, error) {
 	type object = map[string]any
 	var tenants []object
 	for _, p := range refundPoints {
@@ -148,13 +148,13 @@
 		"name": fmt.Sprint("n", number), "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", seed+uint64(number)),
 		"limits": object{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
 		"settings": object{
-			"Balancers": agents, "Me": number, "TickNs": 5 * time.Millisecond, "WeightKind": "silent", "Discovery": "automatic",
+			"Balancers": fleet.Agents, "Me": number, "TickNs": 5 * time.Millisecond, "WeightKind": "silent", "Discovery": "automatic",
 			"Zones": []string{zone}, "Domain": object{"WarmKeys": true}, "OverShareWorth": 0.1, "Tenants": tenants,
 			"Report": object{"Fields": []string{"util", "qps", "eps"}, "Via": "piggyback"},
 			"Rules":  object{"ColdFrom": 0.32, "ColdNs": 8700 * time.Millisecond, "OverloadFactor": 3},
 			"Ceilings": object{"ConnIdleNs": idleClose, "ConnectTimeoutNs": 250 * time.Millisecond, "MaxRetryAfterNs": time.Second,
 				"MostHeld": 1000, "MostTries": 5, "ParallelTries": true, "RetryAfter": true},
-			"Classes": []object{class("form-check", "repeatable", "all", 2, 0), class("refund-record", "by_key", "cell", 10, dedupWindow)},
+			"Classes": []object{class("form-check", "repeatable", "all", 2, 0), class("refund-record", "by_key", fleet.platformGroup(), 10, fleet.dedupWindow())},
 		},
 	})
 }
--- a/internal/scenario/live_agent.go
+++ b/internal/scenario/live_agent.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	text, err := configuration(l.discovery.Addr, place.Addr(), number, l.script.Fleet.Agents, seed, l.script.Fleet.dedupWindow())
+	text, err := configuration(l.discovery.Addr, place.Addr(), number, seed, l.script.Fleet)
 	if err != nil {
 		place.Close()
 		return err
--- a/internal/scenario/quickstart.go
+++ b/internal/scenario/quickstart.go
@@ -84,7 +84,7 @@
 	}
 	defer place.Close() // the agent listens there by then
 	addr = place.Addr()
-	text, err := configuration(fleet.Discovery.Addr, addr, 0, 1, q.Seed, defaultWindow)
+	text, err := configuration(fleet.Discovery.Addr, addr, 0, q.Seed, FleetSize{Agents: 1})
 	if err != nil {
 		return "", nil, nil, err
 	}
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -85,7 +85,7 @@
 		if float64(i)+0.5 >= machineKinds[0].share*float64(r.script.Fleet.Servers) {
 			k = machineKinds[1]
 		}
-		r.addServer(serverName(i), k, i/podSize, true)
+		r.addServer(serverName(i), k, r.script.Fleet.podOf(i), true)
 	}
 }
 
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -13,6 +13,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"appleledge/internal/balancer"
 	"appleledge/internal/harness/admissionvariants"
 	"appleledge/internal/settings"
 )
@@ -36,8 +37,17 @@
 	// OmitsContinue: servers send no 100 (Continue) to a request that expects one.
 	OmitsContinue bool `toml:"omits_continue"`
 	DedupWindow   Span `toml:"window"` // for which a pod drops repeats, a single time; 0: defaultWindow
+	// DedupScope names the servers that share a memory of idempotency keys: podDedupScope, also where it is empty, or
+	// fleetDedupScope.
+	DedupScope string `toml:"scope"`
 }
 
+// The values of FleetSize.DedupScope.
+const (
+	podDedupScope   = "pod"   // pods of podSize servers
+	fleetDedupScope = "fleet" // all servers, as one pod
+)
+
 // dedupWindow returns for how long a pod drops repeats.
 func (f FleetSize) dedupWindow() time.Duration {
 	if f.DedupWindow.To == 0 {
@@ -46,6 +56,30 @@
 	return f.DedupWindow.To
 }
 
+// podOf returns the pod of the server with that number.
+func (f FleetSize) podOf(number int) int {
+	if f.DedupScope == fleetDedupScope {
+		return 0
+	}
+	return number / podSize
+}
+
+// balancerScope returns the scope as balancers know it.
+func (f FleetSize) balancerScope() balancer.DedupScope {
+	if f.DedupScope == fleetDedupScope {
+		return balancer.DedupFleet
+	}
+	return balancer.DedupCell
+}
+
+// platformGroup returns the scope as the platform's file names it.
+func (f FleetSize) platformGroup() string {
+	if f.DedupScope == fleetDedupScope {
+		return "all"
+	}
+	return "cell"
+}
+
 // ClientLoad is the traffic of the clients.
 type ClientLoad struct {
 	Rate            float64 `toml:"rate"`  // requests a second, of all
@@ -220,6 +254,8 @@
 		return "fleet", 0, fmt.Errorf("agents: %d must be from 1 to %d", s.Fleet.Agents, maxAgents)
 	case s.Fleet.DedupWindow.From != s.Fleet.DedupWindow.To || s.Fleet.DedupWindow.From < 0:
 		return "fleet", 0, errors.New("window: must be one time above 0")
+	case !slices.Contains([]string{"", podDedupScope, fleetDedupScope}, s.Fleet.DedupScope):
+		return "fleet", 0, fmt.Errorf("scope: %q is none; there are %s, %s", s.Fleet.DedupScope, podDedupScope, fleetDedupScope)
 	case s.Clients.Rate <= 0 || s.Clients.Rate > maxRate:
 		return "clients", 0, fmt.Errorf("rate: %v must be above 0 and at most %d", s.Clients.Rate, maxRate)
 	case s.Clients.MaxAttempts < 1 || s.Clients.MaxAttempts > maxClientAttempts:
--- a/internal/scenario/simulation.go
+++ b/internal/scenario/simulation.go
@@ -213,7 +213,7 @@
 		AllowUnconfirmedRepeats: w.script.Agents.AllowUnconfirmedRepeats,
 		Classes: []balancer.Class{
 			{Name: "form-check", Effect: balancer.Idempotent, LatencyObjective: latencyObjective, Deadline: deadline, Priority: classPriorities[0]},
-			{Name: "refund-record", Effect: balancer.IdempotentByKey, DedupScope: balancer.DedupCell, DedupWindow: w.script.Fleet.dedupWindow(), LatencyObjective: latencyObjective, Deadline: deadline,
+			{Name: "refund-record", Effect: balancer.IdempotentByKey, DedupScope: w.script.Fleet.balancerScope(), DedupWindow: w.script.Fleet.dedupWindow(), LatencyObjective: latencyObjective, Deadline: deadline,
 				Priority: classPriorities[1]},
 		}}
 	for _, p := range refundPoints {
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -261,6 +261,7 @@
 		"length = \"soon\"\n":                                          "s.toml:1: ",
 		"lenght = \"5s\"\n":                                            "s.toml:1: unknown key \"lenght\"", //nolint:misspell // an unknown key
 		"\n[fleet]\nservers = 0\n":                                     "s.toml:2: servers",
+		"[fleet]\nscope = \"zone\"\n":                                  "s.toml:1: scope: \"zone\" is none; there are pod, fleet",
 		"[clients]\nrate = -1.0\n":                                     "s.toml:1: rate",
 		"[[event]]\ndo = \"hang\"\nat = \"1s\"\n":                      "s.toml:1: hang: say which",
 		"[[event]]\ndo = \"dance\"\n":                                  "s.toml:1: do: \"dance\" is no event; there are agent_kill",
