Balancer: what may have run by key is never rejected, whatever its scope and window

Cause: mayReject went by scope and window alone. They make a retry harmless only if a server takes it inside the window, and no agent can promise that of a new request, which is written at once at whichever agent gets it.

Lines with checks that left tests, and why what stands there is as strict: - internal/agent/agent_test.go, TestNoRefusalWhoseRetryWouldComeAfterTheWindow (its name, three fields, two cases, the silent backend and its check): it asked for 502 with a window of 2 s, for 503 with one of 20 s, and for one attempt. The 503 is the fault: the silent backend may take the request when the client's retry is forgotten. TestWhatMayHaveRunIsNotRejectedHoweverLongTheWindow has the first case as it was, asks for 502 in the second, for one attempt and no Retry-After in both, and for 503 with Retry-After in a third, in which nothing ran, so that a rejection is still asked for. - internal/balancer/invariants_test.go, the line of the property test that let what may have run be rejected in classes of scope fleet: it forbids that in all classes that are not idempotent.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -55,27 +55,31 @@
 	}
 }
 
-// A refusal says that trying again is harmless. A client that comes when it is told to must find servers that still know
-// its key: where their window ends before, the request has failed.
-func TestNoRefusalWhoseRetryWouldComeAfterTheWindow(t *testing.T) {
+// A rejection says that a retry is harmless. Of what may have run by key it is not, however long all servers remember the key: the silent
+// backend may take it, or what the client sends again, when they have forgotten the other. What has not run is rejected.
+func TestWhatMayHaveRunIsNotRejectedHoweverLongTheWindow(t *testing.T) {
+	const notProcessed = "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 	for _, c := range []struct {
-		name   string
-		window time.Duration
-		status int
+		name     string
+		window   time.Duration
+		backend  func(net.Conn, *http.Request, int) bool
+		status   int
+		mayRetry bool
 	}{
-		{"the window ends with the request's time", 2 * time.Second, http.StatusBadGateway},
-		{"the window ends long after", 20 * time.Second, http.StatusServiceUnavailable},
+		{"the window ends with the request's time", 2 * time.Second, silent, http.StatusBadGateway, false},
+		{"the window ends long after", 20 * time.Second, silent, http.StatusBadGateway, false},
+		{"the window ends long after, and it has not run", 20 * time.Second, says(notProcessed), http.StatusServiceUnavailable, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			b := newBackend(t, silent)
+			b := newBackend(t, c.backend)
 			a := startWith(t, newFakeDiscovery(t, 1, entryText("s-1", b.Addr().String(), "Ready", 0)), 0, func(cfg *Config) {
 				for i := range cfg.Site.Balancer.Classes {
 					cfg.Site.Balancer.Classes[i].DedupScope, cfg.Site.Balancer.Classes[i].DedupWindow = balancer.DedupFleet, c.window
 				}
 			})
 			got := send(t, a.newRequest(t, http.MethodPost, "/refund-record", ""))
-			if got.status != c.status || b.Requests() != 1 {
+			if got.status != c.status || (got.header.Get("Retry-After") != "") != c.mayRetry || !c.mayRetry && b.Requests() != 1 {
 				t.Errorf("%d attempts, %+v", b.Requests(), got)
 			}
 		})
--- a/internal/agent/stalledrepeat_test.go
+++ b/internal/agent/stalledrepeat_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"appleledge/internal/balancer"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/sockstate"
 )
@@ -64,6 +65,7 @@
 	omits100 bool // where the body is there already, as RFC 9110, section 10.1.1 allows
 	rejects  bool // what expects 100, by 417
 	loses    bool // the answer of the first run
+	isFleet  bool // the agent knows it as the whole fleet, whose servers all drop each other's repeats
 	features Features
 	conns    sync.WaitGroup
 	began    time.Time
@@ -223,6 +225,9 @@
 	a := startOn(t, list, time.Millisecond, func(c *Config) {
 		for i := range c.Site.Balancer.Classes {
 			c.Site.Balancer.Classes[i].DedupWindow = podWindow
+			if p.isFleet {
+				c.Site.Balancer.Classes[i].DedupScope = balancer.DedupFleet
+			}
 		}
 	}, p.features, slog.New(slog.DiscardHandler))
 	for n := 0; one.answers.Load() == 0 || two.answers.Load() == 0; n++ {
@@ -323,3 +328,47 @@
 	}
 	return value
 }
+
+// All backends drop each other's repeats. One of them runs a refund and resets the connection, and the agent makes no repeat of it. The client retries only
+// what is rejected, which says that a retry is harmless. Both backends stop in that moment, as nobody can know, and go on when they have forgotten the key.
+func TestRetryOfWhatIsRejectedMeetsBackendsThatStop(t *testing.T) {
+	p := newRefundPod(t)
+	p.rejects, p.isFleet = true, true // they send no 100 (Continue)
+	a := p.start(t)
+	answer := make(chan reply, 1)
+	go func() { answer <- a.refund(t, tracedKey) }()
+	await(t, "the first run", p.firstRun)
+	for _, b := range p.backends {
+		b.stopped.fire()
+	}
+	p.mayReset.fire()
+	got := await(t, "the client's answer", answer)
+	p.log("the client has %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	if isRejection := got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests; isRejection {
+		p.retryUntilForgotten(t, a)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.ranAt[tracedKey]); n != 1 || got.status != http.StatusBadGateway {
+		t.Errorf("the client has %d, the refund ran %d times\n%s", got.status, n, strings.Join(p.trace, "\n"))
+	}
+}
+
+// retryUntilForgotten sends the traced refund once more, and lets the stopped backends go on when the pod has forgotten the key. It returns when the
+// retry has been taken.
+func (p *refundPod) retryUntilForgotten(t *testing.T, a *running) {
+	t.Helper()
+	answer := make(chan reply, 1)
+	go func() { answer <- a.refund(t, tracedKey) }()
+	select {
+	case <-p.backends[0].isReached.happened:
+	case <-p.backends[1].isReached.happened:
+	case early := <-answer:
+		t.Fatalf("the retry has met no stopped backend, its client has %d", early.status)
+	}
+	p.awaitForgotten()
+	for _, b := range p.backends {
+		b.goesOn.fire()
+	}
+	await(t, "the answer to the retry", answer)
+}
--- a/internal/balancer/invariants_test.go
+++ b/internal/balancer/invariants_test.go
@@ -157,7 +157,7 @@
 func (w *world) reject(r *worldRequest) {
 	c := w.set.Classes[r.Class]
 	for _, p := range r.sent {
-		if !p.hasNotRun && (c.Effect == NonIdempotent || c.Effect == IdempotentByKey && c.DedupScope != DedupFleet) {
+		if !p.hasNotRun && c.Effect != Idempotent {
 			w.violation("a request that may have run is rejected")
 			return
 		}
--- a/internal/balancer/requests.go
+++ b/internal/balancer/requests.go
@@ -160,7 +160,7 @@
 		return
 	}
 	kind := Fail
-	if b.mayReject(r) {
+	if r.mayReject() {
 		kind = Reject
 	}
 	b.act(Action{Kind: kind, Request: r.ID, Reason: reason,
--- a/internal/balancer/retry.go
+++ b/internal/balancer/retry.go
@@ -85,17 +85,12 @@
 	return r.firstThatMayHaveRun()
 }
 
-// mayReject reports whether the client may be told that repeating the request does no harm. It repeats at
-// any server: a request that may have run has to be recognized by all of them, also when the client has
-// waited for as long as it is told to.
-func (b *Balancer) mayReject(r *request) bool {
-	first := r.firstThatMayHaveRun()
-	if first == nil || r.class.Effect == Idempotent {
-		return true
-	}
-	clientReturns := b.now + r.class.retryAfter() + b.settings.Tick
-	return r.class.Effect == IdempotentByKey && r.class.DedupScope == DedupFleet &&
-		clientReturns-first.sentAt < r.class.DedupWindow
+// mayReject reports whether the client may be told that repeating the request does no harm. Where an attempt
+// may have run it is not known to do none, even if all servers recognize the idempotency key: to the balancer
+// that gets it the client's repeat is a new request, sent at once, and a server that has just stopped reading
+// takes it when the key is forgotten.
+func (r *request) mayReject() bool {
+	return r.class.Effect == Idempotent || r.firstThatMayHaveRun() == nil
 }
 
 // retryAfter is how long a client of the class is asked to wait before it repeats a request.
--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -39,7 +39,7 @@
 		{expectContinueFile, "s.awaitContinue(c, a, req, out) && ", ""},
 	}},
 	{"refused-though-it-may-have-run", []edit{
-		{retryFile, "if first == nil || r.class.Effect == Idempotent {\n\t\treturn true\n\t}\n\tclientReturns", "if first == nil || first != nil {\n\t\treturn true\n\t}\n\tclientReturns"},
+		{retryFile, "return r.class.Effect == Idempotent || r.firstThatMayHaveRun() == nil", "return true"},
 	}},
 	{"unsafe-is-resent", []edit{
 		{retryFile, "if first == nil || r.class.Effect == Idempotent {\n\t\treturn true\n\t}\n\tscope", "if first == nil || r.class.Effect != IdempotentByKey {\n\t\treturn true\n\t}\n\tscope"},
--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -349,6 +349,39 @@
 	return s
 }
 
+// dedupInWholeFleet returns resetsWhileServersStall in a fleet whose servers all drop each other's repeats.
+func dedupInWholeFleet(t *testing.T) Script {
+	t.Helper()
+	s := resetsWhileServersStall(t)
+	s.Fleet.DedupScope = fleetDedupScope
+	return s
+}
+
+// Guards against a refund that runs twice because the agent rejected it though it may have run, and so told the client that a retry is harmless. The
+// client's retry is a new request, which is written at once. A server that has just stalled takes it when the key is forgotten.
+func TestRefundsRunOnceWhereClientsRetryWhatIsRejected(t *testing.T) {
+	for name, change := range map[string]func(*Script){
+		"servers send 100":                         func(*Script) {},
+		"servers send no 100":                      func(s *Script) { s.Fleet.OmitsContinue = true },
+		"half of the servers stall, all are reset": stallHalfResetAll,
+		"a window of 20 s, and stalls longer than it": func(s *Script) {
+			s.Fleet.DedupWindow = Span{20 * time.Second, 20 * time.Second}
+			s.Events[0].Duration, s.Events[0].Repeat = Span{20 * time.Second, 25 * time.Second}, 1
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := dedupInWholeFleet(t)
+			change(&s)
+			playsCleanly(t, s)
+		})
+	}
+}
+
+// stallHalfResetAll lets half of the servers stall, and break all connections behind what has run.
+func stallHalfResetAll(s *Script) {
+	s.Events[0].ServerShare, s.Events[1].ServerShare, s.Events[1].Factor = 0.5, 1, 1
+}
+
 // Guards against a refund that runs twice because a reset made the agent repeat it to a server that stalled just then and sends no 100 (Continue).
 func TestRefundsRunOnceWhereARepeatMeetsAStallWithoutContinue(t *testing.T) {
 	s := resetsWhileServersStall(t)
