--- a/internal/scenario/simulation_test.go
+++ b/internal/scenario/simulation_test.go
@@ -382,6 +382,34 @@
 	s.Events[0].ServerShare, s.Events[1].ServerShare, s.Events[1].Factor = 0.5, 1, 1
 }
 
+// A server sends 100 (Continue) to the head of a repeat, and stalls before it has read the body, which lies there until the key is forgotten. The trace of each of
+// these days shows this alone: no request was rejected, and no sign of the stall was there when the body was written.
+func TestRefundsRunOnceWhereAServerStallsBehindItsContinue(t *testing.T) {
+	for name, c := range map[string]struct {
+		seed uint64
+		day  func() Script
+	}{
+		"whole fleet": {110, func() Script { return dedupInWholeFleet(t) }},
+		"whole fleet, fewer stalls": {10, func() Script {
+			s := dedupInWholeFleet(t)
+			s.Events[0].ServerShare, s.Events[1].Factor = 0.25, 0.3
+			return s
+		}},
+		"pods, half stall, all are reset": {116, func() Script {
+			s := resetsWhileServersStall(t)
+			s.Events[0].ServerShare, s.Events[1].ServerShare = 0.5, 1
+			return s
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if d := Simulate(c.day(), c.seed); len(d.Violations) > 0 {
+				t.Errorf("%d broken, the first %v", d.ViolationCount, d.Violations[0])
+			}
+		})
+	}
+}
+
 // Guards against a refund that runs twice because a reset made the agent repeat it to a server that stalled just then and sends no 100 (Continue).
 func TestRefundsRunOnceWhereARepeatMeetsAStallWithoutContinue(t *testing.T) {
 	s := resetsWhileServersStall(t)
