Engine: a bound retry whose settings are too old has failed and is not rejected

Callers saw: nothing reported. A client's retry that [affinity] knows to have perhaps run under another id, and that was checked under settings more than one version old (two reloads while it was read), was answered 503, which says that trying again is harmless. Tried again at another agent, it could run twice. Cause: submit rejected such a call as "never sent", which is true of this id alone. Evidence: a case of TestRepeatGoesToPodOfEarlierAttempt, seen to fail before ("nothing, want failed", the answer was Rejected). Why this works: unservedKind says for submit and forceAnswer what the engine may promise by itself; the rule stood in forceAnswer alone. Limits of a configuration, admission and the external processor had it already. Measured: tests of the package pass.

--- a/internal/engine/affinity_test.go
+++ b/internal/engine/affinity_test.go
@@ -158,6 +158,7 @@
 		"that a limit would reject": {func(x *bindingFixture) {
 			x.SetGenerations(newGenerations(), nil)
 		}, func(x *bindingFixture) { x.limitAll(t) }, balancer.TimedOut, "failed"},
+		"that was checked under settings two versions old": {nothing, func(x *bindingFixture) { x.settingsVersion = 2 }, balancer.TimedOut, "failed"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for range 8 { // draws are by chance
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -110,8 +110,8 @@
 // submit asks admission and then the balancer for a call.
 func (e *Engine) submit(c *Call) {
 	e.calls[c.ID] = c
-	if c.SettingsVersion < e.settingsVersion-1 { // only the classes before the present ones are known; it was never sent
-		e.finish(c, Answer{Kind: Rejected})
+	if c.SettingsVersion < e.settingsVersion-1 { // only the classes before the present ones are known
+		e.finish(c, Answer{Kind: c.unservedKind()})
 		return
 	}
 	if !e.admit(c) {
@@ -158,11 +158,7 @@
 	if c.closed.Load() {
 		return
 	}
-	a := Answer{Kind: Rejected}
-	if c.mayHaveRunSince != 0 || c.earlier.MayHaveRun {
-		a.Kind = Failed
-	}
-	e.finish(c, a)
+	e.finish(c, Answer{Kind: c.unservedKind()})
 	if c.member != nil { // only idempotent calls are coalesced: Rejected is true of it
 		e.coalescer.leave(c)
 		return
@@ -170,6 +166,15 @@
 	e.decide(balancer.ClientDisconnected{Request: c.ID})
 }
 
+// unservedKind is the kind of the final answer to a call that the engine ends by itself. What may have run has failed: a rejection
+// would promise that a retry is harmless.
+func (c *Call) unservedKind() AnswerKind {
+	if c.mayHaveRunSince != 0 || c.earlier.MayHaveRun {
+		return Failed
+	}
+	return Rejected
+}
+
 // allowedServers are the ids of the servers that a call may go to, sorted; nil: any. They are those of its pool and of its
 // caller's choice. The pool is that of the configuration that the call is bound to, for all of its attempts.
 func (c *Call) allowedServers() []string {
