--- a/internal/balancer/decisions_test.go
+++ b/internal/balancer/decisions_test.go
@@ -20,24 +20,6 @@
 // time goes into a hash that is committed. One draw more or in another order, or one constant that is off, changes it. What
 // goes into the hash is numbers and strings, so that names may change and the hash may not.
 
-// traceRandom is the trace's own generator (splitmix64), so that no library's or module's draws are part of the scenario.
-type traceRandom uint64
-
-func (r *traceRandom) next() uint64 {
-	*r += 0x9E3779B97F4A7C15
-	z := uint64(*r)
-	z = (z ^ z>>30) * 0xBF58476D1CE4E5B9
-	z = (z ^ z>>27) * 0x94D049BB133111EB
-	return z ^ z>>31
-}
-func (r *traceRandom) below(n int) int       { return int(r.next() % uint64(n)) }
-func (r *traceRandom) share() float64        { return float64(r.next()>>11) / (1 << 53) }
-func (r *traceRandom) chance(p float64) bool { return r.share() < p }
-func (r *traceRandom) between(a, b int) int  { return a + r.below(b-a+1) }
-func (r *traceRandom) millis(a, b int) time.Duration {
-	return time.Duration(r.between(a*1000, b*1000)) * time.Microsecond
-}
-
 // The names of the trace's own for what it counts, by the numbers of the module.
 var (
 	traceKinds   = [...]string{"send", "cancel", "refuse", "fail", "set timer", "probe", "subscribe", "tell"}
@@ -116,7 +98,7 @@
 type trace struct {
 	traceCase
 	b                *balancer.Balancer
-	rnd              traceRandom
+	rnd              golden.Random
 	at               time.Duration
 	queue            traceQueue
 	seq, ids         int
@@ -167,7 +149,7 @@
 			token := a.Token
 			x.after(a.After, func() { x.handle(balancer.TimerFired{Token: token}) })
 		case balancer.Subscribe:
-			x.after(x.rnd.millis(5, 50), x.subscribed)
+			x.after(x.rnd.Millis(5, 50), x.subscribed)
 		}
 	}
 }
@@ -230,7 +212,7 @@
 		r.ErrorRate, r.InFlight, r.QueueLength = 0, s.inFlight, max(0, s.inFlight-s.slots)
 		s.reports[0], s.reportAt = r, x.at+50*time.Millisecond
 	}
-	switch n := x.rnd.below(20); {
+	switch n := x.rnd.Below(20); {
 	case x.noReports || n == 0:
 		return balancer.NoReport
 	case n == 1:
@@ -264,36 +246,36 @@
 	s.inFlight++
 	x.counts["sends by effect "+strconv.Itoa(int(x.classes[r.ev.Class].Effect))]++
 	load := x.load(s)
-	took := time.Duration(float64(s.base) * (0.5 + x.rnd.share()) * (1 + 6*max(0, load-0.8)))
-	if x.rnd.chance(0.02) {
+	took := time.Duration(float64(s.base) * (0.5 + x.rnd.Share()) * (1 + 6*max(0, load-0.8)))
+	if x.rnd.Chance(0.02) {
 		took *= 12 // a costly request
 	}
 	result := balancer.OK
 	switch mode := s.mode; {
-	case load > 2.2 && x.rnd.chance(0.7):
-		result, took = balancer.Rejected, x.rnd.millis(1, 3)
-	case mode == traceFails && x.rnd.chance(0.9), x.rnd.chance(0.01):
-		result, took = balancer.Failed, x.rnd.millis(2, 30)
+	case load > 2.2 && x.rnd.Chance(0.7):
+		result, took = balancer.Rejected, x.rnd.Millis(1, 3)
+	case mode == traceFails && x.rnd.Chance(0.9), x.rnd.Chance(0.01):
+		result, took = balancer.Failed, x.rnd.Millis(2, 30)
 	case mode == traceSlow:
 		took *= 15
 	case mode == traceHangs:
 		took = time.Hour
-	case mode == traceRejects && x.rnd.chance(0.9):
-		result, took = balancer.Rejected, x.rnd.millis(1, 5)
+	case mode == traceRejects && x.rnd.Chance(0.9):
+		result, took = balancer.Rejected, x.rnd.Millis(1, 5)
 	case mode == traceUnreachable:
-		result, took = balancer.ConnectFailed, x.rnd.millis(10, 60)
-	case mode == traceBreaks && x.rnd.chance(0.8):
-		result, took = balancer.Reset, x.rnd.millis(5, 50)
+		result, took = balancer.ConnectFailed, x.rnd.Millis(10, 60)
+	case mode == traceBreaks && x.rnd.Chance(0.8):
+		result, took = balancer.Reset, x.rnd.Millis(5, 50)
 	}
-	if x.rnd.chance(0.002) {
+	if x.rnd.Chance(0.002) {
 		result, took = balancer.NotSent, 0
 	}
 	if limit == 0 {
 		limit = r.ev.Deadline - x.at
 	}
 	if r.ev.StreamsBody {
-		written := x.rnd.millis(10, 150)
-		if x.rnd.chance(0.8) {
+		written := x.rnd.Millis(10, 150)
+		if x.rnd.Chance(0.8) {
 			x.after(written, func() {
 				if a.isInFlight && !r.closed {
 					r.ev.Deadline = x.at + time.Second
@@ -307,7 +289,7 @@
 	if took > limit {
 		result, took = balancer.TimedOut, limit
 	}
-	if result == balancer.OK && x.rnd.chance(0.05) {
+	if result == balancer.OK && x.rnd.Chance(0.05) {
 		x.after(took/2, func() {
 			if a.isInFlight && !r.closed {
 				r.closed = true
@@ -317,7 +299,7 @@
 		})
 	}
 	x.after(took, func() { x.end(r, n, result) })
-	if s.entry.State == balancer.Removed && x.rnd.chance(0.5) {
+	if s.entry.State == balancer.Removed && x.rnd.Chance(0.5) {
 		x.after(took/3, func() { x.end(r, n, balancer.Reset) })
 	}
 }
@@ -325,7 +307,7 @@
 func (x *trace) end(r *traceRequest, n int, result balancer.Result) {
 	a := r.attempts[n]
 	if !a.isInFlight {
-		if x.rnd.chance(0.05) { // told twice, which is passed over
+		if x.rnd.Chance(0.05) { // told twice, which is passed over
 			x.handle(balancer.Outcome{Request: r.ev.ID, Attempt: n, Server: a.server.entry.ID, Result: result, Report: balancer.NoReport})
 		}
 		return
@@ -348,7 +330,7 @@
 		x.withdraw(r)
 	}
 	if r.ev.ManualRetry && !r.closed {
-		switch y := x.rnd.below(10); {
+		switch y := x.rnd.Below(10); {
 		case y < 7:
 			x.counts["attempts asked for"]++
 			x.handle(balancer.Retry{Request: r.ev.ID, AllowedServers: x.allowedServers(0.5)})
@@ -361,8 +343,8 @@
 // withdraw ends the attempts that are still out of a request that is over.
 func (x *trace) withdraw(r *traceRequest) {
 	for n, a := range r.attempts {
-		if a.isInFlight && x.rnd.chance(0.8) {
-			x.after(x.rnd.millis(0, 5), func() { x.end(r, n, balancer.Cancelled) })
+		if a.isInFlight && x.rnd.Chance(0.8) {
+			x.after(x.rnd.Millis(0, 5), func() { x.end(r, n, balancer.Cancelled) })
 		}
 	}
 }
@@ -382,11 +364,11 @@
 	r := x.requests[id]
 	r.closed = true
 	x.withdraw(r)
-	if r.clientRetries >= 3 || !x.rnd.chance(0.6) {
+	if r.clientRetries >= 3 || !x.rnd.Chance(0.6) {
 		return
 	}
 	again := r.ev
-	x.after(after+x.rnd.millis(1, 60), func() {
+	x.after(after+x.rnd.Millis(1, 60), func() {
 		again.IsClientRetry = true
 		if r.mayHaveRun != nil {
 			again.Earlier = balancer.EarlierAttempt{MayHaveRun: true, SentAt: r.mayHaveRun.sent, Zone: r.mayHaveRun.server.entry.Zone, Cell: r.mayHaveRun.server.entry.Cell}
@@ -397,13 +379,13 @@
 }
 
 func (x *trace) allowedServers(part float64) []string {
-	if !x.rnd.chance(part) {
+	if !x.rnd.Chance(part) {
 		return nil
 	}
-	n := x.rnd.between(0, 9)
+	n := x.rnd.Between(0, 9)
 	ids := []string{}
 	for range n {
-		ids = append(ids, x.servers[x.rnd.below(len(x.servers))].entry.ID)
+		ids = append(ids, x.servers[x.rnd.Below(len(x.servers))].entry.ID)
 	}
 	slices.Sort(ids)
 	return slices.Compact(ids)
@@ -412,38 +394,38 @@
 func (x *trace) ask(e balancer.Request, tries int) {
 	x.ids++
 	e.ID = "r" + strconv.Itoa(x.ids)
-	e.Deadline = x.at + x.rnd.millis(300, 1500)
-	e.UsesPreviousClasses = x.at-x.classesUpdatedAt < 200*time.Millisecond && e.Class < 4 && x.rnd.chance(0.5)
+	e.Deadline = x.at + x.rnd.Millis(300, 1500)
+	e.UsesPreviousClasses = x.at-x.classesUpdatedAt < 200*time.Millisecond && e.Class < 4 && x.rnd.Chance(0.5)
 	r := &traceRequest{ev: e, clientRetries: tries}
 	x.requests[e.ID] = r
 	x.handle(e)
-	if x.rnd.chance(0.03) {
-		x.after(x.rnd.millis(1, 300), func() { x.disconnect(r) })
+	if x.rnd.Chance(0.03) {
+		x.after(x.rnd.Millis(1, 300), func() { x.disconnect(r) })
 	}
 }
 
 func (x *trace) arrive() {
-	e := balancer.Request{Class: x.rnd.below(len(x.classes)), Tenant: x.rnd.between(-1, 3)}
-	if x.rnd.chance(0.4) {
+	e := balancer.Request{Class: x.rnd.Below(len(x.classes)), Tenant: x.rnd.Between(-1, 3)}
+	if x.rnd.Chance(0.4) {
 		e.Tenant = 0 // more than its share
 	}
-	if x.rnd.chance(0.6) {
-		e.Key = "k" + strconv.Itoa(x.rnd.below(200))
+	if x.rnd.Chance(0.6) {
+		e.Key = "k" + strconv.Itoa(x.rnd.Below(200))
 	}
-	e.ManualRetry = x.rnd.chance(0.2)
+	e.ManualRetry = x.rnd.Chance(0.2)
 	e.AllowedServers = x.allowedServers(0.04)
-	e.StreamsBody = x.rnd.chance(0.05)
-	if x.rnd.chance(0.1) {
-		e.MaxAttempts = x.rnd.between(1, 2)
+	e.StreamsBody = x.rnd.Chance(0.05)
+	if x.rnd.Chance(0.1) {
+		e.MaxAttempts = x.rnd.Between(1, 2)
 	}
 	x.ask(e, 0)
-	if x.rnd.chance(0.01) { // the same once more, and a class that is not known, which are passed over
+	if x.rnd.Chance(0.01) { // the same once more, and a class that is not known, which are passed over
 		x.handle(x.requests["r"+strconv.Itoa(x.ids)].ev)
 		x.handle(balancer.Request{ID: "no class", Class: 99})
 		x.handle(balancer.HealthCheckResult{Server: x.servers[0].entry.ID, Report: balancer.NoReport})
 		x.handle(balancer.PeerMessage{From: 1})
 	}
-	pause := float64(time.Second) / float64(x.perSecond) * 2 * x.rnd.share()
+	pause := float64(time.Second) / float64(x.perSecond) * 2 * x.rnd.Share()
 	if x.at < x.surgeUntil {
 		pause /= 3
 	}
@@ -452,10 +434,10 @@
 
 func (x *trace) newServer() *traceServer {
 	x.names++
-	s := &traceServer{base: x.rnd.millis(20, 60), slots: float64(x.rnd.between(4, 16))}
-	s.entry = balancer.Server{ID: "s" + strconv.Itoa(x.names), Zone: x.rnd.below(3), Cell: x.rnd.below(1 + len(x.servers)/4), Weight: s.slots}
-	if x.rnd.chance(0.02) {
-		s.entry.Weight = []float64{0, -1, math.NaN(), 1e12}[x.rnd.below(4)]
+	s := &traceServer{base: x.rnd.Millis(20, 60), slots: float64(x.rnd.Between(4, 16))}
+	s.entry = balancer.Server{ID: "s" + strconv.Itoa(x.names), Zone: x.rnd.Below(3), Cell: x.rnd.Below(1 + len(x.servers)/4), Weight: s.slots}
+	if x.rnd.Chance(0.02) {
+		s.entry.Weight = []float64{0, -1, math.NaN(), 1e12}[x.rnd.Below(4)]
 	}
 	x.servers = append(x.servers, s)
 	x.byID[s.entry.ID] = s
@@ -475,7 +457,7 @@
 
 // subscribed answers a subscription: with the whole list, or not at all.
 func (x *trace) subscribed() {
-	if x.lastingFaults && x.handled < x.events/2 || x.rnd.chance(0.4) {
+	if x.lastingFaults && x.handled < x.events/2 || x.rnd.Chance(0.4) {
 		x.counts["calls to the list that failed"]++
 		x.handle(balancer.ListUnavailable{})
 		return
@@ -485,17 +467,17 @@
 
 // change changes the list: drains, removals, restarts, new servers, other weights, zones and cells.
 func (x *trace) change() {
-	n := x.rnd.between(1, 3)
-	if x.rnd.chance(0.15) {
+	n := x.rnd.Between(1, 3)
+	if x.rnd.Chance(0.15) {
 		n = 20
 	}
 	l := balancer.ServerList{}
-	if x.rnd.chance(0.1) {
+	if x.rnd.Chance(0.1) {
 		l.DropRatio = 0.2
 	}
 	for range n {
-		s := x.servers[x.rnd.below(len(x.servers))]
-		switch x.rnd.below(8) {
+		s := x.servers[x.rnd.Below(len(x.servers))]
+		switch x.rnd.Below(8) {
 		case 0:
 			s.entry.State = balancer.Draining
 			x.counts["drains"]++
@@ -510,9 +492,9 @@
 			s.entry.Started, s.mode, s.entry.State = x.at, traceHealthy, balancer.Ready
 			x.counts["restarts"]++
 		case 4:
-			s.entry.Cell, s.entry.Zone = x.rnd.below(4), x.rnd.below(3)
+			s.entry.Cell, s.entry.Zone = x.rnd.Below(4), x.rnd.Below(3)
 		case 5:
-			s.entry.Weight = float64(x.rnd.between(1, 20))
+			s.entry.Weight = float64(x.rnd.Between(1, 20))
 		case 6:
 			s.entry.State = balancer.Ready
 		default:
@@ -520,10 +502,10 @@
 				break
 			}
 			s = x.newServer()
-			if x.rnd.chance(0.7) {
+			if x.rnd.Chance(0.7) {
 				s.entry.Started = x.at
 			}
-			if x.rnd.chance(0.1) {
+			if x.rnd.Chance(0.1) {
 				l.Servers = append(l.Servers, s.entry) // named and taken back in one change
 				s.entry.State = balancer.Removed
 				x.servers = x.servers[:len(x.servers)-1]
@@ -531,26 +513,26 @@
 			x.counts["new servers"]++
 		}
 		l.Servers = append(l.Servers, s.entry)
-		if x.rnd.chance(0.05) {
+		if x.rnd.Chance(0.05) {
 			l.Servers = append(l.Servers, s.entry, balancer.Server{ID: "never seen", State: balancer.Removed})
 		}
 	}
-	if x.rnd.chance(0.1) {
+	if x.rnd.Chance(0.1) {
 		l = x.fullList(l.DropRatio)
 	}
 	x.handle(l)
 	if x.lastingFaults {
-		x.after(x.rnd.millis(2000, 4000), x.change)
+		x.after(x.rnd.Millis(2000, 4000), x.change)
 		return
 	}
-	x.after(x.rnd.millis(30, 400), x.change)
+	x.after(x.rnd.Millis(30, 400), x.change)
 }
 
 // rollingRelease restarts most servers at once.
 func (x *trace) rollingRelease() {
 	l := balancer.ServerList{}
 	for _, s := range x.servers {
-		if x.rnd.chance(0.7) {
+		if x.rnd.Chance(0.7) {
 			s.entry.Started, s.mode = x.at, traceHealthy
 			l.Servers = append(l.Servers, s.entry)
 		}
@@ -568,9 +550,9 @@
 	for i, s := range x.servers {
 		if x.lastingFaults && i%6 == 0 {
 			s.mode = 1 + i/6%(traceModes-1)
-		} else if x.rnd.chance(0.2) {
-			if s.mode = traceHealthy; x.rnd.chance(ill) {
-				s.mode = x.rnd.between(1, traceModes-1)
+		} else if x.rnd.Chance(0.2) {
+			if s.mode = traceHealthy; x.rnd.Chance(ill) {
+				s.mode = x.rnd.Between(1, traceModes-1)
 			}
 		}
 	}
@@ -624,7 +606,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x.b, x.rnd, x.at, x.digest = b, traceRandom(x.seed*1000+x.traceCase.servers), time.Hour, sha256.New()
+	x.b, x.rnd, x.at, x.digest = b, golden.Random(x.seed*1000+x.traceCase.servers), time.Hour, sha256.New()
 	x.byID, x.requests, x.ejected, x.counts = map[string]*traceServer{}, map[string]*traceRequest{}, map[string]bool{}, map[string]int{}
 	for range x.traceCase.servers {
 		x.newServer()
@@ -640,7 +622,7 @@
 	} else {
 		x.after(time.Second, x.change)
 	}
-	x.after(x.rnd.millis(2000, 3000), func() { x.handle(balancer.ListUnavailable{}) })
+	x.after(x.rnd.Millis(2000, 3000), func() { x.handle(balancer.ListUnavailable{}) })
 	rounds, emptied, released := 0, false, false
 	for x.handled < x.events {
 		if part := x.handled * 100 / x.events; rounds == 0 && part >= 45 || rounds == 1 && part >= 70 {
--- a/internal/golden/trace.go
+++ b/internal/golden/trace.go
@@ -118,6 +118,9 @@
 // Below returns a number from 0 to n-1.
 func (r *Random) Below(n int) int { return int(r.Next() % uint64(n)) }
 
+// Between returns a number from one to the other, both included.
+func (r *Random) Between(from, to int) int { return from + r.Below(to-from+1) }
+
 // Share returns a number from 0 to 1.
 func (r *Random) Share() float64 { return float64(r.Next()>>11) / (1 << 53) }
 
@@ -126,5 +129,5 @@
 
 // Millis returns a time between two numbers of milliseconds.
 func (r *Random) Millis(from, to int) time.Duration {
-	return time.Duration(from*1000+r.Below((to-from)*1000+1)) * time.Microsecond
+	return time.Duration(r.Between(from*1000, to*1000)) * time.Microsecond
 }
