Tests: the scope reaches pods and agents, and what is new is rejected under old settings

Nothing noticed when balancers were told pods in a fleet of one pod, when the platform's file named "cell" for it, or when submit failed what is new in place of rejecting it. Change: TestDedupScopeReachesPodsAndAgents and TestCallUnderOldSettingsFailsIfBoundElseIsRejected, each seen to fail with its line broken. TestWhatMayHaveRunIsNotRejectedHoweverLongTheWindow asks for the value of Retry-After ("0.3" where nothing ran, none else), where it asked whether there is one, and still for one attempt of what may have run: stricter. It uses the package's text of a rejection in place of its own. TestWhatIsInFlightAtItsDeadlineIsNotRejected also asks that nothing is sent.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -58,17 +58,16 @@
 // A rejection says that a retry is harmless. Of what may have run by key it is not, however long all servers remember the key: the silent
 // backend may take it, or what the client sends again, when they have forgotten the other. What has not run is rejected.
 func TestWhatMayHaveRunIsNotRejectedHoweverLongTheWindow(t *testing.T) {
-	const notProcessed = "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 	for _, c := range []struct {
-		name     string
-		window   time.Duration
-		backend  func(net.Conn, *http.Request, int) bool
-		status   int
-		mayRetry bool
+		name       string
+		window     time.Duration
+		backend    func(net.Conn, *http.Request, int) bool
+		status     int
+		retryAfter string // in seconds; empty: the client is not asked to retry
 	}{
-		{"the window ends with the request's time", 2 * time.Second, silent, http.StatusBadGateway, false},
-		{"the window ends long after", 20 * time.Second, silent, http.StatusBadGateway, false},
-		{"the window ends long after, and it has not run", 20 * time.Second, says(notProcessed), http.StatusServiceUnavailable, true},
+		{"the window ends with the request's time", 2 * time.Second, silent, http.StatusBadGateway, ""},
+		{"the window ends long after", 20 * time.Second, silent, http.StatusBadGateway, ""},
+		{"the window ends long after, and it has not run", 20 * time.Second, says(rejected), http.StatusServiceUnavailable, "0.3"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -79,8 +78,11 @@
 				}
 			})
 			got := send(t, a.newRequest(t, http.MethodPost, "/refund-record", ""))
-			if got.status != c.status || (got.header.Get("Retry-After") != "") != c.mayRetry || !c.mayRetry && b.Requests() != 1 {
-				t.Errorf("%d attempts, %+v", b.Requests(), got)
+			if got.status != c.status || got.header.Get("Retry-After") != c.retryAfter {
+				t.Errorf("%+v", got)
+			}
+			if mayHaveRun := c.retryAfter == ""; mayHaveRun && b.Requests() != 1 {
+				t.Errorf("%d attempts", b.Requests())
 			}
 		})
 	}
--- a/internal/balancer/reject_test.go
+++ b/internal/balancer/reject_test.go
@@ -92,8 +92,8 @@
 	h := keyedBalancer(t, DedupFleet)
 	id := h.sendKeyedTo("s0")
 	h.at += 2 * time.Second
-	if final := finalActions(h.Handle(h.at, TimerFired{h.requests.byID[id].token})); len(final) != 1 || final[0].Kind != Fail {
-		t.Errorf("%+v", final)
+	if to, final := destination(h.Handle(h.at, TimerFired{h.requests.byID[id].token})); to != "" || !slices.Equal(final, []ActionKind{Fail}) {
+		t.Errorf("sent to %q, %v", to, final)
 	}
 }
 
--- a/internal/engine/affinity_test.go
+++ b/internal/engine/affinity_test.go
@@ -180,6 +180,21 @@
 	}
 }
 
+// The settings were replaced twice while a call was read, so that its class is not known any more. What is new is rejected, and so retried; what may
+// have run under another id fails.
+func TestCallUnderOldSettingsFailsIfBoundElseIsRejected(t *testing.T) {
+	x := newBindingFixture(t, func(*bindingFixture) {})
+	first, _ := x.call("k")
+	first.Call.Close()
+	x.endAttempt(first, balancer.TimedOut)
+	x.settingsVersion = 2
+	for key, want := range map[string]AnswerKind{"k": Failed, "new": Rejected} {
+		if attempt, answers := x.call(key); attempt != nil || len(*answers) != 1 || (*answers)[0].Kind != want {
+			t.Errorf("%s: %+v, want %v", key, *answers, want)
+		}
+	}
+}
+
 // A server at capacity rejects what is new, and fails what may have run under another id.
 func TestCallAtCapacityFailsIfBoundElseIsRejected(t *testing.T) {
 	x := newBindingFixture(t, func(x *bindingFixture) { x.SetOutcomeCache(10, time.Minute) })
--- a/internal/scenario/refunds_test.go
+++ b/internal/scenario/refunds_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
+
+	"appleledge/internal/agent"
+	"appleledge/internal/balancer"
 )
 
 // loadScenario loads a scenario of the repository.
@@ -56,6 +61,48 @@
 	return s
 }
 
+// The scope of a script is that of the pods, of simulated balancers and of the file that agents on sockets read: where they differ, a day proves
+// nothing of the scope.
+func TestDedupScopeReachesPodsAndAgents(t *testing.T) {
+	const refundClass = 1 // its number
+	for body, want := range map[string]struct {
+		pods  int
+		scope balancer.DedupScope
+	}{
+		"[fleet]\nservers = 6\n":                    {2, balancer.DedupCell},
+		"[fleet]\nservers = 6\nscope = \"pod\"\n":   {2, balancer.DedupCell},
+		"[fleet]\nservers = 6\nscope = \"fleet\"\n": {1, balancer.DedupFleet},
+	} {
+		s := script(t, body)
+		w := newSimulation(s, 1)
+		w.startFleet()
+		if simulated := w.balancerSettings().Classes[refundClass].DedupScope; len(w.pods) != want.pods || simulated != want.scope {
+			t.Errorf("%q: %d pods, scope %v", body, len(w.pods), simulated)
+		}
+		if got := loadPlatformFile(t, s.Fleet).Site.Balancer.Classes[refundClass].DedupScope; got != want.scope {
+			t.Errorf("%q: agents on sockets have scope %v", body, got)
+		}
+	}
+}
+
+// loadPlatformFile returns what an agent reads from the platform's file for the fleet.
+func loadPlatformFile(t *testing.T, fleet FleetSize) agent.Config {
+	t.Helper()
+	text, err := configuration("127.0.0.1:1", "127.0.0.1:2", 0, 1, fleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), configFileName)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := agent.LoadConfig(func(name string) string { return map[string]string{"PROXY_CONFIG": file}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
 // Guards against a refund that runs twice because the agent rejected it though it may have run, and so told the client that a retry is harmless. The
 // client's retry is a new request, which is written at once. A server that has just stalled takes it when the key is forgotten.
 func TestRefundsRunOnceWhereClientsRetryWhatIsRejected(t *testing.T) {
@@ -81,8 +128,8 @@
 	s.Events[0].ServerShare, s.Events[1].ServerShare, s.Events[1].Factor = 0.5, 1, 1
 }
 
-// A server sends 100 (Continue) to the head of a repeat, and stalls before it has read the body, which lies there until the key is forgotten. The trace of each of
-// these days shows this alone: no request was rejected, and no sign of the stall was there when the body was written.
+// A server sends 100 (Continue) to the head of a repeat, and stalls before it has read the body, which lies there until the key is forgotten. By the trace of each of
+// these days the refund that ran twice was not rejected, and its server did not stall when the attempt was made.
 func TestRefundsRunOnceWhereAServerStallsBehindItsContinue(t *testing.T) {
 	for name, c := range map[string]struct {
 		seed uint64
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -37,8 +37,8 @@
 	// OmitsContinue: servers send no 100 (Continue) to a request that expects one.
 	OmitsContinue bool `toml:"omits_continue"`
 	DedupWindow   Span `toml:"window"` // for which a pod drops repeats, a single time; 0: defaultWindow
-	// DedupScope names the servers that share a memory of idempotency keys: podDedupScope, also where it is empty, or
-	// fleetDedupScope.
+	// DedupScope says which servers share a memory of idempotency keys: those of a pod ("pod", also where it is empty), or
+	// all ("fleet").
 	DedupScope string `toml:"scope"`
 }
 
