Logs and counters: the reason of every client's close, retry and refusal

Added, at a bounded rate (internal/eventlog: 5 lines a second, 50 at once, what is left out is counted): a line with the request's id for each retry, hedge, refusal, failure and each request that ends without an answer; a line for each close of a client's connection that leaves a request unread or unanswered, with the reason. Every close is counted by its reason (closed_* in 'figures', and appleledge_client_connections_closed_total in the metrics). No decision has changed; Answer has a Reason now, which one test of admission compares too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,7 @@
 	"appleledge/internal/downstream/http1"
 	"appleledge/internal/downstream/requesthead"
 	"appleledge/internal/engine"
+	"appleledge/internal/eventlog"
 	"appleledge/internal/fleet/gossip"
 	"appleledge/internal/fleet/recovery"
 	"appleledge/internal/membership/platform"
@@ -165,6 +166,7 @@
 	a.clock = engine.NewClock().WithOffset(a.features.ClockOffset)
 	a.pool = connpool.New(a.cfg.Site.ConnectTimeout, a.cfg.Site.ConnectionIdleTimeout, a.maxUpstreamConns)
 	a.engine = engine.New(policy, a.clock, a.pool, a.log)
+	a.engine.SetRequestLog(eventlog.New(a.log))
 	a.components.add(untilAnswered, a.engine.Run)
 	a.components.add(untilAnswered, func(ctx context.Context) { callEvery(ctx, idleSweepInterval, a.pool.Sweep) })
 	return nil
--- a/internal/agent/downstream.go
+++ b/internal/agent/downstream.go
@@ -8,6 +8,7 @@
 
 	"appleledge/internal/connlimit"
 	downstreamhttp1 "appleledge/internal/downstream/http1"
+	"appleledge/internal/eventlog"
 	"appleledge/internal/fleet/overload"
 	"appleledge/internal/platformconfig"
 	upstreamhttp1 "appleledge/internal/upstream/http1"
@@ -39,6 +40,7 @@
 		GossipStatus:   statusOf(a.gossip),
 		OverloadStatus: func() *overload.Status { return a.overload.statusOrNil() },
 		HasSibling:     a.hasSibling,
+		ClientCloses:   func() connlimit.CloseCounts { return a.clients.CloseCounts() },
 		Log:            a.log,
 	}
 	for _, server := range a.features.DownstreamServers {
@@ -58,7 +60,7 @@
 // openClients prepares the listener of the platform's port. Where operators call, bodies may be large and connections
 // are many, so that both get their limits there.
 func (a *assembly) openClients() error {
-	var limits connlimit.Options
+	limits := connlimit.Options{Events: eventlog.New(a.log)}
 	if a.cfg.Operator != "" {
 		a.largeBodies = downstreamhttp1.NewLargeBodies(int64(a.cfg.MemoryMB<<20) / largeBodyMemoryDivisor)
 		a.listener = a.largeBodies.TrackFraming(a.listener)
@@ -92,6 +94,7 @@
 		DrainAcceptDuration: a.cfg.drainAcceptDuration,
 		LargeBodies:         a.largeBodies,
 		Log:                 a.log,
+		RequestLog:          eventlog.New(a.log),
 		Coalescing:          a.coalescing.downstreamOptions(),
 	}
 	if a.restart != nil {
--- a/internal/agent/features.go
+++ b/internal/agent/features.go
@@ -9,6 +9,7 @@
 	"appleledge/internal/atomicfile"
 	"appleledge/internal/balancer"
 	"appleledge/internal/coalesce"
+	"appleledge/internal/connlimit"
 	"appleledge/internal/downstream/requesthead"
 	"appleledge/internal/engine"
 	"appleledge/internal/fleet/gossip"
@@ -73,7 +74,8 @@
 	MaxDeadline    func() time.Duration    // longest deadline of a request under the settings in force
 	GossipStatus   func() *gossip.Status   // nil without Features.Gossip
 	OverloadStatus func() *overload.Status // nil without Features.Overload
-	HasSibling     func() bool             // another process of the agent runs, which may hold an address that this one needs
+	ClientCloses   func() connlimit.CloseCounts
+	HasSibling     func() bool // another process of the agent runs, which may hold an address that this one needs
 	Log            *slog.Logger
 }
 
--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"appleledge/internal/balancer"
+	"appleledge/internal/connlimit"
 	"appleledge/internal/engine"
 	"appleledge/internal/logstats"
 	"appleledge/internal/membership/platform"
@@ -20,7 +21,7 @@
 		return nil
 	}
 	a.engine.TrackLatency(a.cfg.Site.Balancer.Classes)
-	sources := statSources{a.engine, a.pool, a.discovery}
+	sources := statSources{a.engine, a.pool, a.discovery, a.clients}
 	a.components.add(untilAnswered, func(ctx context.Context) { sources.logEvery(ctx, interval, a.log) })
 	return nil
 }
@@ -30,6 +31,7 @@
 	core      *engine.Engine
 	pool      *connpool.Pool
 	discovery *platform.Discovery
+	clients   *connlimit.Listener // nil: its counts are left out
 }
 
 // logEvery logs, at intervals, what was counted since the last line, without zeros, and the gauges. The number of attributes
@@ -95,5 +97,14 @@
 	add("list_watch", d.Watches)
 	add("list_failed", d.Failed)
 	add("list_unreadable", d.Unreadable)
+	if f.clients == nil {
+		return all
+	}
+	closes := f.clients.CloseCounts()
+	for reason, name := range connlimit.CloseReasonNames {
+		add("closed_"+name, closes.ByReason[reason])
+	}
+	add("closed_unread", closes.Unread)
+	add("closed_unanswered", closes.Unanswered)
 	return all
 }
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -29,11 +30,16 @@
 	useSince      time.Time
 	hasServed     bool               // it has brought a valid request
 	hasAnswered   bool               // an answer was written, or a part of it
+	isAnswered    bool               // the present or last request has its answer, or a part of it
 	hasNewBytes   bool               // bytes were read since its last request was over
 	hasPeerEnded  bool               // the client has ended its side
 	isEnded       bool               // no bytes are handed over any more: no request begins on it
 	isClosing     bool               // implies isEnded
 	isWatched     bool               // a goroutine runs watchPeer
+	isAborted     bool               // the handler has given its request up
+	hasTimedOut   bool               // the last read ended by its deadline
+	isCloseNoted  bool               // its close is counted
+	requestID     string             // of its present request, where the handler has stated it
 	cancelRequest context.CancelFunc // ends what is done for the client; nil before ConnContext
 
 	lastReadAt atomic.Int64 // Unix nanoseconds, where there is a FirstRequestTimeout
@@ -49,7 +55,8 @@
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.hasPeerEnded = c.hasPeerEnded || errors.Is(err, io.EOF)
+	c.hasTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	c.hasPeerEnded = c.hasPeerEnded || err != nil && !c.hasTimedOut && !c.isEnded
 	if c.isEnded {
 		return 0, io.EOF
 	}
@@ -65,7 +72,7 @@
 // Write notes that there is an answer, which a close must not take back.
 func (c *conn) Write(p []byte) (int, error) {
 	c.listener.mu.Lock()
-	c.hasAnswered = true
+	c.hasAnswered, c.isAnswered = true, true
 	c.listener.mu.Unlock()
 	return c.Conn.Write(p)
 }
@@ -80,6 +87,9 @@
 		c.hasNewBytes = false
 	}
 	c.isEnded = c.isEnded || mustClose
+	if use == readingRequest {
+		c.isAnswered, c.requestID = false, ""
+	}
 	if use != inUse {
 		c.listener.roomFreed.Signal()
 	}
@@ -91,6 +101,9 @@
 
 // release closes the descriptor at once and frees the place.
 func (c *conn) release() error {
+	c.listener.mu.Lock()
+	c.noteClose(c.closeReason())
+	c.listener.mu.Unlock()
 	err := c.Conn.Close()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -11,7 +11,8 @@
 // # Files
 //
 // connlimit.go has the Listener, conn.go its connections, reaping.go who makes room, linger.go the close that does not take an answer back,
-// peerwatch.go how a client that leaves is noticed, and httpserver.go what an http.Server calls. Everything may be called from any
+// peerwatch.go how a client that leaves is noticed, closereason.go why
+// connections were closed, and httpserver.go what an http.Server calls. Everything may be called from any
 // goroutine; one lock, the listener's, guards the states. Nothing is stored.
 package connlimit
 
@@ -21,6 +22,7 @@
 	"time"
 
 	"appleledge/internal/besteffort"
+	"appleledge/internal/eventlog"
 )
 
 // Options say which connections a Listener closes to make room, and which not.
@@ -30,6 +32,8 @@
 	// FirstRequestTimeout is how long a connection that has brought no request yet may be silent, also in the midst of one, before it
 	// is closed ahead of those between requests. 0: connections that have said nothing go first, and those in the midst of a request last.
 	FirstRequestTimeout time.Duration
+	// Events logs closes that a client may miss an answer by. nil: they are counted only.
+	Events *eventlog.Logger
 }
 
 // Listener is a listener that holds at most so many connections.
@@ -43,6 +47,7 @@
 	isClosed   bool
 	isDraining bool // connections end as soon as no request has begun on them
 	conns      map[*conn]struct{}
+	closes     CloseCounts
 }
 
 // New returns a listener of at most limit connections, which it accepts from inner.
@@ -74,6 +79,7 @@
 	var idleConns []*conn
 	for c := range l.conns {
 		if c.use == idle && !c.hasNewBytes && !c.isEnded {
+			c.noteClose(CloseDrain)
 			c.isEnded = true
 			idleConns = append(idleConns, c)
 		}
@@ -131,6 +137,7 @@
 	l.mu.Lock()
 	open := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
+		c.noteClose(CloseProcessEnd)
 		c.isEnded, c.isClosing = true, true
 		open = append(open, c)
 	}
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -37,6 +37,8 @@
 }
 
 func (l testListener) has(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	_, isOpen := l.conns[c]
 	return isOpen
 }
--- a/internal/connlimit/httpserver.go
+++ b/internal/connlimit/httpserver.go
@@ -60,6 +60,24 @@
 	return ok && c.isPeerGone()
 }
 
+// Abort notes that the handler gives its request up, so that net/http closes the connection without an answer.
+func Abort(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		c.isAborted = true
+	}
+}
+
+// NameRequest states the id of a request for log lines about its connection.
+func NameRequest(ctx context.Context, id string) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		c.requestID = id
+	}
+}
+
 // MarkInUse marks the connection of a request as in use, until net/http has written the answer.
 func MarkInUse(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -18,6 +18,7 @@
 	c.listener.mu.Lock()
 	wasClosing := c.isClosing
 	lingers := !c.hasPeerEnded && (c.hasAnswered || c.listener.isDraining)
+	c.noteClose(c.closeReason())
 	c.isEnded, c.isClosing = true, true
 	c.listener.mu.Unlock()
 	if wasClosing {
--- a/internal/connlimit/peerwatch.go
+++ b/internal/connlimit/peerwatch.go
@@ -32,9 +32,13 @@
 
 // isPeerGone reports whether the client has ended its side.
 func (c *conn) isPeerGone() bool {
-	raw := c.Conn
-	if f, ok := raw.(interface{ NetConn() net.Conn }); ok {
-		raw = f.NetConn()
+	return sockstate.HasPeerClosed(c.unwrapped())
+}
+
+// unwrapped returns the connection that has the descriptor.
+func (c *conn) unwrapped() net.Conn {
+	if f, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return f.NetConn()
 	}
-	return sockstate.HasPeerClosed(raw)
+	return c.Conn
 }
--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -23,6 +23,7 @@
 			l.mu.Lock()
 			continue
 		}
+		c.noteClose(c.roomReason())
 		c.isEnded, c.isClosing = true, true // under the lock: a request that it brings from now on does not begin
 		l.mu.Unlock()
 		besteffort.Ignore(c.closeNow())
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -20,6 +20,7 @@
 	"appleledge/internal/connlimit"
 	"appleledge/internal/downstream/requesthead"
 	"appleledge/internal/engine"
+	"appleledge/internal/eventlog"
 	"appleledge/internal/upstream/http1"
 )
 
@@ -53,8 +54,9 @@
 	// may be nil.
 	OnDrain     func() bool
 	Log         *slog.Logger
-	Coalescing  *Coalescing  // nil: no requests are coalesced
-	LargeBodies *LargeBodies // nil: bodies have at most requesthead.MaxBody bytes, and clients must be fast
+	RequestLog  *eventlog.Logger // why a request got no answer or was not served; nil: not logged
+	Coalescing  *Coalescing      // nil: no requests are coalesced
+	LargeBodies *LargeBodies     // nil: bodies have at most requesthead.MaxBody bytes, and clients must be fast
 }
 
 // Coalescing says which requests get a digest, by which the engine coalesces identical ones. It is safe for concurrent use.
@@ -139,7 +141,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.Clock.Now()
 	if connlimit.IsEnded(r.Context()) { // the connection was closed while this request arrived; it was not forwarded, and its client sends it again
-		panic(http.ErrAbortHandler)
+		s.abort(r, abortConnectionEnded)
 	}
 	if s.closing.Load() || !s.draining.Load() && s.clients.IsCrowded() {
 		w.Header().Set("Connection", "close")
@@ -154,9 +156,11 @@
 		s.serveReadiness(w)
 		return
 	}
+	connlimit.NameRequest(r.Context(), r.Header.Get(requesthead.RequestIDHeader))
 	c, up, release, err := s.accept(w, r, began)
 	defer release()
 	if errors.Is(err, errFull) {
+		s.logUnserved(r, unservedMemory)
 		s.reject(w, c, true)
 		return
 	}
@@ -166,6 +170,7 @@
 	}
 	if until := time.Duration(s.drainDeadline.Load()); until > 0 {
 		if up != nil && s.Clock.Now()+up.ClientTimeout > until { // it could be answered too late, as its time begins with its last byte; nothing was forwarded yet
+			s.logUnserved(r, unservedDrainTooShort)
 			s.reject(w, c, true)
 			return
 		}
@@ -176,13 +181,14 @@
 	connlimit.MarkInUse(r.Context())
 	defer s.inFlight.Add(-1)
 	if s.isFull(s.inFlight.Add(1)) { // nothing was forwarded yet, so that a retry is harmless
+		s.logUnserved(r, unservedFull)
 		s.reject(w, c, up != nil)
 		return
 	}
 	waits := newCaller()
 	c.Responder = waits
 	if connlimit.HasClientLeft(r.Context()) { // before its request was read: nothing is forwarded for a client that has left
-		panic(http.ErrAbortHandler)
+		s.abort(r, abortClientLeft)
 	}
 	s.Engine.Arrive(c)
 	last := s.finalAnswers
@@ -201,9 +207,10 @@
 				rejectMalformed(w, badBody(up.ReadError()))
 				return
 			}
-			panic(http.ErrAbortHandler) // a plain return would make net/http answer 200, which no backend has
+			s.abort(r, abortClientLeft)
 		case <-s.Engine.Done(): // never before the drain has ended
 			waits.leave()
+			s.logUnserved(r, unservedEngineEnded)
 			writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
 			return
 		}
--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -45,7 +45,7 @@
 	}
 	permit, rejection := e.admission.Arrive(e.clock.Now(), r)
 	if permit == nil {
-		e.finish(c, Answer{Kind: Rejected, RetryAfter: rejection.RetryAfter, Limit: rejection.Limit})
+		e.finish(c, Answer{Kind: Rejected, RetryAfter: rejection.RetryAfter, Limit: rejection.Limit, Reason: UnservedAdmission})
 		return false
 	}
 	c.permit = permit
--- a/internal/engine/admission_test.go
+++ b/internal/engine/admission_test.go
@@ -81,7 +81,7 @@
 	}
 	k.closed = true
 	_, answers = call("new", 0)
-	if len(*answers) != 1 || (*answers)[0] != (Answer{Kind: Rejected, RetryAfter: time.Second, Limit: 7}) || len(s.attempts) != 3 {
+	if len(*answers) != 1 || (*answers)[0] != (Answer{Kind: Rejected, RetryAfter: time.Second, Limit: 7, Reason: UnservedAdmission}) || len(s.attempts) != 3 {
 		t.Errorf("rejected with %+v after %d attempts", *answers, len(s.attempts))
 	}
 	call("again", 2)
--- a/internal/engine/answers.go
+++ b/internal/engine/answers.go
@@ -12,8 +12,8 @@
 	Answer(Answer)
 }
 
-// AnswerKind says how a call ended. Of a rejection the engine keeps no reason: the counters of the rule that has rejected it
-// (balancer.ReasonNames, admission, recovery, overload, generation, coalescing) tell.
+// AnswerKind says how a call ended. Answer.Reason says why one was not served; the counters of the rule that has rejected it
+// (balancer.ReasonNames, admission, recovery, overload, generation, coalescing) say how often.
 type AnswerKind int
 
 // The kinds of final answers.
@@ -27,10 +27,11 @@
 // Answer is the final answer to a call.
 type Answer struct {
 	Kind       AnswerKind
-	Payload    any           // of a Served one, from the transport
-	Private    bool          // of a Served one: it was made for this client alone
-	RetryAfter time.Duration // after which the client may retry; 0: not stated
-	Limit      int           // of a Rejected one: the limit of requests in flight that it met; 0: not stated
+	Payload    any            // of a Served one, from the transport
+	Private    bool           // of a Served one: it was made for this client alone
+	RetryAfter time.Duration  // after which the client may retry; 0: not stated
+	Limit      int            // of a Rejected one: the limit of requests in flight that it met; 0: not stated
+	Reason     UnservedReason // of one that is not Served
 }
 
 // Discarder is a payload that holds a resource until it is used or discarded.
@@ -46,6 +47,7 @@
 func (e *Engine) reject(c *Call, a Answer) {
 	c.closed.Store(true)
 	e.counters.answered(e.clock.Now(), c, a.Kind)
+	e.logUnserved(c, a)
 	c.Responder.Answer(a)
 	c.release()
 }
@@ -62,6 +64,7 @@
 	if !c.isFlight {
 		e.counters.answered(e.clock.Now(), c, a.Kind)
 	}
+	e.logUnserved(c, a)
 	c.Responder.Answer(a)
 	e.external.rememberAnswer(c, a.Kind)
 	e.forget(c)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -103,6 +103,7 @@
 // send makes an attempt and starts it.
 func (e *Engine) send(act balancer.Action) {
 	c := e.calls[act.Request]
+	e.logRetry(c, act)
 	e.counters.attemptSent(c, act.WarmingUp)
 	earlierSent := c.mayHaveRunSince
 	act.TakeDelay += e.balancer.Tick() // what a server sees may be as late as a tick of its clock
@@ -184,6 +185,7 @@
 func (c *Call) attemptEnded(a *Attempt, result balancer.Result) {
 	c.inFlight--
 	c.attemptsEnded++
+	c.lastResult = result
 	if result.ProvesNotRun() {
 		c.withdrawSend(a)
 	}
@@ -220,11 +222,11 @@
 	case o.Result == balancer.OK:
 		return Answer{Kind: Served, Payload: o.Payload, Private: o.Private}, true
 	case consumed && (c.mayHaveRunSince == 0 || c.Effect == balancer.Idempotent):
-		return Answer{Kind: Rejected}, true
+		return Answer{Kind: Rejected, Reason: UnservedUploadConsumed}, true
 	case consumed:
-		return Answer{Kind: Failed}, true
+		return Answer{Kind: Failed, Reason: UnservedUploadConsumed}, true
 	case o.FromOtherServer && c.Effect != balancer.Idempotent: // where it may be repeated is not known
-		return Answer{Kind: Failed}, true
+		return Answer{Kind: Failed, Reason: UnservedOtherServer}, true
 	}
 	return Answer{}, false
 }
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -45,16 +45,17 @@
 
 	// Owned by the engine's goroutine:
 	attemptsMade    int
-	inFlight        int            // attempts without an outcome
-	attemptsEnded   int            // attempts that were handed over and have ended
-	mayHaveRunSince time.Duration  // when the first attempt was sent that may have run; 0 without one
-	original        *Attempt       // that attempt; nil without one, and where it was made under another id
-	laterSends      []*Attempt     // the others that may have run, in order
-	external        ExternalCaller // the responder, where it is one
-	lastAttempt     *Attempt       // the latest attempt of an external caller's call
-	arrivedAt       time.Duration  // when the engine got its arrival
-	isCountedOpen   bool           // counters has it as open
-	isFlight        bool           // it stands for coalesced calls, and is no client's own
+	inFlight        int             // attempts without an outcome
+	attemptsEnded   int             // attempts that were handed over and have ended
+	lastResult      balancer.Result // of the attempt that ended last, where one has
+	mayHaveRunSince time.Duration   // when the first attempt was sent that may have run; 0 without one
+	original        *Attempt        // that attempt; nil without one, and where it was made under another id
+	laterSends      []*Attempt      // the others that may have run, in order
+	external        ExternalCaller  // the responder, where it is one
+	lastAttempt     *Attempt        // the latest attempt of an external caller's call
+	arrivedAt       time.Duration   // when the engine got its arrival
+	isCountedOpen   bool            // counters has it as open
+	isFlight        bool            // it stands for coalesced calls, and is no client's own
 	member          *coalesce.Member[*Call]
 	permit          *admission.Permit // of one that admission let in
 	binding         generation.Binding
@@ -96,7 +97,7 @@
 	}
 	e.counters.arrived(c)
 	if e.calls[c.ID] != nil {
-		e.reject(c, Answer{Kind: Conflict})
+		e.reject(c, Answer{Kind: Conflict, Reason: UnservedDuplicateID})
 		return
 	}
 	for _, h := range e.callHooks {
@@ -111,7 +112,7 @@
 func (e *Engine) submit(c *Call) {
 	e.calls[c.ID] = c
 	if c.SettingsVersion < e.settingsVersion-1 { // only the classes before the present ones are known
-		e.finish(c, Answer{Kind: c.unservedKind()})
+		e.finish(c, Answer{Kind: c.unservedKind(), Reason: UnservedOldSettings})
 		return
 	}
 	if !e.admit(c) {
@@ -158,7 +159,7 @@
 	if c.closed.Load() {
 		return
 	}
-	e.finish(c, Answer{Kind: c.unservedKind()})
+	e.finish(c, Answer{Kind: c.unservedKind(), Reason: UnservedDraining})
 	if c.member != nil { // only idempotent calls are coalesced: Rejected is true of it
 		e.coalescer.leave(c)
 		return
--- a/internal/engine/coalescing.go
+++ b/internal/engine/coalescing.go
@@ -118,7 +118,7 @@
 		j.engine.finish(m.Owner, answer)
 	}
 	for _, m := range c.Expired { // only idempotent calls are coalesced: trying again is harmless
-		j.engine.finish(m.Owner, Answer{Kind: Rejected, RetryAfter: j.retryAfter})
+		j.engine.finish(m.Owner, Answer{Kind: Rejected, RetryAfter: j.retryAfter, Reason: UnservedCoalescingExpiry})
 	}
 	for _, f := range c.Abandoned { // nobody waits for it
 		if !f.Payload.closed.Swap(true) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"appleledge/internal/balancer"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/eventlog"
 )
 
 // eventQueueSize is how many events wait before Post blocks.
@@ -43,6 +44,7 @@
 
 	extensions
 	counters    *counters
+	requestLog  *eventlog.Logger // nil: single requests are not logged
 	external    *externalCalls
 	admission   AdmissionController // nil: every call is admitted
 	generations *generationOverlay  // this and the following: nil where switched off
@@ -192,10 +194,10 @@
 			e.send(a)
 		case balancer.Reject:
 			e.counters.givenUp(a.Reason)
-			e.finish(e.calls[a.Request], Answer{Kind: Rejected, RetryAfter: a.After})
+			e.finish(e.calls[a.Request], Answer{Kind: Rejected, RetryAfter: a.After, Reason: UnservedReason(balancer.ReasonNames[a.Reason])})
 		case balancer.Fail:
 			e.counters.givenUp(a.Reason)
-			e.finish(e.calls[a.Request], Answer{Kind: Failed})
+			e.finish(e.calls[a.Request], Answer{Kind: Failed, Reason: UnservedReason(balancer.ReasonNames[a.Reason])})
 		case balancer.SetTimer:
 			heap.Push(&e.timers, timer{due: e.clock.Now() + a.After, token: a.Token})
 		case balancer.Subscribe:
--- a/internal/engine/external.go
+++ b/internal/engine/external.go
@@ -57,10 +57,10 @@
 	if x.outcomes != nil {
 		switch kind, known := x.outcomes.Get(e.clock.Now(), c.ID); {
 		case known && kind == Failed: // it may have run, and its final answer was given
-			e.reject(c, Answer{Kind: Failed})
+			e.reject(c, Answer{Kind: Failed, Reason: UnservedFailedBefore})
 			return true
 		case known:
-			e.reject(c, Answer{Kind: Conflict})
+			e.reject(c, Answer{Kind: Conflict, Reason: UnservedDuplicateID})
 			return true
 		}
 	}
@@ -74,7 +74,7 @@
 		}
 		e.attemptEnded(Outcome{Attempt: open.lastAttempt, Result: balancer.Cancelled, Report: balancer.NoReport})
 		if open.closed.Load() {
-			e.reject(c, Answer{Kind: Conflict})
+			e.reject(c, Answer{Kind: Conflict, Reason: UnservedDuplicateID})
 			return true
 		}
 	}
@@ -101,7 +101,7 @@
 		now := x.engine.clock.Now()
 		_, neverRan := x.neverRan.Get(now, c.ID)
 		if c.CallerAttempt > 1 && !neverRan {
-			x.engine.reject(c, Answer{Kind: Failed})
+			x.engine.reject(c, Answer{Kind: Failed, Reason: UnservedUnknownAttempts})
 			return false
 		}
 		if neverRan { // it may run now, and how it ends may be evicted before this entry: then it would be sent again
@@ -109,12 +109,12 @@
 		}
 	}
 	if c.AtCapacity && c.earlier.MayHaveRun {
-		x.engine.reject(c, Answer{Kind: Failed})
+		x.engine.reject(c, Answer{Kind: Failed, Reason: UnservedCapacity})
 		return false
 	}
 	if c.AtCapacity {
 		x.rememberNeverRan(c)
-		x.engine.reject(c, Answer{Kind: Rejected, RetryAfter: capacityRetryAfter})
+		x.engine.reject(c, Answer{Kind: Rejected, RetryAfter: capacityRetryAfter, Reason: UnservedCapacity})
 		return false
 	}
 	return true
--- a/internal/engine/generation.go
+++ b/internal/engine/generation.go
@@ -43,12 +43,12 @@
 		IdempotencyKey: c.IdempotencyKey, Deadline: c.Deadline}
 	rejection, ok := g.manager.Bind(g.engine.clock.Now(), &r, &c.binding)
 	if !ok && c.earlier.MayHaveRun {
-		g.engine.reject(c, Answer{Kind: Failed})
+		g.engine.reject(c, Answer{Kind: Failed, Reason: UnservedGeneration})
 		return false
 	}
 	if !ok {
 		g.engine.external.rememberNeverRan(c)
-		g.engine.reject(c, Answer{Kind: Rejected, RetryAfter: rejection.RetryAfter, Limit: rejection.MaxInFlight})
+		g.engine.reject(c, Answer{Kind: Rejected, RetryAfter: rejection.RetryAfter, Limit: rejection.MaxInFlight, Reason: UnservedGeneration})
 		return false
 	}
 	c.Deadline = c.binding.Deadline
--- a/internal/telemetry/agentmetrics.go
+++ b/internal/telemetry/agentmetrics.go
@@ -8,6 +8,7 @@
 	"appleledge/internal/admission"
 	"appleledge/internal/affinity"
 	"appleledge/internal/balancer"
+	"appleledge/internal/connlimit"
 	"appleledge/internal/engine"
 	"appleledge/internal/generation"
 	"appleledge/internal/upstream/connpool"
@@ -22,6 +23,19 @@
 	}
 }
 
+// writeClientCloses writes why connections of clients were closed, and how many closes took a request with them.
+func (s *Server) writeClientCloses(p metricsWriter) {
+	if s.ClientCloses == nil {
+		return
+	}
+	closes := s.ClientCloses()
+	for reason, name := range connlimit.CloseReasonNames {
+		p.counter("appleledge_client_connections_closed_total", fmt.Sprintf("reason=%q", name), closes.ByReason[reason])
+	}
+	p.counter("appleledge_client_connections_closed_unread_total", "", closes.Unread)
+	p.counter("appleledge_client_connections_closed_unanswered_total", "", closes.Unanswered)
+}
+
 // writeRequests writes answers and latencies by class, and attempts by result.
 func (s *Server) writeRequests(p metricsWriter, t engine.Counters) {
 	for class, counts := range t.Answers {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,6 +21,7 @@
 	"golang.org/x/net/netutil"
 
 	"appleledge/internal/besteffort"
+	"appleledge/internal/connlimit"
 	"appleledge/internal/engine"
 	"appleledge/internal/fleet/gossip"
 	"appleledge/internal/fleet/overload"
@@ -38,11 +39,12 @@
 
 // Server serves the metrics of one agent. Its functions are called by the goroutine of each scrape, concurrently.
 type Server struct {
-	Engine   *engine.Engine
-	Pool     *connpool.Pool
-	Gossip   func() *gossip.Status   // nil, or returning nil: the agent has no gossip, and there are no such series
-	Overload func() *overload.Status // nil, or returning nil: no fleet-wide overload control, and no such series
-	Log      *slog.Logger
+	Engine       *engine.Engine
+	Pool         *connpool.Pool
+	Gossip       func() *gossip.Status        // nil, or returning nil: the agent has no gossip, and there are no such series
+	Overload     func() *overload.Status      // nil, or returning nil: no fleet-wide overload control, and no such series
+	ClientCloses func() connlimit.CloseCounts // nil: no such series
+	Log          *slog.Logger
 }
 
 // Serve answers GET /metrics until the context ends, and then closes the listener and all connections and returns nil. An
@@ -71,6 +73,7 @@
 	page.gauge("appleledge_ready", "", boolValue(s.Engine.Ready()))
 	page.gauge("appleledge_calls", "", float64(stats.Calls))
 	s.writePool(page, s.Pool.Stats())
+	s.writeClientCloses(page)
 	for i, id := range slices.Sorted(maps.Keys(stats.InFlight)) {
 		if i == maxServerSeries {
 			break
