Connections: a deadline ends the wait for a request, never the reading of one

Cause: net/http waits for a request under a read deadline. Where the process does not run for a moment (200 agents on one machine, a list of servers that changes), the request and the deadline lie before it when it runs again, and Go's poller looks at the deadline first: the read fails, and the connection is closed over the request. What was still read then was dropped, as a read and the decision to close only excluded each other behind the read.

Mended: the listener's connections read the descriptor themselves, under the lock of the decision to close. A passed deadline ends the wait; what lies in the socket is handed over all the same, and only where nothing does, a connection at rest is ended, in one step with the look. Behind that nothing is read: who sends later gets a reset and knows that nobody has read it. First bytes that come just before a limit get a second for the rest. Framing is followed by an observer of what was read, in place of a Read of its own.

The unit tests on the code before: 'handed over: ""' and two that wait in vain for a reset.

TestRequestThatCrossesTheCloseIsDropped asked that bytes be dropped after they were read, which the operators count as lost. In its place stand three that ask for more: what is there before the end is handed over, what comes behind it is never read and is reset, and 300 orders of the two end in one or the other.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
-	"os"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"appleledge/internal/besteffort"
@@ -21,10 +18,11 @@
 	inUse                         // a valid one is open: never closed to make room
 )
 
-// conn is one connection. The listener's lock guards its fields but for lastReadAt.
+// conn is one connection. The listener's lock guards its fields.
 type conn struct {
 	net.Conn
 	listener *Listener
+	socket   syscall.RawConn // of the descriptor; nil where there is none
 
 	use           connUse
 	useSince      time.Time
@@ -33,7 +31,7 @@
 	isAnswered    bool               // the present or last request has its answer, or a part of it
 	hasNewBytes   bool               // bytes were read since its last request was over
 	hasPeerEnded  bool               // the client has ended its side
-	isEnded       bool               // no bytes are handed over any more: no request begins on it
+	isEnded       bool               // nothing is read any more: no request begins on it
 	isClosing     bool               // implies isEnded
 	isWatched     bool               // a goroutine runs watchPeer
 	isAborted     bool               // the handler has given its request up
@@ -42,31 +40,10 @@
 	requestID     string             // of its present request, where the handler has stated it
 	cancelRequest context.CancelFunc // ends what is done for the client; nil before ConnContext
 
-	lastReadAt atomic.Int64 // Unix nanoseconds, where there is a FirstRequestTimeout
-	closeNow   func() error // closes the descriptor and frees the place, once
-}
-
-// Read hands over what comes until the connection is ended. Bytes that cross the end are dropped: handed over, a request could be served
-// whose answer can't be written any more. Its client sends it once more.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.listener.FirstRequestTimeout > 0 {
-		c.lastReadAt.Store(time.Now().UnixNano())
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.hasTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
-	c.hasPeerEnded = c.hasPeerEnded || err != nil && !c.hasTimedOut && !c.isEnded
-	if c.isEnded {
-		return 0, io.EOF
-	}
-	c.hasNewBytes = c.hasNewBytes || n > 0
-	// net/http reads one byte behind a request at most, and does not see the end of the connection behind that byte.
-	if n > 0 && c.use != idle && c.cancelRequest != nil && !c.isWatched {
-		c.isWatched = true
-		go c.watchPeer()
-	}
-	return n, err
+	readDeadline  time.Time // zero: none
+	isReadAborted bool      // the deadline is there to end a read, not to limit it
+	lastReadAt    time.Time
+	closeNow      func() error // closes the descriptor and frees the place, once
 }
 
 // Write notes that there is an answer, which a close must not take back.
@@ -82,14 +59,14 @@
 	c.listener.mu.Lock()
 	c.use, c.useSince = use, time.Now()
 	c.hasServed = c.hasServed || use == inUse
-	mustClose := use == idle && c.listener.isDraining
-	if use == idle {
+	switch use {
+	case idle:
 		c.hasNewBytes = false
-	}
-	c.isEnded = c.isEnded || mustClose
-	if use == readingRequest {
+	case readingRequest:
 		c.isAnswered, c.requestID = false, ""
 	}
+	mustClose := c.listener.isDraining && use == idle
+	c.isEnded = c.isEnded || mustClose
 	if use != inUse {
 		c.listener.roomFreed.Signal()
 	}
@@ -99,14 +76,18 @@
 	}
 }
 
+// end decides that the connection is closed: nothing is read from now on. The lock is held.
+func (c *conn) end(reason CloseReason) {
+	c.noteClose(reason)
+	c.isEnded, c.isClosing = true, true
+}
+
 // release closes the descriptor at once and frees the place.
 func (c *conn) release() error {
-	c.listener.mu.Lock()
-	c.noteClose(c.closeReason())
-	c.listener.mu.Unlock()
 	err := c.Conn.Close()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	c.noteClose(c.closeReason())
 	if c.cancelRequest != nil {
 		c.cancelRequest()
 	}
@@ -114,3 +95,16 @@
 	c.listener.roomFreed.Signal()
 	return err
 }
+
+// descriptorOf returns the way to a connection's descriptor; nil where it has none.
+func descriptorOf(c net.Conn) syscall.RawConn {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -6,18 +6,26 @@
 //
 // idle: no request has begun; readingRequest: one has begun, but is not known to be valid; inUse: a valid one is open, and the connection is
 // never closed to make room. ConnState and MarkInUse, which the server and its handlers call, move between them. Beside that a
-// connection is ended (no request begins on it any more) and then closing (its answer may still be on the way to the client).
+// connection is ended (nothing is read from it any more) and then closing (its answer may still be on the way to the client).
+//
+// # The end of a connection
+//
+// A request that was read has to be answered; one that was not its client sends again. So each read and the decision to end a connection
+// exclude each other (the listener's lock), and a limit on its time at rest ends it only where nothing lies in its socket. What comes behind
+// the decision stays unread, and the close resets the connection, by which the client can tell.
 //
 // # Files
 //
-// connlimit.go has the Listener, conn.go its connections, reaping.go who makes room, linger.go the close that does not take an answer back,
-// peerwatch.go how a client that leaves is noticed, closereason.go why
-// connections were closed, and httpserver.go what an http.Server calls. Everything may be called from any
-// goroutine; one lock, the listener's, guards the states. Nothing is stored.
+// connlimit.go has the Listener, conn.go its connections, reading.go how they are read, reaping.go who makes room, linger.go the close that
+// does not take an answer back, peerwatch.go how a client that leaves is noticed, closereason.go why connections were closed, and
+// httpserver.go what an http.Server calls. Everything may be called from any goroutine; one lock, the listener's, guards the states.
+// Nothing is stored.
 package connlimit
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := &conn{Conn: raw, listener: l, useSince: time.Now()}
+	c.socket = descriptorOf(c.unwrapped())
 	c.closeNow = sync.OnceValue(c.release)
 	l.conns[c] = struct{}{}
 	return c, nil
@@ -135,11 +144,9 @@
 // CloseAll closes all connections at once, whatever is open on them.
 func (l *Listener) CloseAll() {
 	l.mu.Lock()
-	open := make([]*conn, 0, len(l.conns))
-	for c := range l.conns {
-		c.noteClose(CloseProcessEnd)
-		c.isEnded, c.isClosing = true, true
-		open = append(open, c)
+	open := slices.Collect(maps.Keys(l.conns))
+	for _, c := range open {
+		c.end(CloseProcessEnd)
 	}
 	l.mu.Unlock()
 	for _, c := range open {
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -6,66 +6,110 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"appleledge/internal/agenttest"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/sockstate"
 )
 
-// gatedConn is a connection whose reads hold back what has come until the gate opens, so that something else comes first.
-type gatedConn struct {
-	net.Conn
-	came chan struct{} // has one for each read that holds bytes
-	open chan struct{}
+// endings are the ways in which a connection between requests is ended by this side.
+var endings = map[string]func(l testListener, c *conn){
+	"idle limit": func(_ testListener, c *conn) { besteffort.Ignore(c.SetReadDeadline(time.Now())) },
 }
 
-func (g *gatedConn) Read(p []byte) (int, error) {
-	n, err := g.Conn.Read(p)
-	if n > 0 {
-		g.came <- struct{}{}
-		<-g.open
+// A request lies unread in its socket in the moment in which its connection is to be ended, as its time at rest is up. The connection is left alone, and the request is handed over.
+func TestRequestThatIsThereBeforeTheCloseIsHandedOver(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t, 1, Options{})
+			c, far := l.accept()
+			if _, err := far.Write([]byte(request)); err != nil {
+				t.Fatal(err)
+			}
+			agenttest.Eventually(t, "the request has come", func() bool { return c.socketState() == sockstate.Readable })
+			end(l, c)
+			got := make([]byte, 100)
+			if n, err := c.Read(got); string(got[:n]) != request || err != nil {
+				t.Errorf("handed over: %q, %v", got[:n], err)
+			}
+			if IsEnded(ConnContext(t.Context(), c)) {
+				t.Error("the connection was ended with a request on it")
+			}
+		})
 	}
-	return n, err
-}
-
-// addGate puts a gate between a connection and its socket.
-func addGate(c *conn) *gatedConn {
-	g := &gatedConn{c.Conn, make(chan struct{}, 10), make(chan struct{})}
-	c.Conn = g
-	return g
 }
 
-type readResult struct {
-	n   int
-	err error
-}
-
-// A request comes in the moment in which its connection is ended, by a drain or to make room. It is not handed over: it could be served,
-// and its answer not be written.
-func TestRequestThatCrossesTheCloseIsDropped(t *testing.T) {
-	for name, end := range map[string]func(testListener){
-		"drain": func(l testListener) { l.Drain() },
-		"room":  func(l testListener) { l.accept() },
-	} {
+// A request comes behind the end of its connection. It is not handed over, and its client learns by a reset that nobody has read it: a
+// plain end would leave open whether it ran.
+func TestRequestBehindTheCloseIsAnsweredByReset(t *testing.T) {
+	for name, end := range endings {
 		t.Run(name, func(t *testing.T) {
 			l := listen(t, 1, Options{})
 			c, far := l.accept()
-			g := addGate(c)
-			got := make(chan readResult, 1)
-			go func() { n, err := c.Read(make([]byte, 100)); got <- readResult{n, err} }()
-			if _, err := far.Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
-				t.Fatal(err)
+			end(l, c)
+			if name == "idle limit" {
+				if n, err := c.Read(make([]byte, 100)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("%d bytes, %v", n, err)
+				}
+			}
+			agenttest.Eventually(t, "the client sees the end", func() bool { return sockstate.HasPeerClosed(far) })
+			besteffort.IgnoreResult(far.Write([]byte("GET / HTTP/1.1\r\n\r\n")))
+			if n, err := c.Read(make([]byte, 100)); n != 0 || err == nil {
+				t.Errorf("%d bytes were handed over, %v", n, err)
 			}
-			<-g.came
-			end(l)
-			close(g.open)
-			if r := <-got; r != (readResult{0, io.EOF}) {
-				t.Errorf("%d bytes were handed over, %v", r.n, r.err)
+			agenttest.Eventually(t, "the connection is reset", func() bool {
+				_, err := far.Write([]byte("x"))
+				return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+			})
+		})
+	}
+}
+
+// Requests come at the very moment in which their connections are ended, in whatever order the machine makes of it. Each is handed over
+// whole, or its client is told by a reset: none is read and dropped.
+func TestNoOrderOfRequestAndCloseDropsWhatWasRead(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			handedOver := 0
+			for round := range 300 {
+				l := listen(t, 1, Options{})
+				c, far := l.accept()
+				read := make(chan string, 1)
+				go func() {
+					got := make([]byte, 100)
+					n, _ := c.Read(got)
+					read <- string(got[:n])
+				}()
+				go func() { besteffort.IgnoreResult(far.Write([]byte(request))) }()
+				for range round % 20 {
+					runtime.Gosched()
+				}
+				end(l, c)
+				switch got := <-read; got {
+				case request:
+					handedOver++
+				case "":
+					agenttest.Eventually(t, "the connection is reset", func() bool {
+						_, err := far.Write([]byte("x"))
+						return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+					})
+				default:
+					t.Fatalf("round %d: %q", round, got)
+				}
+				besteffort.Close(c)
+				besteffort.Close(l)
 			}
+			t.Logf("%d of 300 were handed over", handedOver)
 		})
 	}
 }
@@ -195,13 +239,7 @@
 
 func (c countingConn) NetConn() net.Conn { return c.Conn }
 
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.reads.Add(1)
-	}
-	return n, err
-}
+func (c countingConn) ObserveRead([]byte) { c.reads.Add(1) }
 
 // A client leaves while its request is open: it closes, ends its sending or resets, with bytes behind the request or none. net/http reads one
 // byte of those and no further, so it does not see the end; the request is canceled all the same.
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -18,8 +18,7 @@
 	c.listener.mu.Lock()
 	wasClosing := c.isClosing
 	lingers := !c.hasPeerEnded && (c.hasAnswered || c.listener.isDraining)
-	c.noteClose(c.closeReason())
-	c.isEnded, c.isClosing = true, true
+	c.end(c.closeReason())
 	c.listener.mu.Unlock()
 	if wasClosing {
 		return nil
@@ -36,7 +35,7 @@
 	timeout := time.AfterFunc(lingerTimeout, func() { besteffort.Ignore(c.closeNow()) })
 	defer timeout.Stop()
 	defer func() { besteffort.Ignore(c.closeNow()) }()
-	if c.SetReadDeadline(time.Time{}) != nil {
+	if c.Conn.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
 	buf := make([]byte, 1<<10)
--- /dev/null
+++ b/internal/connlimit/reading.go
@@ -0,0 +1,173 @@
+package connlimit
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	// firstBytesTimeout is how long the rest of a request's first bytes may take where they come just before the idle limit, or the end
+	// of a new connection's header timeout.
+	firstBytesTimeout = time.Second
+
+	// abortedBefore is the end of the Unix times, in seconds, by which net/http and handlers end a read at once. Any later deadline is a
+	// limit on the wait for the client.
+	abortedBefore = 2
+)
+
+// ReadObserver is a connection below the Listener's that is shown what was read. The Listener's connections read the descriptor
+// themselves, so that a read and the decision to close exclude each other.
+type ReadObserver interface {
+	// ObserveRead is called with the bytes that were read, before they are handed over. It must not keep them.
+	ObserveRead(p []byte)
+}
+
+// Read hands over what has come, until the connection is ended. From then on nothing is read any more: the client learns by a reset that
+// its request was not. A deadline ends the wait for the client, never the reading of what lies in the socket: a process that did not run
+// for a while finds both there.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.socket == nil {
+		return c.readWithoutSocket(p)
+	}
+	n, err := c.awaitBytes(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readAtDeadline(p)
+	}
+	return n, readError(err)
+}
+
+// awaitBytes waits until something has come, or the deadline, and takes it.
+func (c *conn) awaitBytes(p []byte) (n int, err error) {
+	waitErr := c.socket.Read(func(fd uintptr) bool {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		n, err = c.take(int(fd), p)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	if waitErr != nil {
+		return 0, waitErr
+	}
+	return n, err
+}
+
+// readAtDeadline takes what lies in the socket when a deadline has passed. A connection on which no request has begun is ended and
+// closed in the same moment.
+func (c *conn) readAtDeadline(p []byte) (n int, err error) {
+	isResting := false
+	controlErr := c.socket.Control(func(fd uintptr) {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		if c.isReadAborted {
+			err = os.ErrDeadlineExceeded
+			return
+		}
+		if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {
+			return
+		}
+		err, c.hasTimedOut = os.ErrDeadlineExceeded, true
+		if isResting = c.isResting(); isResting {
+			c.end(c.closeReason())
+		}
+	})
+	if isResting {
+		return 0, errors.Join(err, c.closeNow())
+	}
+	return n, errors.Join(err, controlErr)
+}
+
+// take reads the descriptor without waiting, unless the connection is ended, and notes what has come. The lock is held.
+func (c *conn) take(fd int, p []byte) (n int, err error) {
+	if c.isEnded {
+		return 0, io.EOF
+	}
+	for {
+		if n, err = syscall.Read(fd, p); !errors.Is(err, syscall.EINTR) {
+			break
+		}
+	}
+	switch {
+	case err != nil:
+		c.hasPeerEnded = c.hasPeerEnded || !errors.Is(err, syscall.EAGAIN)
+		return 0, err
+	case n == 0 && len(p) > 0:
+		c.hasPeerEnded = true
+		return 0, io.EOF
+	}
+	c.noteRead(n)
+	if o, ok := c.Conn.(ReadObserver); ok {
+		o.ObserveRead(p[:n])
+	}
+	return n, nil
+}
+
+// noteRead notes that n bytes were read. The lock is held.
+func (c *conn) noteRead(n int) {
+	if n == 0 {
+		return
+	}
+	c.lastReadAt = time.Now()
+	if c.use == idle && !c.hasNewBytes {
+		c.extendDeadline(firstBytesTimeout)
+	}
+	c.hasNewBytes, c.hasTimedOut = true, false
+	if c.use == idle {
+		return
+	}
+	// net/http reads one byte behind a request at most, and does not see the end of the connection behind that byte.
+	if c.cancelRequest != nil && !c.isWatched {
+		c.isWatched = true
+		go c.watchPeer()
+	}
+}
+
+// readWithoutSocket reads a connection that has no descriptor. What crosses the end is dropped.
+func (c *conn) readWithoutSocket(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.hasTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	c.hasPeerEnded = c.hasPeerEnded || err != nil && !c.hasTimedOut && !c.isEnded
+	if c.isEnded {
+		return 0, io.EOF
+	}
+	c.noteRead(n)
+	return n, err
+}
+
+// SetReadDeadline limits how long a Read waits for the client. A time of 1970 ends a Read at once.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.readDeadline, c.isReadAborted = t, !t.IsZero() && t.Unix() < abortedBefore
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// extendDeadline moves the read deadline, if there is one, so that at least so much is left. The lock is held.
+func (c *conn) extendDeadline(atLeast time.Duration) {
+	if later := time.Now().Add(atLeast); !c.readDeadline.IsZero() && !c.isReadAborted && c.readDeadline.Before(later) && c.Conn.SetReadDeadline(later) == nil {
+		c.readDeadline = later
+	}
+}
+
+// isResting reports whether no request has begun on the connection, as far as it was read. The lock is held.
+func (c *conn) isResting() bool { return c.use == idle && !c.hasNewBytes }
+
+// readError gives an error the form in which net/http expects it from a connection.
+func readError(err error) error {
+	if err == nil || errors.Is(err, io.EOF) {
+		return err
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = os.ErrDeadlineExceeded
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: err}
+}
--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -23,8 +23,7 @@
 			l.mu.Lock()
 			continue
 		}
-		c.noteClose(c.roomReason())
-		c.isEnded, c.isClosing = true, true // under the lock: a request that it brings from now on does not begin
+		c.end(c.roomReason()) // under the lock: a request that it brings from now on does not begin
 		l.mu.Unlock()
 		besteffort.Ignore(c.closeNow())
 		runtime.Gosched() // the descriptor is free only when its reader has run
@@ -44,7 +43,7 @@
 		}
 		silent := now.Sub(c.useSince)
 		if l.FirstRequestTimeout > 0 {
-			silent = min(silent, now.Sub(time.Unix(0, c.lastReadAt.Load())))
+			silent = min(silent, now.Sub(c.lastReadAt))
 		}
 		if rank := l.reapRank(c, silent); least == nil || rank < lowest || rank == lowest && silent > longest {
 			least, lowest, longest = c, rank, silent
--- a/internal/downstream/http1/framing.go
+++ b/internal/downstream/http1/framing.go
@@ -34,13 +34,11 @@
 	scan framing.Scanner
 }
 
-// Read reads from the connection and tracks what was read.
-func (f *framed) Read(p []byte) (int, error) {
-	n, err := f.Conn.Read(p)
+// ObserveRead implements connlimit.ReadObserver: it tracks what was read.
+func (f *framed) ObserveRead(p []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.scan.Write(p[:n])
-	return n, err
+	f.scan.Write(p)
 }
 
 // NetConn returns the connection below.
