Drain: a connection is not ended while a request lies in its socket

Cause: the drain ended what was idle by its books. A request that lay unread in the socket, or whose first byte net/http had read behind the answer before, was not in them: setUse forgot that byte.

Mended: the drain looks at the socket under the lock that also guards each read, and leaves a connection alone on which something has come; its request is answered, and the answer closes it. A reader that finds nothing while the agent drains ends its connection by itself, so that none is passed over for good. The byte behind an answer is remembered over the change to idle.

The cases 'drain' of the three tests of crossings are back.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -24,21 +24,24 @@
 	listener *Listener
 	socket   syscall.RawConn // of the descriptor; nil where there is none
 
-	use           connUse
-	useSince      time.Time
-	hasServed     bool               // it has brought a valid request
-	hasAnswered   bool               // an answer was written, or a part of it
-	isAnswered    bool               // the present or last request has its answer, or a part of it
-	hasNewBytes   bool               // bytes were read since its last request was over
-	hasPeerEnded  bool               // the client has ended its side
-	isEnded       bool               // nothing is read any more: no request begins on it
-	isClosing     bool               // implies isEnded
-	isWatched     bool               // a goroutine runs watchPeer
-	isAborted     bool               // the handler has given its request up
-	hasTimedOut   bool               // the last read ended by its deadline
-	isCloseNoted  bool               // its close is counted
-	requestID     string             // of its present request, where the handler has stated it
-	cancelRequest context.CancelFunc // ends what is done for the client; nil before ConnContext
+	use               connUse
+	useSince          time.Time
+	hasServed         bool               // it has brought a valid request
+	hasAnswered       bool               // an answer was written, or a part of it
+	isAnswered        bool               // the present or last request has its answer, or a part of it
+	hasRead           bool               // something was read
+	hasNewBytes       bool               // bytes were read since its last request was over
+	hasNextBegun      bool               // a byte behind the present request was read
+	isAwaitingRequest bool               // net/http waits for a request, or the rest of one
+	hasPeerEnded      bool               // the client has ended its side
+	isEnded           bool               // nothing is read any more: no request begins on it
+	isClosing         bool               // implies isEnded
+	isWatched         bool               // a goroutine runs watchPeer
+	isAborted         bool               // the handler has given its request up
+	hasTimedOut       bool               // the last read ended by its deadline
+	isCloseNoted      bool               // its close is counted
+	requestID         string             // of its present request, where the handler has stated it
+	cancelRequest     context.CancelFunc // ends what is done for the client; nil before ConnContext
 
 	readDeadline  time.Time // zero: none
 	isReadAborted bool      // the deadline is there to end a read, not to limit it
@@ -61,11 +64,11 @@
 	c.hasServed = c.hasServed || use == inUse
 	switch use {
 	case idle:
-		c.hasNewBytes = false
+		c.hasNewBytes, c.hasNextBegun = c.hasNextBegun, false
 	case readingRequest:
-		c.isAnswered, c.requestID = false, ""
+		c.isAnswered, c.hasNextBegun, c.requestID = false, false, ""
 	}
-	mustClose := c.listener.isDraining && use == idle
+	mustClose := c.listener.isDraining && c.isResting() && !c.hasUnread()
 	c.isEnded = c.isEnded || mustClose
 	if use != inUse {
 		c.listener.roomFreed.Signal()
@@ -76,6 +79,17 @@
 	}
 }
 
+// closeIfResting ends and closes a connection on which no request has begun, and in whose socket none lies.
+func (c *conn) closeIfResting() {
+	c.listener.mu.Lock()
+	mustClose := c.isResting() && !c.isEnded && (c.isAwaitingRequest || !c.hasRead) && !c.hasUnread()
+	c.isEnded = c.isEnded || mustClose
+	c.listener.mu.Unlock()
+	if mustClose {
+		besteffort.Close(c)
+	}
+}
+
 // end decides that the connection is closed: nothing is read from now on. The lock is held.
 func (c *conn) end(reason CloseReason) {
 	c.noteClose(reason)
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -11,8 +11,8 @@
 // # The end of a connection
 //
 // A request that was read has to be answered; one that was not its client sends again. So each read and the decision to end a connection
-// exclude each other (the listener's lock), and a limit on its time at rest ends it only where nothing lies in its socket. What comes behind
-// the decision stays unread, and the close resets the connection, by which the client can tell.
+// exclude each other (the listener's lock), and neither a limit on its time at rest nor a drain ends it where something lies in its socket.
+// What comes behind the decision stays unread, and the close resets the connection, by which the client can tell.
 //
 // # Files
 //
@@ -81,21 +81,15 @@
 	return c, nil
 }
 
-// Drain ends each connection as soon as no request has begun on it: at once those that are idle, the others after their answers.
+// Drain ends each connection as soon as no request has begun on it and none lies in its socket: at once those that rest, the others after
+// their answers.
 func (l *Listener) Drain() {
 	l.mu.Lock()
 	l.isDraining = true
-	var idleConns []*conn
-	for c := range l.conns {
-		if c.use == idle && !c.hasNewBytes && !c.isEnded {
-			c.noteClose(CloseDrain)
-			c.isEnded = true
-			idleConns = append(idleConns, c)
-		}
-	}
+	open := slices.Collect(maps.Keys(l.conns))
 	l.mu.Unlock()
-	for _, c := range idleConns {
-		besteffort.Close(c)
+	for _, c := range open {
+		c.closeIfResting()
 	}
 }
 
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -22,10 +22,11 @@
 
 // endings are the ways in which a connection between requests is ended by this side.
 var endings = map[string]func(l testListener, c *conn){
+	"drain":      func(l testListener, _ *conn) { l.Drain() },
 	"idle limit": func(_ testListener, c *conn) { besteffort.Ignore(c.SetReadDeadline(time.Now())) },
 }
 
-// A request lies unread in its socket in the moment in which its connection is to be ended, as its time at rest is up. The connection is left alone, and the request is handed over.
+// A request lies unread in its socket in the moment in which its connection is to be ended, by a drain or as its time at rest is up. The connection is left alone, and the request is handed over.
 func TestRequestThatIsThereBeforeTheCloseIsHandedOver(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\n\r\n"
 	for name, end := range endings {
@@ -90,6 +91,11 @@
 					n, _ := c.Read(got)
 					read <- string(got[:n])
 				}()
+				agenttest.Eventually(t, "it is read", func() bool {
+					l.mu.Lock()
+					defer l.mu.Unlock()
+					return c.isAwaitingRequest
+				})
 				go func() { besteffort.IgnoreResult(far.Write([]byte(request))) }()
 				for range round % 20 {
 					runtime.Gosched()
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"appleledge/internal/sockstate"
 )
 
 const (
@@ -45,8 +47,17 @@
 	waitErr := c.socket.Read(func(fd uintptr) bool {
 		c.listener.mu.Lock()
 		defer c.listener.mu.Unlock()
-		n, err = c.take(int(fd), p)
-		return !errors.Is(err, syscall.EAGAIN)
+		c.isAwaitingRequest = false
+		if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {
+			return true
+		}
+		if c.listener.isDraining && c.isResting() {
+			c.isEnded, err = true, io.EOF
+			return true
+		}
+		// net/http reads one byte behind a request that it has whole; any longer read waits for a request, or the rest of one.
+		c.isAwaitingRequest = len(p) > 1
+		return false
 	})
 	if waitErr != nil {
 		return 0, waitErr
@@ -61,6 +72,7 @@
 	controlErr := c.socket.Control(func(fd uintptr) {
 		c.listener.mu.Lock()
 		defer c.listener.mu.Unlock()
+		c.isAwaitingRequest = false
 		if c.isReadAborted {
 			err = os.ErrDeadlineExceeded
 			return
@@ -97,15 +109,15 @@
 		c.hasPeerEnded = true
 		return 0, io.EOF
 	}
-	c.noteRead(n)
+	c.noteRead(n, len(p))
 	if o, ok := c.Conn.(ReadObserver); ok {
 		o.ObserveRead(p[:n])
 	}
 	return n, nil
 }
 
-// noteRead notes that n bytes were read. The lock is held.
-func (c *conn) noteRead(n int) {
+// noteRead notes that n bytes were read where size were asked for. The lock is held.
+func (c *conn) noteRead(n, size int) {
 	if n == 0 {
 		return
 	}
@@ -113,10 +125,11 @@
 	if c.use == idle && !c.hasNewBytes {
 		c.extendDeadline(firstBytesTimeout)
 	}
-	c.hasNewBytes, c.hasTimedOut = true, false
+	c.hasRead, c.hasNewBytes, c.hasTimedOut = true, true, false
 	if c.use == idle {
 		return
 	}
+	c.hasNextBegun = c.hasNextBegun || size == 1
 	// net/http reads one byte behind a request at most, and does not see the end of the connection behind that byte.
 	if c.cancelRequest != nil && !c.isWatched {
 		c.isWatched = true
@@ -134,7 +147,7 @@
 	if c.isEnded {
 		return 0, io.EOF
 	}
-	c.noteRead(n)
+	c.noteRead(n, len(p))
 	return n, err
 }
 
@@ -161,6 +174,9 @@
 // isResting reports whether no request has begun on the connection, as far as it was read. The lock is held.
 func (c *conn) isResting() bool { return c.use == idle && !c.hasNewBytes }
 
+// hasUnread reports whether bytes lie in the socket that nobody has read. The lock is held, so that nobody reads them meanwhile.
+func (c *conn) hasUnread() bool { return c.socketState() == sockstate.Readable }
+
 // readError gives an error the form in which net/http expects it from a connection.
 func readError(err error) error {
 	if err == nil || errors.Is(err, io.EOF) {
