Connection limit: room is never made by a connection with a request on it

Cause: the victim was chosen by the books: 'no valid request yet'. That is also true of a connection whose request lies in its socket, is being read, or was read and has not reached its handler, and of one whose next request's first byte was read behind an answer. The reader went on while the decision was made.

Mended: under the lock that guards each read, the listener looks at the socket of the one that it would close and passes over each on which something lies; one from which bytes were read may go only while net/http waits for more. What comes behind the decision is never read, and its client sees a reset.

Each line of the new rule was broken once: the cases 'room' and TestConnectionWithARequestOnItsWayIsNotEnded fail then, and TestDrainLeavesAConnectionWhoseNextRequestBegan... without the byte that is remembered.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -40,6 +40,7 @@
 	isAborted         bool               // the handler has given its request up
 	hasTimedOut       bool               // the last read ended by its deadline
 	isCloseNoted      bool               // its close is counted
+	isPassedOver      bool               // in the present search for room: something lies unread in its socket
 	requestID         string             // of its present request, where the handler has stated it
 	cancelRequest     context.CancelFunc // ends what is done for the client; nil before ConnContext
 
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -10,9 +10,9 @@
 //
 // # The end of a connection
 //
-// A request that was read has to be answered; one that was not its client sends again. So each read and the decision to end a connection
-// exclude each other (the listener's lock), and neither a limit on its time at rest nor a drain ends it where something lies in its socket.
-// What comes behind the decision stays unread, and the close resets the connection, by which the client can tell.
+// A request that was read has to be answered; one that was not its client sends again. So a connection is ended only where no request
+// has begun and nothing lies in its socket, and the look, the decision and each read exclude each other (the listener's lock). What comes
+// behind the decision stays unread, and the close resets the connection, by which the client can tell.
 //
 // # Files
 //
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -22,11 +22,20 @@
 
 // endings are the ways in which a connection between requests is ended by this side.
 var endings = map[string]func(l testListener, c *conn){
-	"drain":      func(l testListener, _ *conn) { l.Drain() },
+	"drain": func(l testListener, _ *conn) { l.Drain() },
+	"room": func(l testListener, c *conn) {
+		go func() { besteffort.IgnoreResult(l.Accept()) }()
+		agenttest.Eventually(l.t, "the listener has looked for room", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return c.isEnded || c.isPassedOver || c.hasRead
+		})
+	},
 	"idle limit": func(_ testListener, c *conn) { besteffort.Ignore(c.SetReadDeadline(time.Now())) },
 }
 
-// A request lies unread in its socket in the moment in which its connection is to be ended, by a drain or as its time at rest is up. The connection is left alone, and the request is handed over.
+// A request lies unread in its socket in the moment in which its connection is to be ended: by a drain, to make room, or as its time at
+// rest is up. The connection is left alone, and the request is handed over.
 func TestRequestThatIsThereBeforeTheCloseIsHandedOver(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\n\r\n"
 	for name, end := range endings {
@@ -120,6 +129,65 @@
 	}
 }
 
+// A request was read and has not reached its handler, or its first byte was read behind the answer before. Whatever the books say of the
+// connection's use, it is neither closed to make room nor by a drain.
+func TestConnectionWithARequestOnItsWayIsNotEnded(t *testing.T) {
+	for name, arrives := range map[string]func(c *conn){
+		"whole, before net/http tells": func(c *conn) { besteffort.IgnoreResult(c.Read(make([]byte, 100))) },
+		"whole, before its handler begins": func(c *conn) {
+			besteffort.IgnoreResult(c.Read(make([]byte, 100)))
+			ConnState(c, http.StateActive)
+		},
+		"a byte behind an answer": func(c *conn) {
+			ConnState(c, http.StateActive)
+			c.setUse(inUse)
+			besteffort.IgnoreResult(c.Read(make([]byte, 1))) // as net/http reads while a request is open
+			ConnState(c, http.StateIdle)
+		},
+	} {
+		for ending, end := range endings {
+			if ending == "idle limit" {
+				continue // it ends a read that waits; none does
+			}
+			t.Run(name+", "+ending, func(t *testing.T) {
+				l := listen(t, 1, Options{})
+				c, far := l.accept()
+				if _, err := far.Write([]byte("G")); err != nil {
+					t.Fatal(err)
+				}
+				arrives(c)
+				end(l, c)
+				l.mu.Lock()
+				candidate, isEnded := l.reapCandidate(), c.isEnded
+				l.mu.Unlock()
+				if candidate != nil || isEnded {
+					t.Errorf("it may be closed for room: %v, it was ended: %v", candidate != nil, isEnded)
+				}
+			})
+		}
+	}
+}
+
+// While the listener drains, an answer is written that does not say that it ends its connection, and the first byte of the client's next
+// request has been read by then. The connection stays for that request.
+func TestDrainLeavesAConnectionWhoseNextRequestBeganBehindTheAnswer(t *testing.T) {
+	l := listen(t, 3, Options{})
+	c, far := l.accept()
+	ConnState(c, http.StateActive)
+	c.setUse(inUse)
+	l.Drain()
+	if _, err := far.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil { // as net/http reads while a request is open
+		t.Fatal(n, err)
+	}
+	ConnState(c, http.StateIdle)
+	if IsEnded(ConnContext(t.Context(), c)) {
+		t.Error("it was ended")
+	}
+}
+
 // The listener drains while a client has sent half of its next request. That connection is left alone, and ended as soon as it would be
 // idle again; the client reads its answer.
 func TestDrainWaitsForBegunRequest(t *testing.T) {
