Lingering close: the request behind an answered one is never read and dropped

Cause: a close over an answer goes on reading for 250 ms, so that no reset takes the answer back, and drops all that comes. That was meant for the rest of a body that was answered early; a request that the client sent meanwhile went the same way.

Mended: what is behind a request that was read whole is left unread. The own side ends, the answer has 250 ms to arrive, then the close resets the connection if something lies there. Only the rest of an answered body is still dropped. A connection whose answer is older than that, or that has had none, is closed at once. Waiting for the client's close goes by the poller, in place of reads.

Evidence: TestRequestBehindAnAnsweredOneIsNotRead, three cases: with the old linger.go each 'was read and dropped'. TestRequestBehindTheCloseIsAnsweredByReset looks at the system's own word for the reset now (agenttest.WasReset), where a second write could have caused one: it fails for a drain with the old linger.go. TestLingeringCloseDeliversAnswer is unchanged.

--- a/cmd/appleledge/connection_end_test.go
+++ b/cmd/appleledge/connection_end_test.go
@@ -19,8 +19,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"appleledge/internal/agenttest"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/harness/cluster"
@@ -30,14 +28,13 @@
 
 // Limits of the agent that the tests cross, and how long before and after them its process is held up.
 const (
-	idleLimit     = 2100 * time.Millisecond // of a connection between requests
-	headLimit     = 1500 * time.Millisecond // of a request's head
-	bodyLimit     = 1200 * time.Millisecond // of a request's body
-	drainRest     = 2000 * time.Millisecond // from SIGTERM until connections that rest are ended, at the deadlines of agenttest.SettingsText
-	heldBefore    = 500 * time.Millisecond
-	heldBehind    = 250 * time.Millisecond
-	resetPatience = time.Second // longer than the agent lets a close linger
-	clientCount   = 20
+	idleLimit   = 2100 * time.Millisecond // of a connection between requests
+	headLimit   = 1500 * time.Millisecond // of a request's head
+	bodyLimit   = 1200 * time.Millisecond // of a request's body
+	drainRest   = 2000 * time.Millisecond // from SIGTERM until connections that rest are ended, at the deadlines of agenttest.SettingsText
+	heldBefore  = 500 * time.Millisecond
+	heldBehind  = 250 * time.Millisecond
+	clientCount = 20
 )
 
 // stoppableAgent is an agent in a process of its own, with one backend that serves at once.
@@ -229,26 +226,6 @@
 	}
 }
 
-// wasReset waits until the system tells that the agent has reset a connection which it had ended. It does so where bytes came that nobody
-// has read.
-func (c *agentClient) wasReset() bool {
-	raw, err := c.conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		c.t.Error(err)
-		return false
-	}
-	for until := time.Now().Add(resetPatience); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		pending := 0
-		if raw.Control(func(fd uintptr) { pending, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) }) != nil || err != nil {
-			return false
-		}
-		if pending != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // clientEnds counts how requests ended.
 type clientEnds struct{ answered, unread, lost atomic.Int64 }
 
@@ -268,7 +245,7 @@
 		besteffort.IgnoreResult(io.Copy(io.Discard, resp.Body))
 		besteffort.Close(resp.Body)
 		return !resp.Close
-	case errors.Is(err, syscall.ECONNRESET), c.wasReset():
+	case errors.Is(err, syscall.ECONNRESET), agenttest.WasReset(c.conn):
 		e.unread.Add(1)
 	default:
 		e.lost.Add(1)
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -29,6 +29,7 @@
 	hasServed         bool               // it has brought a valid request
 	hasAnswered       bool               // an answer was written, or a part of it
 	isAnswered        bool               // the present or last request has its answer, or a part of it
+	isRequestWhole    bool               // the present or last request was read to its end
 	hasRead           bool               // something was read
 	hasNewBytes       bool               // bytes were read since its last request was over
 	hasNextBegun      bool               // a byte behind the present request was read
@@ -67,7 +68,7 @@
 	case idle:
 		c.hasNewBytes, c.hasNextBegun = c.hasNextBegun, false
 	case readingRequest:
-		c.isAnswered, c.hasNextBegun, c.requestID = false, false, ""
+		c.isAnswered, c.isRequestWhole, c.hasNextBegun, c.requestID = false, false, false, ""
 	}
 	mustClose := c.listener.isDraining && c.isResting() && !c.hasUnread()
 	c.isEnded = c.isEnded || mustClose
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -10,7 +10,6 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,10 +75,9 @@
 			if n, err := c.Read(make([]byte, 100)); n != 0 || err == nil {
 				t.Errorf("%d bytes were handed over, %v", n, err)
 			}
-			agenttest.Eventually(t, "the connection is reset", func() bool {
-				_, err := far.Write([]byte("x"))
-				return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-			})
+			if !agenttest.WasReset(far) {
+				t.Error("the client can't tell that nobody has read its request")
+			}
 		})
 	}
 }
@@ -105,7 +103,11 @@
 					defer l.mu.Unlock()
 					return c.isAwaitingRequest
 				})
-				go func() { besteffort.IgnoreResult(far.Write([]byte(request))) }()
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					besteffort.IgnoreResult(far.Write([]byte(request)))
+				}()
 				for range round % 20 {
 					runtime.Gosched()
 				}
@@ -114,10 +116,9 @@
 				case request:
 					handedOver++
 				case "":
-					agenttest.Eventually(t, "the connection is reset", func() bool {
-						_, err := far.Write([]byte("x"))
-						return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-					})
+					if <-written; !agenttest.WasReset(far) {
+						t.Fatalf("round %d: it was read and dropped", round)
+					}
 				default:
 					t.Fatalf("round %d: %q", round, got)
 				}
@@ -252,6 +253,45 @@
 	}
 }
 
+// A request was read whole and answered, its connection is closed, and the client sends another one before it sees that. It gets its answer
+// and the end, and learns by the reset that nobody has read the other request.
+func TestRequestBehindAnAnsweredOneIsNotRead(t *testing.T) {
+	for name, end := range map[string]func(l testListener, c *conn){
+		"the answer ends the connection": func(_ testListener, c *conn) { besteffort.Close(c) },
+		"the listener drains": func(l testListener, c *conn) {
+			l.Drain()
+			ConnState(c, http.StateIdle)
+		},
+		"the listener drains, and it rests": func(l testListener, c *conn) {
+			ConnState(c, http.StateIdle)
+			l.Drain()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t, 3, Options{})
+			c, far := l.accept()
+			ctx := ConnContext(t.Context(), c)
+			ConnState(c, http.StateActive)
+			MarkRequestRead(ctx)
+			c.setUse(inUse)
+			if _, err := c.Write([]byte("answer")); err != nil {
+				t.Fatal(err)
+			}
+			end(l, c)
+			if _, err := far.Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
+				t.Fatal(err)
+			}
+			if all, err := io.ReadAll(far); string(all) != "answer" || err != nil {
+				t.Errorf("the client got %q, %v", all, err)
+			}
+			if !agenttest.WasReset(far) {
+				t.Error("the second request was read and dropped")
+			}
+			agenttest.Eventually(t, "its place is free", func() bool { return l.OpenCount() == 0 })
+		})
+	}
+}
+
 // Room is needed while a closed connection lingers. It goes first, whatever it was used for.
 func TestLingeringConnectionIsReapedFirst(t *testing.T) {
 	l := listen(t, 2, Options{})
--- a/internal/connlimit/httpserver.go
+++ b/internal/connlimit/httpserver.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// MarkRequestRead marks a request as read to its end: what comes behind it is another one.
+func MarkRequestRead(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		c.isRequestWhole = true
+	}
+}
+
 // MarkInUse marks the connection of a request as in use, until net/http has written the answer.
 func MarkInUse(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -6,18 +6,20 @@
 	"appleledge/internal/besteffort"
 )
 
-// A lingering close goes on reading for so long, and so much, until the client has closed too.
+// A lingering close waits for so long until the client has closed too, and drops so much of an answered request's body.
 const (
 	lingerTimeout  = 250 * time.Millisecond
 	maxLingerBytes = 256 << 10
 )
 
-// Close closes the connection and frees its place. Where the client may still send, a plain close would reset the connection, and the client
-// would lose an answer that it has not read yet. So the own side ends first, and what comes is dropped for a while (lingering close).
+// Close closes the connection and frees its place. A plain close over bytes that were not read would reset the connection, and the client
+// would lose an answer that is still on its way. So where one may be, the own side ends first (lingering close). Meanwhile nothing is
+// read but the rest of the request that was answered: what comes behind it is another request, whose client learns by the reset at the
+// end that nobody has read it.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
 	wasClosing := c.isClosing
-	lingers := !c.hasPeerEnded && (c.hasAnswered || c.listener.isDraining)
+	lingers, dropsBody := c.mayHoldAnswer(), !c.isRequestWhole
 	c.end(c.closeReason())
 	c.listener.mu.Unlock()
 	if wasClosing {
@@ -26,12 +28,24 @@
 	if !lingers || c.CloseWrite() != nil {
 		return c.closeNow()
 	}
-	go c.linger()
+	if dropsBody {
+		go c.dropBody()
+	} else {
+		go c.awaitPeerClose()
+	}
 	return nil
 }
 
-// linger drops what comes until the client has closed, for a while, and closes. It runs in a goroutine of its own, which ends with it.
-func (c *conn) linger() {
+// mayHoldAnswer reports whether an answer may still be on its way to a client that is there. The lock is held.
+func (c *conn) mayHoldAnswer() bool {
+	if c.hasPeerEnded || !c.hasAnswered {
+		return false
+	}
+	return c.use != idle && c.isAnswered || c.use == idle && time.Since(c.useSince) < lingerTimeout
+}
+
+// dropBody drops what comes until the client has closed, for a while, and closes. It runs in a goroutine of its own, which ends with it.
+func (c *conn) dropBody() {
 	timeout := time.AfterFunc(lingerTimeout, func() { besteffort.Ignore(c.closeNow()) })
 	defer timeout.Stop()
 	defer func() { besteffort.Ignore(c.closeNow()) }()
@@ -48,6 +62,16 @@
 	}
 }
 
+// awaitPeerClose waits until the client has closed, for a while, and closes. It reads nothing. It runs in a goroutine of its own, which
+// ends with it.
+func (c *conn) awaitPeerClose() {
+	defer func() { besteffort.Ignore(c.closeNow()) }()
+	if c.socket == nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	besteffort.Ignore(c.socket.Read(func(uintptr) bool { return c.isPeerGone() }))
+}
+
 // CloseWrite lets net/http end an answer so that a client which still sends can read it.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -143,6 +143,9 @@
 	if connlimit.IsEnded(r.Context()) { // the connection was closed while this request arrived; it was not forwarded, and its client sends it again
 		s.abort(r, abortConnectionEnded)
 	}
+	if r.ContentLength == 0 {
+		connlimit.MarkRequestRead(r.Context())
+	}
 	if s.closing.Load() || !s.draining.Load() && s.clients.IsCrowded() {
 		w.Header().Set("Connection", "close")
 	}
@@ -168,6 +171,9 @@
 		rejectMalformed(w, err)
 		return
 	}
+	if up == nil {
+		connlimit.MarkRequestRead(r.Context())
+	}
 	if until := time.Duration(s.drainDeadline.Load()); until > 0 {
 		if up != nil && s.Clock.Now()+up.ClientTimeout > until { // it could be answered too late, as its time begins with its last byte; nothing was forwarded yet
 			s.logUnserved(r, unservedDrainTooShort)
