--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -197,6 +197,11 @@
 		s.abort(r, abortClientLeft)
 	}
 	s.Engine.Arrive(c)
+	s.awaitAnswer(w, r, c, up, waits)
+}
+
+// awaitAnswer waits for the engine's answer to a call and writes it, unless the client leaves first.
+func (s *Server) awaitAnswer(w http.ResponseWriter, r *http.Request, c *engine.Call, up *http1.Upload, waits *caller) {
 	last := s.finalAnswers
 	for {
 		select {
