Listeners: a failing accept does not end the process

Cause: net/http takes an error of accept for the listener's end unless it calls itself temporary, which in Go only EINTR, EMFILE, ENFILE, ECONNABORTED, ECONNRESET and time-outs do. The server's error ended the agent.

Mended: internal/acceptretry tries again 5 ms later after each failure that concerns one connection or the system's memory at that moment; other errors are final as before. The client's port, operators, telemetry and the external processor use it.

Evidence: TestSystemCallsThatFailNowAndThenCostNoAnswer fails system calls of the agent's process by strace. Before, ENOMEM, ENOBUFS, EPERM and EPROTO of accept4 and ENOMEM of epoll_ctl: the agent was not ready after 20 s or refused connections.

--- a/cmd/appleledge/connection_end_test.go
+++ b/cmd/appleledge/connection_end_test.go
@@ -45,8 +45,8 @@
 	log     *agenttest.LockedBuffer
 }
 
-// startStoppable starts an agent with a limit on its file descriptors.
-func startStoppable(t *testing.T, sockets int) *stoppableAgent {
+// startStoppable starts an agent with a limit on its file descriptors, by another command where wrapper names one.
+func startStoppable(t *testing.T, sockets int, wrapper ...string) *stoppableAgent {
 	t.Helper()
 	host, err := loopback.Hold()
 	if err != nil {
@@ -61,7 +61,8 @@
 		t.Fatal(err)
 	}
 	a := &stoppableAgent{t: t, addr: host.Addr(), log: &agenttest.LockedBuffer{}}
-	program := exec.Command(cluster.Program(0))
+	command := slices.Concat(wrapper, []string{cluster.Program(0)})
+	program := exec.Command(command[0], command[1:]...)
 	program.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "PROXY_CONFIG="+file, "PROXY_LISTEN="+a.addr)
 	program.Stderr = a.log
 	if err := program.Start(); err != nil {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -29,6 +29,7 @@
 	"sync"
 	"time"
 
+	"appleledge/internal/acceptretry"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/eventlog"
 )
@@ -60,7 +61,7 @@
 
 // New returns a listener of at most limit connections, which it accepts from inner.
 func New(inner net.Listener, limit int, o Options) *Listener {
-	l := &Listener{Listener: inner, Options: o, limit: limit, conns: map[*conn]struct{}{}}
+	l := &Listener{Listener: acceptretry.Listener{Listener: inner, Events: o.Events}, Options: o, limit: limit, conns: map[*conn]struct{}{}}
 	l.roomFreed = sync.NewCond(&l.mu)
 	return l
 }
--- a/internal/downstream/extproc/server.go
+++ b/internal/downstream/extproc/server.go
@@ -30,8 +30,10 @@
 	"google.golang.org/grpc/reflection"
 	"google.golang.org/grpc/status"
 
+	"appleledge/internal/acceptretry"
 	"appleledge/internal/downstream/requesthead"
 	"appleledge/internal/engine"
+	"appleledge/internal/eventlog"
 	"appleledge/internal/platformconfig"
 	"appleledge/internal/settings"
 	"appleledge/internal/upstream/connpool"
@@ -91,7 +93,9 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	srv := s.grpcServer()
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(netutil.LimitListener(l, s.Settings.MaxConnections)) }()
+	go func() {
+		failed <- srv.Serve(netutil.LimitListener(acceptretry.Listener{Listener: l, Events: eventlog.New(s.Log)}, s.Settings.MaxConnections))
+	}()
 	s.Log.Info("external processor listening", "addr", l.Addr().String())
 	counts := time.NewTicker(countsInterval)
 	defer counts.Stop()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -20,9 +20,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/netutil"
 
+	"appleledge/internal/acceptretry"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/connlimit"
 	"appleledge/internal/engine"
+	"appleledge/internal/eventlog"
 	"appleledge/internal/fleet/gossip"
 	"appleledge/internal/fleet/overload"
 	"appleledge/internal/upstream/connpool"
@@ -60,7 +62,7 @@
 	stopped := context.AfterFunc(ctx, func() { besteffort.Close(srv) })
 	defer stopped()
 	s.Log.Info("telemetry listening", "addr", l.Addr().String())
-	if err := srv.Serve(netutil.LimitListener(l, maxConnections)); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(netutil.LimitListener(acceptretry.Listener{Listener: l, Events: eventlog.New(s.Log)}, maxConnections)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving telemetry: %w", err)
 	}
 	return nil
