Connections: a read or write that fails for want of memory is made again

Cause: recv and send may fail with ENOMEM or ENOBUFS on a connection that is well. net/http takes any error of a read or write for the end of the client: the background read cancels the request that is open, and a failed write drops its answer.

Mended: the connection's own Read and Write make such a call again 1 ms later, 200 times at the most, and write on from where the last write got to. Other errors are final as before.

Evidence: TestSystemCallsThatFailNowAndThenCostNoAnswer, one read in 23 or one write in 23 of the process failing.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -51,12 +51,20 @@
 	closeNow      func() error // closes the descriptor and frees the place, once
 }
 
-// Write notes that there is an answer, which a close must not take back.
-func (c *conn) Write(p []byte) (int, error) {
+// Write notes that there is an answer, which a close must not take back. It writes again what the system had no memory for.
+func (c *conn) Write(p []byte) (written int, err error) {
 	c.listener.mu.Lock()
 	c.hasAnswered, c.isAnswered = true, true
 	c.listener.mu.Unlock()
-	return c.Conn.Write(p)
+	for tries := 0; ; tries++ {
+		var n int
+		n, err = c.Conn.Write(p[written:])
+		written += n
+		if !isTransient(err) || tries == transientTries {
+			return written, err
+		}
+		time.Sleep(transientPause)
+	}
 }
 
 // setUse moves the connection to another use. While the listener drains, one that becomes idle is closed.
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -19,6 +19,10 @@
 	// abortedBefore is the end of the Unix times, in seconds, by which net/http and handlers end a read at once. Any later deadline is a
 	// limit on the wait for the client.
 	abortedBefore = 2
+
+	// A system call that fails for want of memory is made again after transientPause, up to transientTries times.
+	transientPause = time.Millisecond
+	transientTries = 200
 )
 
 // ReadObserver is a connection below the Listener's that is shown what was read. The Listener's connections read the descriptor
@@ -35,11 +39,16 @@
 	if c.socket == nil {
 		return c.readWithoutSocket(p)
 	}
-	n, err := c.awaitBytes(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readAtDeadline(p)
+	for tries := 0; ; tries++ {
+		n, err := c.awaitBytes(p)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.readAtDeadline(p)
+		}
+		if !isTransient(err) || tries == transientTries {
+			return n, readError(err)
+		}
+		time.Sleep(transientPause)
 	}
-	return n, readError(err)
 }
 
 // awaitBytes waits until something has come, or the deadline, and takes it.
@@ -103,7 +112,7 @@
 	}
 	switch {
 	case err != nil:
-		c.hasPeerEnded = c.hasPeerEnded || !errors.Is(err, syscall.EAGAIN)
+		c.hasPeerEnded = c.hasPeerEnded || !errors.Is(err, syscall.EAGAIN) && !isTransient(err)
 		return 0, err
 	case n == 0 && len(p) > 0:
 		c.hasPeerEnded = true
@@ -177,6 +186,11 @@
 // hasUnread reports whether bytes lie in the socket that nobody has read. The lock is held, so that nobody reads them meanwhile.
 func (c *conn) hasUnread() bool { return c.socketState() == sockstate.Readable }
 
+// isTransient reports whether a system call failed for want of memory, and may succeed when it is made again.
+func isTransient(err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+}
+
 // readError gives an error the form in which net/http expects it from a connection.
 func readError(err error) error {
 	if err == nil || errors.Is(err, io.EOF) {
