Socket state: a look that fails for want of memory is no client that has left

The request was dropped before it was forwarded.

Cause: before a request is handed over, and while bytes lie behind it, the agent looks whether its client has left (recv with MSG_PEEK). Each error but EAGAIN and EINTR counted as the client's end, ENOMEM too, which says nothing of the client.

Mended: such a look is made again, three times at the most, and is 'unknown' then. Where a connection is to be ended, unknown counts as 'something may lie there', so that it stays.

--- a/cmd/appleledge/failing_calls_test.go
+++ b/cmd/appleledge/failing_calls_test.go
@@ -70,6 +70,8 @@
 		"shutdown:error=ENOTCONN:when=2+3":    false,
 		"poll:error=ENOMEM:when=5+7":          false,
 		"poll:error=EINTR:when=5+7":           false,
+		"recvfrom:error=ENOMEM:when=5+7":      false,
+		"recvfrom:error=EINTR:when=5+7":       false,
 		"read:error=ENOMEM:when=150+23":       false,
 		"read:error=ENOBUFS:when=150+23":      false,
 		"read:error=EINTR:when=150+23":        false,
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -183,8 +183,12 @@
 // isResting reports whether no request has begun on the connection, as far as it was read. The lock is held.
 func (c *conn) isResting() bool { return c.use == idle && !c.hasNewBytes }
 
-// hasUnread reports whether bytes lie in the socket that nobody has read. The lock is held, so that nobody reads them meanwhile.
-func (c *conn) hasUnread() bool { return c.socketState() == sockstate.Readable }
+// hasUnread reports whether bytes lie in the socket that nobody has read, or may lie there, as the system can't tell. The lock is held, so
+// that nobody reads them meanwhile.
+func (c *conn) hasUnread() bool {
+	state := c.socketState()
+	return state == sockstate.Readable || state == sockstate.Unknown && c.socket != nil
+}
 
 // isTransient reports whether a system call failed for want of memory, and may succeed when it is made again.
 func isTransient(err error) bool {
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -21,22 +21,32 @@
 	Unknown                 // it has no descriptor, is closed here, or the check was interrupted
 )
 
+// maxTries is how often a system call is made that fails for a moment.
+const maxTries = 3
+
 // Peek returns the state of a connection. It does not block, and takes nothing.
 func Peek(c net.Conn) State {
-	var n int
-	var peekErr error
-	if !controlFD(c, func(fd int) { // not RawConn.Read, which waits for a goroutine that reads already
-		var one [1]byte
-		n, _, peekErr = syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}) {
-		return Unknown
-	}
+	state := Unknown
+	controlFD(c, func(fd int) { // not RawConn.Read, which waits for a goroutine that reads already
+		for range maxTries {
+			if state = peekFD(fd); state != Unknown {
+				return
+			}
+		}
+	})
+	return state
+}
+
+// peekFD returns the state of a descriptor's connection. It is Unknown where the call fails in a way that says nothing of the peer.
+func peekFD(fd int) State {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
-	case errors.Is(peekErr, syscall.EAGAIN) || errors.Is(peekErr, syscall.EWOULDBLOCK):
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK):
 		return Idle
-	case errors.Is(peekErr, syscall.EINTR):
+	case errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS):
 		return Unknown
-	case peekErr == nil && n > 0:
+	case err == nil && n > 0:
 		return Readable
 	}
 	return PeerClosed
