--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"appleledge/internal/besteffort"
 )
 
 // State says what waits on a connection.
@@ -66,11 +68,12 @@
 }
 
 // controlFD runs f on a connection's descriptor, if it has one.
-func controlFD(c net.Conn, f func(fd int)) bool {
+func controlFD(c net.Conn, f func(fd int)) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		besteffort.Ignore(raw.Control(func(fd uintptr) { f(int(fd)) })) // fails of a closed connection, and does not call f
 	}
-	raw, err := sc.SyscallConn()
-	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
