Soak: clients that rest until the agent's idle limit, and standstills again and again

Now 20 clients of each agent rest between their requests until 0 to 0.15 s before the limit of 2.1 s, each agent stands still for 0.05 to 0.15 s every 0.7 to 2 s, and a request that was never read is told from one that was dropped by the system's word of a reset (sockstate.WasReset; agenttest.WasReset moves there). 'rest' of [clients] is for scripts too.

A planted fault that drops the request at the limit is in internal/cmd/planted.

--- a/cmd/appleledge/connection_end_test.go
+++ b/cmd/appleledge/connection_end_test.go
@@ -28,13 +28,14 @@
 
 // Limits of the agent that the tests cross, and how long before and after them its process is held up.
 const (
-	idleLimit   = 2100 * time.Millisecond // of a connection between requests
-	headLimit   = 1500 * time.Millisecond // of a request's head
-	bodyLimit   = 1200 * time.Millisecond // of a request's body
-	drainRest   = 2000 * time.Millisecond // from SIGTERM until connections that rest are ended, at the deadlines of agenttest.SettingsText
-	heldBefore  = 500 * time.Millisecond
-	heldBehind  = 250 * time.Millisecond
-	clientCount = 20
+	idleLimit     = 2100 * time.Millisecond // of a connection between requests
+	headLimit     = 1500 * time.Millisecond // of a request's head
+	bodyLimit     = 1200 * time.Millisecond // of a request's body
+	drainRest     = 2000 * time.Millisecond // from SIGTERM until connections that rest are ended, at the deadlines of agenttest.SettingsText
+	heldBefore    = 500 * time.Millisecond
+	heldBehind    = 250 * time.Millisecond
+	resetPatience = time.Second // longer than the agent lets a close linger
+	clientCount   = 20
 )
 
 // stoppableAgent is an agent in a process of its own, with one backend that serves at once.
@@ -246,7 +247,7 @@
 		besteffort.IgnoreResult(io.Copy(io.Discard, resp.Body))
 		besteffort.Close(resp.Body)
 		return !resp.Close
-	case errors.Is(err, syscall.ECONNRESET), agenttest.WasReset(c.conn):
+	case sockstate.WasReset(c.conn, err, resetPatience):
 		e.unread.Add(1)
 	default:
 		e.lost.Add(1)
--- a/cmd/appleledge/failing_calls_test.go
+++ b/cmd/appleledge/failing_calls_test.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 
 	"appleledge/internal/agenttest"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/sockstate"
 )
 
 // requestsPerConnection is how many requests a client sends on one connection.
@@ -39,7 +39,7 @@
 		case err == nil:
 			besteffort.IgnoreResult(io.Copy(io.Discard, resp.Body))
 			besteffort.Close(resp.Body)
-		case allowsUnreadNew && sent == 0 && (errors.Is(err, syscall.ECONNRESET) || agenttest.WasReset(c.conn)):
+		case allowsUnreadNew && sent == 0 && sockstate.WasReset(c.conn, err, resetPatience):
 			c = nil
 			continue
 		default:
--- a/internal/agenttest/agenttest.go
+++ b/internal/agenttest/agenttest.go
@@ -11,12 +11,9 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"appleledge/internal/besteffort"
 	"appleledge/internal/harness/loopback"
 	"appleledge/internal/membership"
@@ -321,30 +318,3 @@
 	defer b.mu.Unlock()
 	return bytes.Count(b.buf.Bytes(), []byte(text))
 }
-
-// resetPatience is how long WasReset waits: longer than an agent lets a close linger.
-const resetPatience = time.Second
-
-// WasReset waits until the system tells that the peer has reset a connection, and reports whether it did. A peer that ends a connection and
-// then closes it resets it where bytes came that it has not read, so that a request that was read and dropped can be told from one that was
-// never read. Nothing may be written to the connection meanwhile.
-func WasReset(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	for until := time.Now().Add(resetPatience); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		pending := 0
-		if raw.Control(func(fd uintptr) { pending, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) }) != nil || err != nil {
-			return false
-		}
-		if pending != 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -50,6 +50,9 @@
 	{"one-answer-in-fifty-dropped", []edit{
 		{"internal/downstream/http1/server.go", "func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {\n", "func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {\n\tif time.Now().UnixMicro()%50 == 0 {\n\t\ttime.Sleep(200 * time.Millisecond)\n\t\tpanic(http.ErrAbortHandler)\n\t}\n"},
 	}},
+	{"request-dropped-at-the-idle-limit", []edit{
+		{"internal/connlimit/reading.go", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\treturn\n\t\t}\n\t\terr, c.hasTimedOut", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\tn, err = 0, os.ErrDeadlineExceeded\n\t\t\treturn\n\t\t}\n\t\terr, c.hasTimedOut"},
+	}},
 	{"drain-ignored", []edit{
 		{"internal/membership/listing/listing.go", `"Terminating": balancer.Draining`, `"Terminating": balancer.Ready`},
 	}},
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -19,6 +19,9 @@
 	"appleledge/internal/sockstate"
 )
 
+// resetPatience is how long a client waits for the word of a reset: longer than a close lingers.
+const resetPatience = 4 * lingerTimeout
+
 // endings are the ways in which a connection between requests is ended by this side.
 var endings = map[string]func(l testListener, c *conn){
 	"drain": func(l testListener, _ *conn) { l.Drain() },
@@ -75,7 +78,7 @@
 			if n, err := c.Read(make([]byte, 100)); n != 0 || err == nil {
 				t.Errorf("%d bytes were handed over, %v", n, err)
 			}
-			if !agenttest.WasReset(far) {
+			if !sockstate.WasReset(far, nil, resetPatience) {
 				t.Error("the client can't tell that nobody has read its request")
 			}
 		})
@@ -116,7 +119,7 @@
 				case request:
 					handedOver++
 				case "":
-					if <-written; !agenttest.WasReset(far) {
+					if <-written; !sockstate.WasReset(far, nil, resetPatience) {
 						t.Fatalf("round %d: it was read and dropped", round)
 					}
 				default:
@@ -284,7 +287,7 @@
 			if all, err := io.ReadAll(far); string(all) != "answer" || err != nil {
 				t.Errorf("the client got %q, %v", all, err)
 			}
-			if !agenttest.WasReset(far) {
+			if !sockstate.WasReset(far, nil, resetPatience) {
 				t.Error("the second request was read and dropped")
 			}
 			agenttest.Eventually(t, "its place is free", func() bool { return l.OpenCount() == 0 })
--- a/internal/scenario/live.go
+++ b/internal/scenario/live.go
@@ -108,6 +108,7 @@
 	l.loadFactorMillionths.Store(loadFactorUnit)
 	sent := make(chan struct{})
 	go func() { defer close(sent); l.sendRequests(clients, begin) }()
+	l.startRestingClients(clients)
 	end := begin + l.report.Duration
 	for len(l.queue) > 0 && l.queue[0].at < end && ctx.Err() == nil {
 		t := l.pop()
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -90,6 +90,7 @@
 	Backoff         Span    `toml:"wait"`  // the client's own, drawn for each retry
 	DistinctForms   int     `toml:"forms"` // number of distinct route keys
 	IdleConns       int     `toml:"idle"`  // on sockets: connections to each agent that say nothing
+	RestingConns    int     `toml:"rest"`  // on sockets: connections to each agent whose clients rest between requests until about when the agent ends them
 }
 
 // AgentOptions is the optional features of the agents.
--- a/internal/scenario/soak.go
+++ b/internal/scenario/soak.go
@@ -127,6 +127,10 @@
 	crowdConns                     = 400         // of them to each agent
 	maxStandstill                  = 150 * time.Millisecond
 	minSoakWindow                  = 300 * time.Millisecond
+	soakRestingConns               = 20 // to each agent
+	minStandstillGap               = 700 * time.Millisecond
+	maxStandstillGap               = 2 * time.Second
+	standstillStream               = 7 // of the seed's random numbers
 
 	earliestEvent = 0.05 // as a share of the day, as are the following
 	latestEvent   = 0.75
@@ -158,9 +162,28 @@
 	}
 	slices.SortStableFunc(s.Events, func(a, b Event) int { return int(a.At.From - b.At.From) })
 	s.Fleet.OmitsContinue = random.Float64() < 0.5 // drawn last, so that all else of a seed's day is as it was before servers were of two kinds
+	s.Clients.RestingConns = soakRestingConns
+	s.Events = append(s.Events, drawStandstills(rand.New(rand.NewPCG(seed, standstillStream)), s.Fleet.Agents, lasts)...)
+	slices.SortStableFunc(s.Events, func(a, b Event) int { return int(a.At.From - b.At.From) })
 	return s
 }
 
+// drawStandstills draws when the agents' processes do not run for a moment, as others have the processor: each again and again. It has draws
+// of its own, so that all else of a seed's day is as it was without them.
+func drawStandstills(random *rand.Rand, agents int, day time.Duration) (events []Event) {
+	for number := range agents {
+		at := time.Duration(earliestEvent * float64(day))
+		for {
+			at += minStandstillGap + time.Duration(random.Int64N(int64(maxStandstillGap-minStandstillGap)))
+			if at+maxStandstill > time.Duration(latestEnd*float64(day)) {
+				break
+			}
+			events = append(events, Event{Type: "agent_pause", Agent: number + 1, At: Span{at, at}, Duration: Span{maxStandstill / 3, maxStandstill}})
+		}
+	}
+	return events
+}
+
 // drawWindow draws for how long a pod drops repeats: shorter than the deadline, so that it ends while requests are open.
 func drawWindow(random *rand.Rand) Span {
 	window := minSoakWindow + time.Duration(random.Int64N(int64(deadline-minSoakWindow)))
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -67,6 +68,28 @@
 	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 || Peek(c) == PeerClosed
 }
 
+// WasReset reports whether the peer has reset a connection: err says so, which a read or write of it returned, or the system does within
+// patience. A peer that ends a connection and then closes it resets it where bytes came that it has not read, so that a request that was
+// read and dropped can be told from one that was never read. Nothing may be written to the connection meanwhile. The system's word is
+// taken: it is given once.
+func WasReset(c net.Conn, err error, patience time.Duration) bool {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return true
+	}
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		pending := 0
+		controlFD(c, func(fd int) {
+			if n, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil {
+				pending = n
+			}
+		})
+		if pending != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // controlFD runs f on a connection's descriptor, if it has one.
 func controlFD(c net.Conn, f func(fd int)) {
 	sc, ok := c.(syscall.Conn)
