Drain: a request in the buffer of net/http is answered before its connection ends

Callers would see: of two requests sent at once, the second gets no answer where the agent drains while the first is open and its answer does not say that it ends the connection.

Mended: the change to idle ends nothing. net/http serves what it has, and looks for the next request then; a connection that drains and has none ends at that look.

Evidence: TestDrainLeavesARequestInTheBufferOfTheServer: '/second: unexpected EOF' with conn.go as it was, now both are answered. Two tests make that look themselves now, where they asked for the end before it: TestDrainWaitsForBegunRequest asks besides that the look brings the end and nothing else.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -67,9 +67,10 @@
 	}
 }
 
-// setUse moves the connection to another use. While the listener drains, one that becomes idle is closed.
+// setUse moves the connection to another use.
 func (c *conn) setUse(use connUse) {
 	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	c.use, c.useSince = use, time.Now()
 	c.hasServed = c.hasServed || use == inUse
 	switch use {
@@ -78,15 +79,9 @@
 	case readingRequest:
 		c.isAnswered, c.isRequestWhole, c.hasNextBegun, c.requestID = false, false, false, ""
 	}
-	mustClose := c.listener.isDraining && c.isResting() && !c.hasUnread()
-	c.isEnded = c.isEnded || mustClose
 	if use != inUse {
 		c.listener.roomFreed.Signal()
 	}
-	c.listener.mu.Unlock()
-	if mustClose {
-		besteffort.Close(c)
-	}
 }
 
 // closeIfResting ends and closes a connection on which no request has begun, and in whose socket none lies.
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -192,6 +193,50 @@
 	}
 }
 
+// A client has sent two requests at once, and net/http has read both. The listener drains while the first is open, and its answer does not
+// say that it ends the connection. The second is answered too, and then the connection ends.
+func TestDrainLeavesARequestInTheBufferOfTheServer(t *testing.T) {
+	l := New(agenttest.Listen(t), 3, Options{})
+	isOpen, goesOn := make(chan struct{}), make(chan struct{})
+	srv := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		MarkRequestRead(r.Context())
+		MarkInUse(r.Context())
+		if r.URL.Path == "/first" {
+			close(isOpen)
+			<-goesOn
+		}
+		w.Header().Set("Answer-To", r.URL.Path)
+	})}
+	var running sync.WaitGroup
+	running.Go(func() { besteffort.Ignore(srv.Serve(l)) })
+	t.Cleanup(func() { besteffort.Close(srv); running.Wait() })
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer besteffort.Close(far)
+	if _, err := far.Write([]byte("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	<-isOpen
+	l.Drain()
+	close(goesOn)
+	answers := bufio.NewReader(far)
+	for _, want := range []string{"/first", "/second"} {
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", want, err)
+		}
+		besteffort.Close(resp.Body)
+		if got := resp.Header.Get("Answer-To"); got != want {
+			t.Errorf("an answer to %s in place of %s", got, want)
+		}
+	}
+	if _, err := answers.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("then %v", err)
+	}
+}
+
 // The listener drains while a client has sent half of its next request. That connection is left alone, and ended as soon as it would be
 // idle again; the client reads its answer.
 func TestDrainWaitsForBegunRequest(t *testing.T) {
@@ -214,9 +259,13 @@
 		t.Fatal(err)
 	}
 	ConnState(c, http.StateIdle)
+	if n, err := c.Read(make([]byte, 100)); n != 0 || !errors.Is(err, io.EOF) { // net/http looks for the next request
+		t.Errorf("%d bytes, %v", n, err)
+	}
 	if !IsEnded(ctx) || IsEnded(context.Background()) {
 		t.Error("it rests and is not ended")
 	}
+	besteffort.Close(c) // as net/http does at the end of what it reads
 	if all, err := io.ReadAll(far); string(all) != "answer" || err != nil {
 		t.Errorf("the client got %q, %v", all, err)
 	}
@@ -264,6 +313,8 @@
 		"the listener drains": func(l testListener, c *conn) {
 			l.Drain()
 			ConnState(c, http.StateIdle)
+			besteffort.IgnoreResult(c.Read(make([]byte, 100)))
+			besteffort.Close(c)
 		},
 		"the listener drains, and it rests": func(l testListener, c *conn) {
 			ConnState(c, http.StateIdle)
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -60,7 +60,7 @@
 		if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {
 			return true
 		}
-		if c.listener.isDraining && c.isResting() {
+		if c.listener.isDraining && c.isResting() { // net/http has nothing in its buffer either
 			c.isEnded, err = true, io.EOF
 			return true
 		}
