Logs and counters: a close is judged when its descriptor closes

The operators' lost requests have no log line: a close was judged when it was decided, so that what came between decision and close was in no line and no counter; an answer counted as given before it was written; and LargeBodies.pass gave up without a line.

Change: the look that counts is the last one before the descriptor closes, and is not made under the listener's lock, nor is the line written there. The id comes from the bytes that lie unread (peeked, nothing is taken). An answer that could not be written, or only a part of it, is owed, under the reason write_failed; 100 (Continue) is no answer. An answer that breaks off behind its beginning has a line: client_stopped_reading or response_broken.

--- a/internal/connlimit/closereason.go
+++ b/internal/connlimit/closereason.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"bytes"
 	"log/slog"
 	"time"
 
@@ -17,6 +18,7 @@
 	CloseSilent                            // nothing came for the header timeout, on a new connection
 	CloseUnfinished                        // a request had begun and did not come whole in time
 	CloseAnswered                          // an answer ended the connection, as it said
+	CloseWriteFailed                       // an answer could not be written, or only a part of it
 	CloseAborted                           // the handler gave its request up
 	CloseRoomNew                           // room was needed, and it had brought nothing
 	CloseRoomIdle                          // room was needed, and it was between requests
@@ -29,13 +31,14 @@
 
 // CloseReasonNames are the reasons' names in logs and metrics.
 var CloseReasonNames = [closeReasonCount]string{CloseByClient: "client", CloseIdle: "idle", CloseSilent: "silent", CloseUnfinished: "unfinished",
-	CloseAnswered: "answered", CloseAborted: "aborted", CloseRoomNew: "room_new", CloseRoomIdle: "room_idle", CloseRoomUnfinished: "room_unfinished",
+	CloseAnswered: "answered", CloseWriteFailed: "write_failed", CloseAborted: "aborted", CloseRoomNew: "room_new", CloseRoomIdle: "room_idle", CloseRoomUnfinished: "room_unfinished",
 	CloseDrain: "drain", CloseProcessEnd: "process_end", CloseReasonUnknown: "unknown"}
 
 // CloseCounts counts closed connections.
 type CloseCounts struct {
 	ByReason [closeReasonCount]uint64
-	// Unread counts those of all that were closed by this side with bytes that were never read: a request that crossed the close.
+	// Unread counts those of all that were closed by this side with bytes that were never read when the descriptor was closed: a request
+	// that crossed the close.
 	Unread uint64
 	// Unanswered counts those that were closed by this side with a request, or a part of one, that was read and not answered.
 	Unanswered uint64
@@ -48,57 +51,94 @@
 	return l.closes
 }
 
-// noteClose counts a connection that is about to be closed, once, and logs one that still owes an answer or leaves bytes unread. The lock
-// is held.
-func (c *conn) noteClose(reason CloseReason) {
-	if c.isCloseNoted {
-		return
-	}
-	c.isCloseNoted = true
-	closes := &c.listener.closes
-	closes.ByReason[reason]++
-	if reason == CloseByClient {
-		return
+// closeRecord says how a connection was closed.
+type closeRecord struct {
+	reason     CloseReason
+	isUnread   bool // bytes lay in its socket that were never read
+	owesAnswer bool // a request, or a part of one, was read and not answered
+	use        connUse
+	useSince   time.Time
+	requestID  string
+}
+
+// recordClose says how a connection is closed whose descriptor is about to be closed: what came behind the decision to close it is a part of
+// that. The lock is not held.
+func (c *conn) recordClose() closeRecord {
+	c.listener.mu.Lock()
+	if !c.isClosing {
+		c.end(c.reasonOfServer())
 	}
-	state := c.socketState()
-	if state == sockstate.PeerClosed {
-		return
+	r := closeRecord{reason: c.closeReason, owesAnswer: c.owesAnswer(), use: c.use, useSince: c.useSince, requestID: c.requestID}
+	c.listener.mu.Unlock()
+	if r.reason == CloseByClient {
+		return closeRecord{reason: CloseByClient}
 	}
-	isUnread, owesAnswer := state == sockstate.Readable, c.owesAnswer()
-	if isUnread {
-		closes.Unread++
+	switch c.socketState() {
+	case sockstate.PeerClosed:
+		return closeRecord{reason: r.reason}
+	case sockstate.Readable:
+		r.isUnread = true
+		if r.use == idle {
+			r.requestID = c.unreadRequestID()
+		}
+	case sockstate.Idle, sockstate.Unknown:
 	}
-	if owesAnswer {
-		closes.Unanswered++
+	return r
+}
+
+// noteClose counts a connection that was closed. The lock is held.
+func (l *Listener) noteClose(r closeRecord) {
+	l.closes.ByReason[r.reason]++
+	if r.isUnread {
+		l.closes.Unread++
 	}
-	if isUnread || owesAnswer {
-		c.logClose(reason, isUnread, owesAnswer)
+	if r.owesAnswer {
+		l.closes.Unanswered++
 	}
 }
 
-// logClose logs a close that a client may miss an answer by.
-func (c *conn) logClose(reason CloseReason, isUnread, owesAnswer bool) {
-	if !c.listener.Events.Enabled(slog.LevelWarn) {
+// logClose logs a close that a client may miss an answer by. The lock is not held.
+func (c *conn) logClose(r closeRecord) {
+	if !r.isUnread && !r.owesAnswer || !c.listener.Events.Enabled(slog.LevelWarn) {
 		return
 	}
-	attrs := []slog.Attr{slog.String("reason", CloseReasonNames[reason]), slog.String("use", c.use.String()), slog.Bool("unread", isUnread),
-		slog.Bool("unanswered", owesAnswer), slog.Int64("use_ms", time.Since(c.useSince).Milliseconds()), slog.String("client", c.RemoteAddr().String())}
-	if c.requestID != "" {
-		attrs = append(attrs, slog.String("id", c.requestID))
+	attrs := []slog.Attr{slog.String("reason", CloseReasonNames[r.reason]), slog.String("use", r.use.String()), slog.Bool("unread", r.isUnread),
+		slog.Bool("unanswered", r.owesAnswer), slog.Int64("use_ms", time.Since(r.useSince).Milliseconds()), slog.String("client", c.RemoteAddr().String())}
+	if r.requestID != "" {
+		attrs = append(attrs, slog.String("id", r.requestID))
 	}
 	c.listener.Events.Log(slog.LevelWarn, "client connection closed with a request on it", attrs...)
 }
 
-// owesAnswer reports whether bytes of a request were read and no byte of its answer was written. The lock is held.
+// maxUnreadHead is how many of the bytes that lie unread in a socket are searched for the id of their request.
+const maxUnreadHead = 2 << 10
+
+// requestIDHeader names the header with a request's id, as it stands in front of the id.
+const requestIDHeader = "\nx-request-id:"
+
+// unreadRequestID returns the id of the request that lies unread in the connection's socket; empty where none is found. Nothing is taken.
+func (c *conn) unreadRequestID() string {
+	head := sockstate.PeekBytes(c.unwrapped(), maxUnreadHead)
+	at := bytes.Index(bytes.ToLower(head), []byte(requestIDHeader))
+	if at < 0 {
+		return ""
+	}
+	id, _, _ := bytes.Cut(head[at+len(requestIDHeader):], []byte("\n"))
+	return string(bytes.TrimSpace(id))
+}
+
+// owesAnswer reports whether bytes of a request were read and its answer was not written, or not whole. The lock is held.
 func (c *conn) owesAnswer() bool {
-	return c.use != idle && !c.isAnswered || c.use == idle && c.hasNewBytes
+	return c.use != idle && (!c.isAnswered || c.hasWriteFailed) || c.use == idle && c.hasNewBytes
 }
 
-// closeReason tells why net/http closes the connection. The lock is held.
-func (c *conn) closeReason() CloseReason {
+// reasonOfServer tells why net/http closes the connection. The lock is held.
+func (c *conn) reasonOfServer() CloseReason {
 	switch {
 	case c.hasPeerEnded:
 		return CloseByClient
+	case c.hasWriteFailed:
+		return CloseWriteFailed
 	case c.isAborted:
 		return CloseAborted
 	case c.use != idle && c.isAnswered:
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,7 +1,9 @@
 package connlimit
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -29,6 +31,7 @@
 	hasServed         bool               // it has brought a valid request
 	hasAnswered       bool               // an answer was written, or a part of it
 	isAnswered        bool               // the present or last request has its answer, or a part of it
+	hasWriteFailed    bool               // a part of an answer could not be written
 	isRequestWhole    bool               // the present or last request was read to its end
 	hasRead           bool               // something was read
 	hasNewBytes       bool               // bytes were read since its last request was over
@@ -40,8 +43,8 @@
 	isWatched         bool               // a goroutine runs watchPeer
 	isAborted         bool               // the handler has given its request up
 	hasTimedOut       bool               // the last read ended by its deadline
-	isCloseNoted      bool               // its close is counted
 	isPassedOver      bool               // in the present search for room: something lies unread in its socket
+	closeReason       CloseReason        // once isClosing
 	requestID         string             // of its present request, where the handler has stated it
 	cancelRequest     context.CancelFunc // ends what is done for the client; nil before ConnContext
 
@@ -51,11 +54,26 @@
 	closeNow      func() error // closes the descriptor and frees the place, once
 }
 
-// Write notes that there is an answer, which a close must not take back. It writes again what the system had no memory for.
+// interimAnswer begins what net/http writes to a client that waits before it sends its body. It is no answer.
+const interimAnswer = "HTTP/1.1 100 "
+
+// Write writes an answer, and notes how far it got. It writes again what the system had no memory for.
 func (c *conn) Write(p []byte) (written int, err error) {
+	written, err = c.writeAll(p)
 	c.listener.mu.Lock()
-	c.hasAnswered, c.isAnswered = true, true
-	c.listener.mu.Unlock()
+	defer c.listener.mu.Unlock()
+	if written > 0 && !bytes.HasPrefix(p, []byte(interimAnswer)) {
+		c.hasAnswered, c.isAnswered = true, true
+	}
+	if err != nil {
+		c.hasWriteFailed = true
+		c.hasPeerEnded = c.hasPeerEnded || !c.isClosing && (errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET))
+	}
+	return written, err
+}
+
+// writeAll writes all of p, again where the system had no memory for it.
+func (c *conn) writeAll(p []byte) (written int, err error) {
 	for tries := 0; ; tries++ {
 		var n int
 		n, err = c.Conn.Write(p[written:])
@@ -97,16 +115,20 @@
 
 // end decides that the connection is closed: nothing is read from now on. The lock is held.
 func (c *conn) end(reason CloseReason) {
-	c.noteClose(reason)
+	if !c.isClosing {
+		c.closeReason = reason
+	}
 	c.isEnded, c.isClosing = true, true
 }
 
 // release closes the descriptor at once and frees the place.
 func (c *conn) release() error {
+	record := c.recordClose()
 	err := c.Conn.Close()
+	c.logClose(record)
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.noteClose(c.closeReason())
+	c.listener.noteClose(record)
 	if c.cancelRequest != nil {
 		c.cancelRequest()
 	}
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -20,7 +20,7 @@
 	c.listener.mu.Lock()
 	wasClosing := c.isClosing
 	lingers, dropsBody := c.mayHoldAnswer(), !c.isRequestWhole
-	c.end(c.closeReason())
+	c.end(c.reasonOfServer())
 	c.listener.mu.Unlock()
 	if wasClosing {
 		return nil
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -91,7 +91,7 @@
 		}
 		err, c.hasTimedOut = os.ErrDeadlineExceeded, true
 		if isResting = c.isResting(); isResting {
-			c.end(c.closeReason())
+			c.end(c.reasonOfServer())
 		}
 	})
 	if isResting {
--- a/internal/downstream/http1/answers.go
+++ b/internal/downstream/http1/answers.go
@@ -47,7 +47,12 @@
 		return
 	}
 	writeHeadAndBody(w, a)
-	s.LargeBodies.pass(r.Context(), w, resp)
+	switch err := s.LargeBodies.pass(r.Context(), w, resp); {
+	case errors.Is(err, errResponseBroken):
+		s.abort(r, abortResponseBroken)
+	case err != nil:
+		s.abort(r, abortClientStoppedReading)
+	}
 }
 
 // rejectMalformed answers malformed input. It closes the connection, as the next bytes may belong to that input.
--- a/internal/downstream/http1/largebodies.go
+++ b/internal/downstream/http1/largebodies.go
@@ -165,8 +165,14 @@
 	return errors.Join(err, up.ReadError())
 }
 
-// pass forwards the rest of a response. If it fails, the connection is reset, so that the client can tell.
-func (l *LargeBodies) pass(ctx context.Context, w http.ResponseWriter, resp *http1.Response) {
+// Why the rest of a response was not forwarded whole.
+var (
+	errClientStoppedReading = errors.New("the client does not take the response")
+	errResponseBroken       = errors.New("the response broke off")
+)
+
+// pass forwards the rest of a response. After an error the connection has to be reset, so that the client can tell that it is not whole.
+func (l *LargeBodies) pass(ctx context.Context, w http.ResponseWriter, resp *http1.Response) error {
 	defer resp.Discard()
 	control := http.NewResponseController(w)
 	var buf []byte
@@ -180,22 +186,25 @@
 	}
 	for {
 		if err := control.Flush(); err != nil {
-			panic(http.ErrAbortHandler)
+			return errors.Join(errClientStoppedReading, err)
 		}
 		n, err := resp.Rest.Read(buf)
 		if n > 0 {
-			if control.SetWriteDeadline(time.Now().Add(bodyWriteTimeout)) != nil {
-				panic(http.ErrAbortHandler)
+			if failed := control.SetWriteDeadline(time.Now().Add(bodyWriteTimeout)); failed != nil {
+				return errors.Join(errClientStoppedReading, failed)
 			}
-			if _, err := w.Write(buf[:n]); err != nil {
-				panic(http.ErrAbortHandler)
+			if _, failed := w.Write(buf[:n]); failed != nil {
+				return errors.Join(errClientStoppedReading, failed)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return
+			return nil
 		}
-		if err != nil || ctx.Err() != nil {
-			panic(http.ErrAbortHandler)
+		if ctx.Err() != nil {
+			return errors.Join(errClientStoppedReading, ctx.Err())
+		}
+		if err != nil {
+			return errors.Join(errResponseBroken, err)
 		}
 	}
 }
--- a/internal/downstream/http1/requestlog.go
+++ b/internal/downstream/http1/requestlog.go
@@ -8,12 +8,16 @@
 	"appleledge/internal/downstream/requesthead"
 )
 
-// abortReason says why a request gets no answer.
+// abortReason says why a request gets no answer, or no whole one.
 type abortReason string
 
 const (
 	abortConnectionEnded abortReason = "connection_ended" // its connection was closed before it began
 	abortClientLeft      abortReason = "client_left"
+
+	// The answer was begun:
+	abortClientStoppedReading abortReason = "client_stopped_reading"
+	abortResponseBroken       abortReason = "response_broken" // by the server, or it came too late
 )
 
 // unservedReason says why the server answered a request that the engine has not seen, or not answered.
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -55,6 +55,18 @@
 	return PeerClosed
 }
 
+// PeekBytes returns what lies unread on a connection, up to a limit. It does not block, and takes nothing.
+func PeekBytes(c net.Conn, limit int) []byte {
+	waiting := make([]byte, limit)
+	count := 0
+	controlFD(c, func(fd int) {
+		if n, _, err := syscall.Recvfrom(fd, waiting, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err == nil {
+			count = max(n, 0)
+		}
+	})
+	return waiting[:count]
+}
+
 // HasPeerClosed reports whether the peer has ended its side, or the connection is broken, also behind bytes that nobody has read yet: there
 // Peek says Readable. It does not block.
 func HasPeerClosed(c net.Conn) bool {
