Connections: a connection is ended by an answer, so that what crosses its end has one

Cause: 'nobody reads, nothing lies there, end it' is no single step. Between the look and the end lie the rest of the close's system calls, a goroutine that has to run, and any hold-up of the process; what comes meanwhile is never read. The client can't tell that from a request that was read and dropped: where the end (FIN) came first, its write succeeds and its read gives an end.

Mended: where no answer to a request has said Connection: close, the connection is ended by one: 503, no body, as nothing ran (408 where the time for a head is over); then this side ends, and the descriptor is closed when the client has closed too, or 0.25 s later (at once where its place is needed). So at the idle limit, at the limit of a head (also half a head), for room, in a drain and at the process' end. Never behind an answer that is less than 0.25 s old: that could be taken for a second answer to its request; the end waits. A handler that waits for the rest of a body is told that it does not come and answers so. No system call is made under the listener's lock any more: a read that is held up held all connections up.

New counters closed_refused and closed_refused_requests, in the log line figures and in metrics.

--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -104,6 +104,8 @@
 	for reason, name := range connlimit.CloseReasonNames {
 		add("closed_"+name, closes.ByReason[reason])
 	}
+	add("closed_refused", closes.Refused)
+	add("closed_refused_requests", closes.RefusedRequests)
 	add("closed_unread", closes.Unread)
 	add("closed_unanswered", closes.Unanswered)
 	return all
--- a/internal/connlimit/closereason.go
+++ b/internal/connlimit/closereason.go
@@ -37,8 +37,10 @@
 // CloseCounts counts closed connections.
 type CloseCounts struct {
 	ByReason [closeReasonCount]uint64
-	// Unread counts those of all that were closed by this side with bytes that were never read when the descriptor was closed: a request
-	// that crossed the close.
+	// Refused counts those that were ended by a refusal, and RefusedRequests those of them behind which a request lay unread when the
+	// descriptor was closed: one that crossed the end, and that the refusal answers.
+	Refused, RefusedRequests uint64
+	// Unread counts those that were closed by this side without a refusal, with bytes that were never read.
 	Unread uint64
 	// Unanswered counts those that were closed by this side with a request, or a part of one, that was read and not answered.
 	Unanswered uint64
@@ -54,6 +56,7 @@
 // closeRecord says how a connection was closed.
 type closeRecord struct {
 	reason     CloseReason
+	isRefused  bool // its refusal was written
 	isUnread   bool // bytes lay in its socket that were never read
 	owesAnswer bool // a request, or a part of one, was read and not answered
 	use        connUse
@@ -65,17 +68,15 @@
 // that. The lock is not held.
 func (c *conn) recordClose() closeRecord {
 	c.listener.mu.Lock()
-	if !c.isClosing {
-		c.end(c.reasonOfServer())
-	}
-	r := closeRecord{reason: c.closeReason, owesAnswer: c.owesAnswer(), use: c.use, useSince: c.useSince, requestID: c.requestID}
+	c.end(c.reasonOfServer())
+	r := closeRecord{reason: c.closeReason, isRefused: c.isRefused, owesAnswer: c.owesAnswer() && !c.isRefused, use: c.use, useSince: c.useSince, requestID: c.requestID}
 	c.listener.mu.Unlock()
 	if r.reason == CloseByClient {
 		return closeRecord{reason: CloseByClient}
 	}
 	switch c.socketState() {
 	case sockstate.PeerClosed:
-		return closeRecord{reason: r.reason}
+		return closeRecord{reason: r.reason, isRefused: r.isRefused}
 	case sockstate.Readable:
 		r.isUnread = true
 		if r.use == idle {
@@ -89,7 +90,13 @@
 // noteClose counts a connection that was closed. The lock is held.
 func (l *Listener) noteClose(r closeRecord) {
 	l.closes.ByReason[r.reason]++
-	if r.isUnread {
+	if r.isRefused {
+		l.closes.Refused++
+	}
+	switch {
+	case r.isUnread && r.isRefused:
+		l.closes.RefusedRequests++
+	case r.isUnread:
 		l.closes.Unread++
 	}
 	if r.owesAnswer {
@@ -102,7 +109,7 @@
 	if !r.isUnread && !r.owesAnswer || !c.listener.Events.Enabled(slog.LevelWarn) {
 		return
 	}
-	attrs := []slog.Attr{slog.String("reason", CloseReasonNames[r.reason]), slog.String("use", r.use.String()), slog.Bool("unread", r.isUnread),
+	attrs := []slog.Attr{slog.String("reason", CloseReasonNames[r.reason]), slog.String("use", r.use.String()), slog.Bool("unread", r.isUnread), slog.Bool("refused", r.isRefused),
 		slog.Bool("unanswered", r.owesAnswer), slog.Int64("use_ms", time.Since(r.useSince).Milliseconds()), slog.String("client", c.RemoteAddr().String())}
 	if r.requestID != "" {
 		attrs = append(attrs, slog.String("id", r.requestID))
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -7,8 +7,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"appleledge/internal/besteffort"
 )
 
 // connUse is what a connection does.
@@ -28,23 +26,27 @@
 
 	use               connUse
 	useSince          time.Time
-	hasServed         bool               // it has brought a valid request
-	hasAnswered       bool               // an answer was written, or a part of it
-	isAnswered        bool               // the present or last request has its answer, or a part of it
-	hasWriteFailed    bool               // a part of an answer could not be written
-	isRequestWhole    bool               // the present or last request was read to its end
-	hasRead           bool               // something was read
-	hasNewBytes       bool               // bytes were read since its last request was over
-	hasNextBegun      bool               // a byte behind the present request was read
-	isAwaitingRequest bool               // net/http waits for a request, or the rest of one
-	hasPeerEnded      bool               // the client has ended its side
-	isEnded           bool               // nothing is read any more: no request begins on it
-	isClosing         bool               // implies isEnded
-	isWatched         bool               // a goroutine runs watchPeer
-	isAborted         bool               // the handler has given its request up
-	hasTimedOut       bool               // the last read ended by its deadline
-	isPassedOver      bool               // in the present search for room: something lies unread in its socket
-	closeReason       CloseReason        // once isClosing
+	hasServed         bool // it has brought a valid request
+	hasAnswered       bool // an answer was written, or a part of it
+	isAnswered        bool // the present or last request has its answer, or a part of it
+	hasWriteFailed    bool // a part of an answer could not be written
+	isRequestWhole    bool // the present or last request was read to its end
+	hasRead           bool // something was read
+	hasNewBytes       bool // bytes were read since its last request was over
+	hasNextBegun      bool // a byte behind the present request was read
+	isAwaitingRequest bool // net/http waits for a request, or the rest of one
+	hasPeerEnded      bool // the client has ended its side
+	isEnded           bool // nothing is read any more: no request begins on it
+	isClosing         bool // implies isEnded
+	isReading         bool // a Read takes what lies in the socket
+	isRefusing        bool // implies isClosing: its refusal is being written
+	isRefused         bool // its refusal was written: what comes from the client has its answer
+	isWatched         bool // a goroutine runs watchPeer
+	isAborted         bool // the handler has given its request up
+	hasTimedOut       bool // the last read ended by its deadline
+	isPassedOver      bool // in the present search for room: something lies unread in its socket
+	hasCloseReason    bool // closeReason is known
+	closeReason       CloseReason
 	requestID         string             // of its present request, where the handler has stated it
 	cancelRequest     context.CancelFunc // ends what is done for the client; nil before ConnContext
 
@@ -59,6 +61,9 @@
 
 // Write writes an answer, and notes how far it got. It writes again what the system had no memory for.
 func (c *conn) Write(p []byte) (written int, err error) {
+	if c.endsByRefusal() { // net/http answers that what it reads has ended
+		return 0, net.ErrClosed
+	}
 	written, err = c.writeAll(p)
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
@@ -102,25 +107,6 @@
 	}
 }
 
-// closeIfResting ends and closes a connection on which no request has begun, and in whose socket none lies.
-func (c *conn) closeIfResting() {
-	c.listener.mu.Lock()
-	mustClose := c.isResting() && !c.isEnded && (c.isAwaitingRequest || !c.hasRead) && !c.hasUnread()
-	c.isEnded = c.isEnded || mustClose
-	c.listener.mu.Unlock()
-	if mustClose {
-		besteffort.Close(c)
-	}
-}
-
-// end decides that the connection is closed: nothing is read from now on. The lock is held.
-func (c *conn) end(reason CloseReason) {
-	if !c.isClosing {
-		c.closeReason = reason
-	}
-	c.isEnded, c.isClosing = true, true
-}
-
 // release closes the descriptor at once and frees the place.
 func (c *conn) release() error {
 	record := c.recordClose()
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -10,16 +10,18 @@
 //
 // # The end of a connection
 //
-// A request that was read has to be answered; one that was not its client sends again. So a connection is ended only where no request
-// has begun and nothing lies in its socket, and the look, the decision and each read exclude each other (the listener's lock). What comes
-// behind the decision stays unread, and the close resets the connection, by which the client can tell.
+// Each request that a client writes whole has to be answered, also one that comes while its connection is ended: no order of system calls
+// looks at a socket and closes it in one step, and a client that has sent can't always tell an unread request from one that was dropped.
+// So the last thing on a connection is always an answer that says Connection: close. Where no answer to a request does, the connection is
+// ended by a refusal (ending.go), which answers whatever crosses it. It is written only where no request has been read, and never behind an
+// answer that may still be on its way. Of a request whose handler waits for its body, the handler answers that the rest did not come.
 //
 // # Files
 //
-// connlimit.go has the Listener, conn.go its connections, reading.go how they are read, reaping.go who makes room, linger.go the close that
-// does not take an answer back, peerwatch.go how a client that leaves is noticed, closereason.go why connections were closed, and
-// httpserver.go what an http.Server calls. Everything may be called from any goroutine; one lock, the listener's, guards the states.
-// Nothing is stored.
+// connlimit.go has the Listener, conn.go its connections, reading.go how they are read, ending.go how they are ended, reaping.go who makes
+// room, linger.go the close that does not take an answer back, peerwatch.go how a client that leaves is noticed, closereason.go why
+// connections were closed, and httpserver.go what an http.Server calls. Everything may be called from any goroutine; one lock, the
+// listener's, guards the states, and no system call is made under it. Nothing is stored.
 package connlimit
 
 import (
@@ -57,6 +59,7 @@
 	isDraining bool // connections end as soon as no request has begun on them
 	conns      map[*conn]struct{}
 	closes     CloseCounts
+	refusals   sync.WaitGroup // that are being written
 }
 
 // New returns a listener of at most limit connections, which it accepts from inner.
@@ -136,14 +139,39 @@
 	return l.Listener.Close()
 }
 
-// CloseAll closes all connections at once, whatever is open on them.
+// EndUnfinished ends the reading of all requests that have not come whole, and answers them.
+func (l *Listener) EndUnfinished() {
+	var refused []*conn
+	l.mu.Lock()
+	for c := range l.conns {
+		switch {
+		case c.mayRefuse() && c.hasNewBytes:
+			c.endByRefusal(CloseUnfinished)
+			refused = append(refused, c)
+		case c.mayEndReading():
+			c.endReading(CloseUnfinished)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range refused {
+		go c.finishRefusal()
+	}
+}
+
+// CloseAll closes all connections at once, whatever is open on them. Those at rest are ended by a refusal.
 func (l *Listener) CloseAll() {
 	l.mu.Lock()
 	open := slices.Collect(maps.Keys(l.conns))
 	for _, c := range open {
+		if c.mayRefuse() {
+			c.endByRefusal(CloseProcessEnd)
+			go c.finishRefusal()
+			continue
+		}
 		c.end(CloseProcessEnd)
 	}
 	l.mu.Unlock()
+	l.refusals.Wait()
 	for _, c := range open {
 		besteffort.Ignore(c.closeNow())
 	}
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -8,7 +8,7 @@
 
 // A lingering close waits for so long until the client has closed too, and drops so much of an answered request's body.
 const (
-	lingerTimeout  = 250 * time.Millisecond
+	lingerTimeout  = answerTransitTime
 	maxLingerBytes = 256 << 10
 )
 
@@ -41,7 +41,7 @@
 	if c.hasPeerEnded || !c.hasAnswered {
 		return false
 	}
-	return c.use != idle && c.isAnswered || c.use == idle && time.Since(c.useSince) < lingerTimeout
+	return c.use != idle && c.isAnswered || c.use == idle && c.answerTransit() > 0
 }
 
 // dropBody drops what comes until the client has closed, for a while, and closes. It runs in a goroutine of its own, which ends with it.
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -53,63 +53,82 @@
 
 // awaitBytes waits until something has come, or the deadline, and takes it.
 func (c *conn) awaitBytes(p []byte) (n int, err error) {
+	isDrained := false
 	waitErr := c.socket.Read(func(fd uintptr) bool {
-		c.listener.mu.Lock()
-		defer c.listener.mu.Unlock()
-		c.isAwaitingRequest = false
 		if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {
 			return true
 		}
-		if c.listener.isDraining && c.isResting() { // net/http has nothing in its buffer either
-			c.isEnded, err = true, io.EOF
-			return true
-		}
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
 		// net/http reads one byte behind a request that it has whole; any longer read waits for a request, or the rest of one.
 		c.isAwaitingRequest = len(p) > 1
-		return false
+		isDrained = c.endIfDraining()
+		return isDrained
 	})
+	if isDrained {
+		c.finishRefusal()
+		return 0, io.EOF
+	}
 	if waitErr != nil {
 		return 0, waitErr
 	}
 	return n, err
 }
 
-// readAtDeadline takes what lies in the socket when a deadline has passed. A connection on which no request has begun is ended and
-// closed in the same moment.
+// readAtDeadline takes what lies in the socket when a deadline has passed. A connection that waits for a request, or for the rest of its
+// head, is ended by a refusal; of the rest of a body its handler answers that it has not come.
 func (c *conn) readAtDeadline(p []byte) (n int, err error) {
-	isResting := false
+	isAborted, mustRefuse := false, false
 	controlErr := c.socket.Control(func(fd uintptr) {
-		c.listener.mu.Lock()
-		defer c.listener.mu.Unlock()
-		c.isAwaitingRequest = false
-		if c.isReadAborted {
-			err = os.ErrDeadlineExceeded
+		if isAborted = c.hasAbortedRead(); isAborted {
 			return
 		}
 		if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {
 			return
 		}
-		err, c.hasTimedOut = os.ErrDeadlineExceeded, true
-		if isResting = c.isResting(); isResting {
-			c.end(c.reasonOfServer())
+		err = os.ErrDeadlineExceeded
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		c.hasTimedOut = true
+		if mustRefuse = c.use == idle && !c.isEnded; mustRefuse {
+			c.endByRefusal(c.reasonOfServer())
 		}
 	})
-	if isResting {
-		return 0, errors.Join(err, c.closeNow())
+	if isAborted {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if mustRefuse {
+		c.finishRefusal()
 	}
 	return n, errors.Join(err, controlErr)
 }
 
-// take reads the descriptor without waiting, unless the connection is ended, and notes what has come. The lock is held.
+// hasAbortedRead reports whether the read deadline is there to end a read.
+func (c *conn) hasAbortedRead() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.isReadAborted
+}
+
+// take reads the descriptor without waiting, unless the connection is ended, and notes what has come. While it reads, nobody ends the
+// connection. The lock is not held, as the system call may take long.
 func (c *conn) take(fd int, p []byte) (n int, err error) {
+	c.listener.mu.Lock()
+	c.isAwaitingRequest = false
 	if c.isEnded {
+		c.listener.mu.Unlock()
 		return 0, io.EOF
 	}
+	c.isReading = true
+	c.listener.mu.Unlock()
 	for {
 		if n, err = syscall.Read(fd, p); !errors.Is(err, syscall.EINTR) {
 			break
 		}
 	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.isReading = false
 	switch {
 	case err != nil:
 		c.hasPeerEnded = c.hasPeerEnded || !errors.Is(err, syscall.EAGAIN) && !isTransient(err)
--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -15,46 +15,65 @@
 	maxLooks = 16
 )
 
-// makeRoom waits until there is room for one more connection, and closes the one that is least useful, as long as there is none.
+// makeRoom waits until there is room for one more connection, and ends the one that is least useful, as long as there is none.
 func (l *Listener) makeRoom() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.limit && !l.isClosed {
 		c := l.reapCandidate()
 		if c == nil {
-			l.awaitRoom()
+			l.awaitRoom(roomPoll)
 			continue
 		}
-		if remaining := l.MinAge - time.Since(c.useSince); remaining > 0 {
-			l.mu.Unlock()
-			time.Sleep(remaining)
-			l.mu.Lock()
+		if remaining := max(l.MinAge-time.Since(c.useSince), c.answerTransit()); remaining > 0 && !c.isClosing {
+			l.awaitRoom(remaining)
 			continue
 		}
-		c.end(c.roomReason()) // under the lock of the look at its socket: what comes from now on is never read
+		l.reap(c)
+	}
+}
+
+// reap ends a connection, or closes one that is ended: its place is free then, at the latest when its handler has answered. The lock is held,
+// and released meanwhile.
+func (l *Listener) reap(c *conn) {
+	switch {
+	case c.isClosing:
 		l.mu.Unlock()
 		besteffort.Ignore(c.closeNow())
 		runtime.Gosched() // the descriptor is free only when its reader has run
 		l.mu.Lock()
+	case c.mayRefuse():
+		c.endByRefusal(c.roomReason())
+		l.mu.Unlock()
+		c.finishRefusal()
+		l.mu.Lock()
+	default:
+		c.endReading(c.roomReason())
 	}
 }
 
-// awaitRoom waits until a connection may have become one that can be closed. The lock is held.
-func (l *Listener) awaitRoom() {
-	again := time.AfterFunc(roomPoll, l.roomFreed.Broadcast)
+// awaitRoom waits for some time, or until a connection may have become one that can be closed. The lock is held.
+func (l *Listener) awaitRoom(atMost time.Duration) {
+	again := time.AfterFunc(atMost, l.roomFreed.Broadcast)
 	defer again.Stop()
 	l.roomFreed.Wait()
 }
 
 // reapCandidate returns the connection to close first. It is nil if none was found that has no request: in use, on its way through net/http,
-// or unread in its socket. The lock is held.
+// or unread in its socket. The lock is held, and released while it looks at a socket.
 func (l *Listener) reapCandidate() *conn {
 	for c := range l.conns {
 		c.isPassedOver = false
 	}
 	for range maxLooks {
 		c := l.leastUseful()
-		if c == nil || c.isClosing || !c.hasUnread() {
+		if c == nil || c.isClosing {
+			return c
+		}
+		l.mu.Unlock()
+		hasUnread := c.hasUnread()
+		l.mu.Lock()
+		if !hasUnread && c.mayBeReaped() {
 			return c
 		}
 		c.isPassedOver = true
@@ -81,9 +100,17 @@
 }
 
 // mayBeReaped reports whether a connection may be closed to make room, if nothing lies unread in its socket. One from which bytes were
-// read may be only while net/http waits for the rest of them: else a request may be on its way to its handler. The lock is held.
+// read may be only while the rest of them is waited for: else a request may be on its way to its handler. The lock is held.
 func (c *conn) mayBeReaped() bool {
-	return c.isClosing || c.use != inUse && (c.isAwaitingRequest || !c.hasRead || c.use == readingRequest && c.isAnswered)
+	if c.isClosing {
+		return !c.isRefusing
+	}
+	return !c.isEnded && !c.isReading && c.use != inUse && (c.isAwaitingRequest || !c.hasRead)
+}
+
+// mayEndReading reports whether the handler of a request waits for the rest of it. The lock is held.
+func (c *conn) mayEndReading() bool {
+	return c.use == readingRequest && c.isAwaitingRequest && !c.isEnded
 }
 
 // reapRank orders connections by how readily they are closed to make room; the lowest go first.
--- a/internal/telemetry/agentmetrics.go
+++ b/internal/telemetry/agentmetrics.go
@@ -32,6 +32,8 @@
 	for reason, name := range connlimit.CloseReasonNames {
 		p.counter("appleledge_client_connections_closed_total", fmt.Sprintf("reason=%q", name), closes.ByReason[reason])
 	}
+	p.counter("appleledge_client_connections_closed_refused_total", "", closes.Refused)
+	p.counter("appleledge_client_connections_closed_refused_requests_total", "", closes.RefusedRequests)
 	p.counter("appleledge_client_connections_closed_unread_total", "", closes.Unread)
 	p.counter("appleledge_client_connections_closed_unanswered_total", "", closes.Unanswered)
 }
