Connection pool: looks at and closes of connections are not made under its lock

The engine's goroutine takes that lock with each attempt, so a look or close that is held up holds every request up, and the forced answers too.

--- a/internal/upstream/connpool/pool.go
+++ b/internal/upstream/connpool/pool.go
@@ -98,9 +98,9 @@
 	p.idleCount--
 }
 
-// closeConn closes a connection that is not idle.
+// closeConn closes a connection that is not idle. The system call may take long, and is not made under the lock, for which the engine waits.
 func (p *Pool) closeConn(c *Conn) {
-	besteffort.Close(c)
+	go besteffort.Close(c)
 	delete(p.open, c)
 	c.backend.connCount--
 }
@@ -184,6 +184,32 @@
 
 // reuse returns an idle connection. Without one it reserves a place for a new one and returns nil.
 func (p *Pool) reuse(b *Backend) (*Conn, error) {
+	for {
+		c, err := p.takeIdle(b)
+		if c == nil || err != nil {
+			return nil, err
+		}
+		isOpen := c.isIdleAndOpen()
+		if p.noteTaken(c, isOpen); isOpen {
+			return c, nil
+		}
+	}
+}
+
+// noteTaken counts a connection that was idle and is in use now, or closes it where it is not open any more.
+func (p *Pool) noteTaken(c *Conn, isOpen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if isOpen {
+		p.stats.Reused++
+		return
+	}
+	p.stats.Dead++
+	p.closeConn(c)
+}
+
+// takeIdle returns a connection that was idle, and may be closed by now. Without one it reserves a place for a new one and returns nil.
+func (p *Pool) takeIdle(b *Backend) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b == nil || !b.isReady {
@@ -196,8 +222,7 @@
 		}
 		b.idle = slices.Delete(b.idle, i, i+1)
 		p.removeIdle(c)
-		if time.Since(c.idleSince) < p.maxIdleTime && c.isIdleAndOpen() {
-			p.stats.Reused++
+		if time.Since(c.idleSince) < p.maxIdleTime {
 			return c, nil
 		}
 		p.stats.Dead++
--- a/internal/upstream/connpool/pool_test.go
+++ b/internal/upstream/connpool/pool_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -236,3 +238,55 @@
 		t.Error("one that has rested is not used, or the wrong one made room")
 	}
 }
+
+// heldConn is a connection whose system calls are held up until goOn is closed.
+type heldConn struct {
+	net.Conn
+	held chan<- string
+	goOn <-chan struct{}
+}
+
+func (c heldConn) SyscallConn() (syscall.RawConn, error) {
+	c.held <- "look"
+	<-c.goOn
+	return nil, net.ErrClosed
+}
+
+func (c heldConn) Close() error {
+	c.held <- "close"
+	<-c.goOn
+	return c.Conn.Close()
+}
+
+// The process is held up while it looks at an idle connection, or closes one. The engine, and attempts at other connections, go on: with the
+// pool's lock held meanwhile no request was answered.
+func TestSystemCallThatIsHeldUpHoldsNobodyUp(t *testing.T) {
+	for name, begin := range map[string]func(p *Pool){
+		"look of an attempt": func(p *Pool) { besteffort.IgnoreResult(p.Get(context.Background(), p.Backend("b"))) },
+		"look of the sweep":  func(p *Pool) { p.Sweep() },
+		"close":              func(p *Pool) { p.Update(true, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPool(t, agenttest.Listen(t).Addr().String(), 100)
+			held, goOn := make(chan string, 10), make(chan struct{})
+			c := take(t, p, "b")
+			c.Conn = heldConn{c.Conn, held, goOn}
+			p.Release(c, true)
+			var running sync.WaitGroup
+			running.Go(func() { begin(p) })
+			<-held
+			asked := make(chan struct{})
+			running.Go(func() {
+				p.Incarnation("b")
+				close(asked)
+			})
+			select {
+			case <-asked:
+			case <-time.After(agenttest.Patience):
+				t.Error("the engine waits for the system call")
+			}
+			close(goOn)
+			running.Wait()
+		})
+	}
+}
