Drain: connections that wait to be accepted are accepted before the listener closes

Callers saw: a reset and no answer to a request on a connection that the agent's machine had accepted, in the first 0.4 s of a drain.

The listener closed at a fixed time, 0.55 s behind the signal, whatever waited in its accept queue; the system resets those connections with the requests on them. A process that is held up for 0.15 s inside accept4, epoll_ctl or setsockopt has some there. Besides, a connection that accept had just returned was not yet among those that the drain waits for.

Mended: the listener closes when nothing waits to be accepted (poll), or when the last answers are due; the drain waits for the end of the accept loop before it counts connections. Where another process takes over, the queue is left to that.

The test got this case, makes sure that resting clients were accepted before the signal, and gives each request a deadline of its own.

--- a/cmd/appleledge/close_holdup_test.go
+++ b/cmd/appleledge/close_holdup_test.go
@@ -28,6 +28,8 @@
 	crowdCount     = 60                     // clients that connect and say nothing, again and again
 	crowdRest      = 400 * time.Millisecond // how long one of them stays
 	crowdLasts     = 3 * time.Second
+	newCount       = 8                      // clients that connect to an agent which drains
+	newFor         = 400 * time.Millisecond // behind the signal, in which they do
 )
 
 // heldCalls are the system calls in which strace holds a thread up: on its way in, where the decision to close was made, or on its way out,
@@ -67,6 +69,7 @@
 		x.unsent.Add(1)
 		return false
 	}
+	besteffort.Ignore(c.conn.SetDeadline(time.Now().Add(agenttest.Patience)))
 	if _, err := io.WriteString(c.conn, c.refundText(round)); err != nil {
 		x.unsent.Add(1)
 		return false
@@ -127,10 +130,25 @@
 	"drain, at rest": func(_ *testing.T, a *stoppableAgent, ends *crossings) {
 		clients := a.connectAll(crossingCount)
 		each(clients[:crossingCount/2], func(c *agentClient) { ends.send(c, 1) })
+		ends.send(clients[crossingCount-1], 1) // all before it are accepted then
 		a.signal(syscall.SIGTERM)
 		start := time.Now()
 		each(clients, func(c *agentClient) { ends.sendAbout(c, start, drainRest, 2) })
 	},
+	"drain, new connections": func(t *testing.T, a *stoppableAgent, ends *crossings) {
+		a.signal(syscall.SIGTERM)
+		agenttest.Eventually(t, "the agent drains", func() bool { return strings.Contains(a.log.String(), "draining") })
+		var all sync.WaitGroup
+		for i := range newCount {
+			all.Go(func() {
+				time.Sleep(time.Duration(rand.Int64N(int64(newFor))))
+				if c, err := a.tryConnect(i); err == nil {
+					ends.send(c, 1)
+				}
+			})
+		}
+		all.Wait()
+	},
 	"drain, at work": func(_ *testing.T, a *stoppableAgent, ends *crossings) {
 		clients := a.connectAll(crossingCount)
 		each(clients, func(c *agentClient) { ends.send(c, 1) })
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -29,11 +29,13 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"appleledge/internal/acceptretry"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/eventlog"
+	"appleledge/internal/sockstate"
 )
 
 // Options say which connections a Listener closes to make room, and which not.
@@ -51,6 +53,7 @@
 type Listener struct {
 	net.Listener
 	Options
+	socket syscall.Conn // of the listener; nil where there is none
 
 	mu         sync.Mutex // guards what follows, and the states of the connections
 	limit      int
@@ -65,6 +68,7 @@
 // New returns a listener of at most limit connections, which it accepts from inner.
 func New(inner net.Listener, limit int, o Options) *Listener {
 	l := &Listener{Listener: acceptretry.Listener{Listener: inner, Events: o.Events}, Options: o, limit: limit, conns: map[*conn]struct{}{}}
+	l.socket, _ = inner.(syscall.Conn)
 	l.roomFreed = sync.NewCond(&l.mu)
 	return l
 }
@@ -112,6 +116,11 @@
 	return l.limit
 }
 
+// HasPending reports whether a connection waits to be accepted, or may wait, as the system can't tell.
+func (l *Listener) HasPending() bool {
+	return l.socket != nil && sockstate.IsReadable(l.socket)
+}
+
 // OpenCount returns how many connections it holds.
 func (l *Listener) OpenCount() int {
 	l.mu.Lock()
--- a/internal/downstream/http1/drain.go
+++ b/internal/downstream/http1/drain.go
@@ -34,11 +34,25 @@
 	}
 	s.lameDuck(ctx, wait)
 	s.closing.Store(true)
+	s.clients.Drain()  // net/http's Shutdown would close an idle connection also while a request arrives on it
+	if !hasSuccessor { // to whom the accept queue belongs otherwise
+		s.emptyAcceptQueue(ctx)
+	}
 	besteffort.Close(s.clients)
-	s.clients.Drain() // net/http's Shutdown would close an idle connection also while a request arrives on it
+	select {
+	case <-s.acceptEnded: // so that each accepted connection is among those that are open
+	case <-ctx.Done():
+	}
 	return s.waitUntil(ctx, func() bool { return s.clients.OpenCount() == 0 })
 }
 
+// emptyAcceptQueue waits until no connection waits to be accepted, or the last answers are due: the system resets those that wait when the
+// listener closes, with the requests that were sent on them.
+func (s *Server) emptyAcceptQueue(ctx context.Context) {
+	until := time.Duration(s.drainDeadline.Load())
+	s.waitUntil(ctx, func() bool { return !s.clients.HasPending() || s.Clock.Now() >= until })
+}
+
 // lameDuck goes on accepting requests: for DrainAcceptDuration in any case, and up to wait while clients are connected. In the
 // last part of it answers close their connections.
 func (s *Server) lameDuck(ctx context.Context, wait time.Duration) {
--- a/internal/downstream/http1/framing.go
+++ b/internal/downstream/http1/framing.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"appleledge/internal/connlimit"
 	"appleledge/internal/downstream/framing"
@@ -27,6 +28,14 @@
 	return &framed{Conn: c}, nil
 }
 
+// SyscallConn gives access to the socket of the listener below, if it has one.
+func (f frames) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := f.Listener.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // framed is a connection that tracks the framing of its requests. net/http reads from several goroutines, one at a time.
 type framed struct {
 	net.Conn
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -74,12 +74,13 @@
 	closing       atomic.Bool   // each answer closes its connection
 	drainDeadline atomic.Int64  // by the engine's clock: when each request must have its answer; 0 before the drain
 	finalAnswers  chan struct{} // closed then
+	acceptEnded   chan struct{} // closed when no further connection is accepted
 	clients       *connlimit.Listener
 }
 
 // New returns a server of the connections that clients accepts.
 func New(o Options, clients *connlimit.Listener) *Server {
-	return &Server{Options: o, clients: clients, finalAnswers: make(chan struct{})}
+	return &Server{Options: o, clients: clients, finalAnswers: make(chan struct{}), acceptEnded: make(chan struct{})}
 }
 
 // isFull reports whether more requests are in flight than allowed.
@@ -97,7 +98,10 @@
 func (s *Server) Serve(ctx context.Context, drainDurations func() (usual, longest time.Duration)) error {
 	srv := s.httpServer()
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(s.clients) }()
+	go func() {
+		failed <- srv.Serve(s.clients)
+		close(s.acceptEnded)
+	}()
 	s.Log.Info("listening", "addr", s.clients.Addr().String())
 	select {
 	case err := <-failed:
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -80,6 +80,17 @@
 	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 || Peek(c) == PeerClosed
 }
 
+// IsReadable reports whether a call of read or accept would not wait, also where the system fails to tell. It does not block.
+func IsReadable(c syscall.Conn) bool {
+	isReadable := false
+	controlSocket(c, func(fd int) {
+		one := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(one, 0)
+		isReadable = n > 0 || err != nil
+	})
+	return isReadable
+}
+
 // WasReset reports whether the peer has reset a connection: err says so, which a read or write of it returned, or the system does within
 // patience. A peer that ends a connection and then closes it resets it where bytes came that it has not read, so that a request that was
 // read and dropped can be told from one that was never read. Nothing may be written to the connection meanwhile. The system's word is
@@ -104,11 +115,14 @@
 
 // controlFD runs f on a connection's descriptor, if it has one.
 func controlFD(c net.Conn, f func(fd int)) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return
+	if socket, ok := c.(syscall.Conn); ok {
+		controlSocket(socket, f)
 	}
-	if raw, err := sc.SyscallConn(); err == nil {
+}
+
+// controlSocket runs f on a socket's descriptor, unless it is closed.
+func controlSocket(socket syscall.Conn, f func(fd int)) {
+	if raw, err := socket.SyscallConn(); err == nil {
 		besteffort.Ignore(raw.Control(func(fd uintptr) { f(int(fd)) })) // fails of a closed connection, and does not call f
 	}
 }
