Drain: an answer says that its connection ends by what holds when it is written

Callers would see: the end of their connection right behind an answer that did not say so, in the last part of a drain, for a request that was open before that part began. The next request on it crosses the end, and a refusal there might be taken for a second answer to the one before.

Mended: it is asked when the answer is written.

Evidence: TestAnswerOfARequestFromBeforeTheLastPartOfADrainEndsItsConnection; the code before has no such decision at the write. The golden answers are unchanged.

golden_test.go calls writeHeadAndBody, which is a method now, on a server with no connections; its cases and the golden data are unchanged.

--- a/internal/downstream/http1/answers.go
+++ b/internal/downstream/http1/answers.go
@@ -23,7 +23,7 @@
 	if unread {
 		w.Header().Set("Connection", "close")
 	}
-	writeHeadAndBody(w, engine.Answer{Kind: engine.Rejected, RetryAfter: fullRetryAfter})
+	s.writeHeadAndBody(w, engine.Answer{Kind: engine.Rejected, RetryAfter: fullRetryAfter})
 }
 
 // writeAnswer writes the final answer.
@@ -38,15 +38,15 @@
 	}
 	resp, ok := a.Payload.(*http1.Response)
 	if !ok || resp.Rest == nil {
-		writeHeadAndBody(w, a)
+		s.writeHeadAndBody(w, a)
 		return
 	}
 	if s.LargeBodies == nil || resp.Length < 0 && !r.ProtoAtLeast(1, 1) { // its end could not be told from a broken connection
 		resp.Discard()
-		writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
+		s.writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
 		return
 	}
-	writeHeadAndBody(w, a)
+	s.writeHeadAndBody(w, a)
 	switch err := s.LargeBodies.pass(r.Context(), w, resp); {
 	case errors.Is(err, errResponseBroken):
 		s.abort(r, abortResponseBroken)
@@ -67,6 +67,7 @@
 
 // serveReadiness answers GET /ready.
 func (s *Server) serveReadiness(w http.ResponseWriter) {
+	s.announceClose(w)
 	if !s.Engine.Ready() || s.draining.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
@@ -74,8 +75,17 @@
 	besteffort.IgnoreResult(io.WriteString(w, "ready\n"))
 }
 
+// announceClose says in an answer that its connection ends, where it is to end: while many are open, and in the last part of a drain. It is
+// asked when the answer is written, as the request may have begun long before.
+func (s *Server) announceClose(w http.ResponseWriter) {
+	if s.closing.Load() || !s.draining.Load() && s.clients.IsCrowded() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // writeHeadAndBody writes an answer, or its first part. A write error means that the client has left, which net/http handles.
-func writeHeadAndBody(w http.ResponseWriter, a engine.Answer) {
+func (s *Server) writeHeadAndBody(w http.ResponseWriter, a engine.Answer) {
+	s.announceClose(w)
 	h := w.Header()
 	var resp http1.Response
 	if made, ok := a.Payload.(*http1.Response); ok {
--- a/internal/downstream/http1/golden_test.go
+++ b/internal/downstream/http1/golden_test.go
@@ -51,9 +51,10 @@
 		{Kind: engine.Failed},
 		{Kind: engine.Conflict},
 	}
+	s := New(Options{}, connlimit.New(nil, 2, connlimit.Options{}))
 	var out strings.Builder
 	for _, a := range answers {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeHeadAndBody(w, a) }))
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.writeHeadAndBody(w, a) }))
 		out.WriteString(exchange(t, srv.Listener.Addr().String(), "GET /form-check HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
 		srv.Close()
 	}
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -150,9 +150,6 @@
 	if r.ContentLength == 0 {
 		connlimit.MarkRequestRead(r.Context())
 	}
-	if s.closing.Load() || !s.draining.Load() && s.clients.IsCrowded() {
-		w.Header().Set("Connection", "close")
-	}
 	if s.LargeBodies != nil {
 		if err := checkFraming(r.Context()); err != nil {
 			rejectMalformed(w, err)
@@ -226,7 +223,7 @@
 		case <-s.Engine.Done(): // never before the drain has ended
 			waits.leave()
 			s.logUnserved(r, unservedEngineEnded)
-			writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
+			s.writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
 			return
 		}
 	}
--- a/internal/downstream/http1/server_test.go
+++ b/internal/downstream/http1/server_test.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// A drain comes to its last part while a request is open. Its answer says that its connection ends: without that the connection would be
+// ended behind an answer that the client may not have read yet.
+func TestAnswerOfARequestFromBeforeTheLastPartOfADrainEndsItsConnection(t *testing.T) {
+	s := New(Options{}, connlimit.New(nil, 2, connlimit.Options{}))
+	for _, isClosing := range []bool{false, true} {
+		s.closing.Store(isClosing)
+		w := httptest.NewRecorder()
+		s.writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
+		if got := w.Header().Get("Connection") == "close"; got != isClosing {
+			t.Errorf("closing: %v, the answer says so: %v", isClosing, got)
+		}
+	}
+}
+
 // A request whose connection was ended before it began is not sent on: its client sends it once more, and must not have two.
 func TestARequestBehindTheEndOfItsConnection(t *testing.T) {
 	l := connlimit.New(agenttest.Listen(t), 2, connlimit.Options{})
