Drain: the last answers are due early enough for a process that is held up

Answers are forced 60 ms before the process closes all connections; both are due at once when a process that was held up for longer runs again.

Mended: 200 ms before, so that a hold-up of 0.15 s leaves 50 ms. Requests of which a part has not come by then get their answer too (EndUnfinished): the close at the end took them without a word.

--- a/cmd/appleledge/close_holdup_test.go
+++ b/cmd/appleledge/close_holdup_test.go
@@ -28,8 +28,9 @@
 	crowdCount     = 60                     // clients that connect and say nothing, again and again
 	crowdRest      = 400 * time.Millisecond // how long one of them stays
 	crowdLasts     = 3 * time.Second
-	newCount       = 8                      // clients that connect to an agent which drains
-	newFor         = 400 * time.Millisecond // behind the signal, in which they do
+	drainEnd       = 2600 * time.Millisecond // from SIGTERM until the process ends, at the deadlines of agenttest.SettingsText
+	newCount       = 8                       // clients that connect to an agent which drains
+	newFor         = 400 * time.Millisecond  // behind the signal, in which they do
 )
 
 // heldCalls are the system calls in which strace holds a thread up: on its way in, where the decision to close was made, or on its way out,
@@ -256,3 +257,29 @@
 		besteffort.Close(c.conn)
 	}
 }
+
+// An agent drains whose backend gives no answer, and its process is held up for 0.15 s when the last answers are due before its end. They are
+// written all the same.
+func TestLastAnswerIsWrittenThoughTheProcessIsHeldUp(t *testing.T) {
+	for _, beforeEnd := range []time.Duration{heldUp + 100*time.Millisecond, heldUp + 50*time.Millisecond, heldUp, heldUp / 2} {
+		t.Run(fmt.Sprint(beforeEnd, " before the end"), func(t *testing.T) {
+			t.Parallel()
+			a := startStoppableAt(t, agenttest.NewBackend(t, agenttest.Silent), 1024)
+			clients := a.connectAll(clientCount)
+			start := time.Now()
+			a.signal(syscall.SIGTERM)
+			agenttest.Eventually(t, "the agent drains", func() bool { return strings.Contains(a.log.String(), "draining") })
+			var ends crossings
+			var held sync.WaitGroup
+			held.Go(func() {
+				time.Sleep(time.Until(start.Add(drainEnd - beforeEnd)))
+				a.stop()
+				time.Sleep(time.Until(start.Add(drainEnd - beforeEnd + heldUp)))
+				a.resume()
+			})
+			each(clients, func(c *agentClient) { ends.sendAbout(c, start, drainRest/2, 1) })
+			held.Wait()
+			ends.report(t, a.log)
+		})
+	}
+}
--- a/cmd/appleledge/connection_end_test.go
+++ b/cmd/appleledge/connection_end_test.go
@@ -38,7 +38,7 @@
 	clientCount   = 20
 )
 
-// stoppableAgent is an agent in a process of its own, with one backend that serves at once.
+// stoppableAgent is an agent in a process of its own, with one backend.
 type stoppableAgent struct {
 	t       *testing.T
 	addr    string
@@ -46,15 +46,20 @@
 	log     *agenttest.LockedBuffer
 }
 
-// startStoppable starts an agent with a limit on its file descriptors, by another command where wrapper names one.
+// startStoppable starts an agent with a limit on its file descriptors, by another command where wrapper names one. Its backend serves at once.
 func startStoppable(t *testing.T, sockets int, wrapper ...string) *stoppableAgent {
+	t.Helper()
+	return startStoppableAt(t, agenttest.NewBackend(t, agenttest.Says(agenttest.Served)), sockets, wrapper...)
+}
+
+// startStoppableAt is startStoppable with a backend of its own.
+func startStoppableAt(t *testing.T, backend *agenttest.Backend, sockets int, wrapper ...string) *stoppableAgent {
 	t.Helper()
 	host, err := loopback.Hold()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(host.Close)
-	backend := agenttest.NewBackend(t, agenttest.Says(agenttest.Served))
 	discovery := agenttest.NewDiscovery(t, 1, agenttest.EntryText("s-1", backend.Addr().String(), "Ready", 0))
 	config := strings.Replace(string(agenttest.ConfigText(discovery.Addr().String(), "null")), `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
 	file := filepath.Join(t.TempDir(), "config.json")
--- a/internal/downstream/http1/drain.go
+++ b/internal/downstream/http1/drain.go
@@ -7,8 +7,8 @@
 	"appleledge/internal/besteffort"
 )
 
-// finalAnswerMargin is the time for writing the last answers before the process ends.
-const finalAnswerMargin = 60 * time.Millisecond
+// finalAnswerMargin is the time for writing the last answers before the process ends, which may be held up for 0.15 s meanwhile.
+const finalAnswerMargin = 200 * time.Millisecond
 
 // handoverKeepTime is how long idle connections are kept once another process serves. A request that crosses their close is
 // lost, so each ends with its next answer; a later request might not be answered before the process is killed.
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -112,7 +112,10 @@
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.DrainAcceptDuration+longest)
 	defer cancel()
 	s.drainDeadline.Store(int64(s.Clock.Now() + s.DrainAcceptDuration + longest - finalAnswerMargin))
-	finalAnswers := time.AfterFunc(s.DrainAcceptDuration+longest-finalAnswerMargin, func() { close(s.finalAnswers) })
+	finalAnswers := time.AfterFunc(s.DrainAcceptDuration+longest-finalAnswerMargin, func() {
+		close(s.finalAnswers)
+		s.clients.EndUnfinished()
+	})
 	defer finalAnswers.Stop()
 	if !s.drain(limited, s.DrainAcceptDuration+max(0, longest-usual)) {
 		s.Log.Warn("drained, but some connections were still open")
