Connections: one at rest is kept for 20 s, as nothing asks for its place before

Need: an idle limit of 2.1 s ends hundreds of connections whose clients would have asked again. Each such end may cross a request, which is refused then, where it could be served; nothing needs the place while there is room, and room is made where there is none, also in a crowd, whose answers end their connections.

Change: 20 s. The limits of a new connection's head (1.5 s) and of bodies stay, for clients that say nothing.

The tests that cross the limit follow it (it stands in them as a constant).

--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -32,7 +32,7 @@
 	// BodyTimeout limits the time for the body of a request, from when its head was read.
 	BodyTimeout = 1200 * time.Millisecond
 
-	idleTimeout    = 2100 * time.Millisecond // after which an idle client connection is closed
+	idleTimeout    = 20 * time.Second // after which an idle client connection is closed
 	maxHeaderBytes = 16 << 10
 
 	// MaxInFlightRatio is the share of the clients' connections that may have a request in flight; the rest are answered at once.
