Tests: a request that crosses the end of its connection in a hand-over

Need: the last of the doors by which a connection is ended: a new process has taken the clients' socket over, and the old one ends the connections that it has, held up in each system call of that.

--- a/cmd/appleledge/close_holdup_test.go
+++ b/cmd/appleledge/close_holdup_test.go
@@ -28,6 +28,7 @@
 	crowdCount     = 60                     // clients that connect and say nothing, again and again
 	crowdRest      = 400 * time.Millisecond // how long one of them stays
 	crowdLasts     = 3 * time.Second
+	handoverRest   = 600 * time.Millisecond  // from SIGTERM until connections that rest are ended, beside a new process
 	drainEnd       = 2600 * time.Millisecond // from SIGTERM until the process ends, at the deadlines of agenttest.SettingsText
 	newCount       = 8                       // clients that connect to an agent which drains
 	newFor         = 400 * time.Millisecond  // behind the signal, in which they do
@@ -283,3 +284,25 @@
 		})
 	}
 }
+
+// The same where a new process of the agent has taken the clients' socket over, and the old one ends the connections that it has.
+func TestRequestThatCrossesAHandOverIsAnsweredThoughTheProcessIsHeldUpInIt(t *testing.T) {
+	for call, injections := range heldCalls {
+		t.Run("held up in "+call, func(t *testing.T) {
+			t.Parallel()
+			in := install(t)
+			in.wrapper = holdUpBy(injections)
+			old := in.ready(in.start(in.disco.Addr().String()))
+			var ends crossings
+			clients := (&stoppableAgent{t: t, addr: in.listen}).connectAll(crossingCount / 2)
+			each(clients, func(c *agentClient) { ends.send(c, 1) })
+			in.ready(in.start(in.disco.Addr().String()))
+			if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			each(clients, func(c *agentClient) { ends.sendAbout(c, start, handoverRest, 2) })
+			ends.report(t, old.log)
+		})
+	}
+}
--- a/cmd/appleledge/connection_end_test.go
+++ b/cmd/appleledge/connection_end_test.go
@@ -28,7 +28,7 @@
 
 // Limits of the agent that the tests cross, and how long before and after them its process is held up.
 const (
-	idleLimit     = 20 * time.Second // of a connection between requests
+	idleLimit     = 20 * time.Second        // of a connection between requests
 	headLimit     = 1500 * time.Millisecond // of a request's head
 	bodyLimit     = 1200 * time.Millisecond // of a request's body
 	drainRest     = 2000 * time.Millisecond // from SIGTERM until connections that rest are ended, at the deadlines of agenttest.SettingsText
--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,8 @@
 type installation struct {
 	t            *testing.T
 	dir, listen  string
-	turn         int // of the next version that is started
+	turn         int      // of the next version that is started
+	wrapper      []string // the command that starts each version; none: it is started as it is
 	disco        *agenttest.Discovery
 	one, two     *agenttest.Backend
 	mu           sync.Mutex
@@ -73,7 +75,8 @@
 	}
 	v.turn = in.turn
 	in.turn++
-	v.Cmd = exec.Command(cluster.Program(v.turn), args...)
+	command := slices.Concat(in.wrapper, []string{cluster.Program(v.turn)}, args)
+	v.Cmd = exec.Command(command[0], command[1:]...)
 	v.Env = append(os.Environ(), "APPLELEDGE_AS_PROGRAM=1", "TMPDIR="+in.dir, "PROXY_CONFIG="+v.config, "PROXY_LISTEN=127.0.0.1:0",
 		"PROXY_OPERATOR=127.0.0.1:0") // free ones; a version that takes the clients' socket over has the first one's
 	v.Stderr = v.log
