Soak: requests that cross any end of a connection, and no reset in place of an answer

Need: the agent keeps connections for 20 s now, so the soak's clients that rest until 2.1 s met no end but that of a drain; and a reset counted as the sign of a request that the client may send again.

Change: a third of the resting clients rests for up to 2.1 s, a third until about the limit of 20 s, and a third sends first about when the agent ends a silent new connection. Each request that was written whole needs an answer, also where the connection is reset: stricter than before. A planted fault ends connections without their answer.

--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -51,7 +51,11 @@
 		{"internal/downstream/http1/server.go", "func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {\n", "func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {\n\tif time.Now().UnixMicro()%50 == 0 {\n\t\ttime.Sleep(200 * time.Millisecond)\n\t\tpanic(http.ErrAbortHandler)\n\t}\n"},
 	}},
 	{"request-dropped-at-the-idle-limit", []edit{
-		{"internal/connlimit/reading.go", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\treturn\n\t\t}\n\t\terr, c.hasTimedOut", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\tn, err = 0, os.ErrDeadlineExceeded\n\t\t\treturn\n\t\t}\n\t\terr, c.hasTimedOut"},
+		{"internal/connlimit/reading.go", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\treturn\n\t\t}\n\t\terr = os.Err", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\tn, err = 0, os.ErrDeadlineExceeded\n\t\t\treturn\n\t\t}\n\t\terr = os.Err"},
+	}},
+	{"connection-ended-without-an-answer", []edit{
+		{"internal/connlimit/ending.go", "_, err := c.writeAll([]byte(c.lastAnswer()))", "time.Sleep(100 * time.Millisecond)\n\terr := net.ErrClosed"},
+		{"internal/connlimit/ending.go", "import (\n", "import (\n\t\"net\"\n"},
 	}},
 	{"drain-ignored", []edit{
 		{"internal/membership/listing/listing.go", `"Terminating": balancer.Draining`, `"Terminating": balancer.Ready`},
--- a/internal/scenario/live_resting.go
+++ b/internal/scenario/live_resting.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"appleledge/internal/besteffort"
@@ -18,22 +17,36 @@
 
 const (
 	// agentIdleLimit is how long an agent keeps a client's connection on which no request is open.
-	agentIdleLimit = 2100 * time.Millisecond
+	agentIdleLimit = 20 * time.Second
+
+	// agentHeaderLimit is how long a client may be silent on a new connection.
+	agentHeaderLimit = 1500 * time.Millisecond
+
+	// longestRest is that of clients that send again before the agent's limit is near. A drain meets them at rest.
+	longestRest = 2100 * time.Millisecond
 
 	// redialPause is the time between two tries of a resting client to connect.
 	redialPause = 100 * time.Millisecond
+)
 
-	// resetTolerance is within what time the system tells of the reset of a connection that its agent has ended: the agent lets a close
-	// linger for 250 ms, and may stand still meanwhile.
-	resetTolerance = time.Second
+// restHabit says when a resting client sends.
+type restHabit int
+
+// The habits, by the client's number.
+const (
+	restsShortly       restHabit = iota // for up to longestRest between its requests
+	restsToIdleLimit                    // about until the agent would end its connection
+	sendsAtHeaderLimit                  // as restsShortly, and first about when the agent would end a new connection
+	restHabitCount
 )
 
-// restingClient has one connection to an agent, and rests between its requests until shortly before the agent would end the connection, so
-// that requests cross that end where the agent stands still.
+// restingClient has one connection to an agent, and rests before or between its requests, so that they cross the end of the connection: at
+// the agent's limits and at a drain.
 type restingClient struct {
 	run    *liveRun
 	agent  *liveAgent
 	number int
+	habit  restHabit
 	random *rand.Rand
 	sent   int // requests, over all connections
 }
@@ -42,7 +55,7 @@
 func (l *liveRun) startRestingClients(ctx context.Context) {
 	for _, a := range l.agents {
 		for i := range l.script.Clients.RestingConns {
-			c := &restingClient{run: l, agent: a, number: i, random: rand.New(rand.NewPCG(l.clientSeed(), uint64(a.number)<<32|uint64(i)))}
+			c := &restingClient{run: l, agent: a, number: i, habit: restHabit(i % int(restHabitCount)), random: rand.New(rand.NewPCG(l.clientSeed(), uint64(a.number)<<32|uint64(i)))}
 			l.inFlight.Go(func() { c.loop(ctx) })
 		}
 	}
@@ -64,6 +77,9 @@
 // useConn sends requests over a connection as long as the agent leaves it open.
 func (c *restingClient) useConn(ctx context.Context, conn net.Conn) {
 	answers := bufio.NewReader(conn)
+	if c.habit == sendsAtHeaderLimit {
+		c.rest(ctx, c.about(agentHeaderLimit))
+	}
 	for ctx.Err() == nil && !sockstate.HasPeerClosed(conn) {
 		c.sent++
 		id := fmt.Sprintf("rest-%d-%d.%d", c.agent.number+1, c.number, c.sent)
@@ -71,16 +87,28 @@
 		written := time.Now()
 		resp, err := c.exchange(conn, answers, id)
 		if err != nil {
-			c.judge(conn, id, taker, written, err)
+			c.judge(id, taker, written, err)
 			return
 		}
 		if resp.Close {
 			return
 		}
-		c.rest(ctx, agentIdleLimit-time.Duration(c.random.Int64N(int64(maxStandstill))))
+		if c.habit == restsToIdleLimit {
+			c.rest(ctx, c.about(agentIdleLimit))
+		} else {
+			c.rest(ctx, time.Duration(c.random.Int64N(int64(longestRest))))
+		}
 	}
 }
 
+// about returns a time from a little before a limit to a little behind it.
+func (c *restingClient) about(limit time.Duration) time.Duration {
+	return limit + time.Duration(c.random.Int64N(int64(2*maxStandstill))) - maxStandstill
+}
+
+// errNotSent reports that a request was not written whole, as the agent had ended its connection.
+var errNotSent = errors.New("the request was not sent")
+
 // exchange sends a request and reads the whole answer.
 func (c *restingClient) exchange(conn net.Conn, answers *bufio.Reader, id string) (*http.Response, error) {
 	if err := conn.SetDeadline(time.Now().Add(deadline + answerTolerance)); err != nil {
@@ -88,7 +116,7 @@
 	}
 	if _, err := fmt.Fprintf(conn, "GET /%s HTTP/1.1\r\nHost: agent\r\nX-Request-ID: %s\r\nX-Tenant-Id: %s\r\nX-Timeout: %dm\r\n\r\n", classes[0].Name, id,
 		refundPoints[0].name, deadline.Milliseconds()); err != nil {
-		return nil, fmt.Errorf("sending: %w", err)
+		return nil, errors.Join(errNotSent, err)
 	}
 	resp, err := http.ReadResponse(answers, nil)
 	if err != nil {
@@ -101,16 +129,13 @@
 	return resp, nil
 }
 
-// judge records a violation where the agent owed an answer: its process lives, or was told to end in time, and it has read the request. A
-// reset says that it has not.
-func (c *restingClient) judge(conn net.Conn, id string, taker agentIncarnation, written time.Time, err error) {
+// judge records a violation where the agent owed an answer: its process lives, or was told to end in time, and the request was written whole.
+func (c *restingClient) judge(id string, taker agentIncarnation, written time.Time, err error) {
 	after := time.Since(written).Round(time.Millisecond)
-	isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
-	if !isTimeout && sockstate.WasReset(conn, err, resetTolerance) || !c.agent.owesAnswers(taker) {
+	if errors.Is(err, errNotSent) || !c.agent.owesAnswers(taker) {
 		return
 	}
-	c.run.addViolation("1", "agent %d ended the connection of request %s without a whole answer, %v after it was sent, and not for want of reading it: %v",
-		c.agent.number+1, id, after, err)
+	c.run.addViolation("1", "agent %d ended the connection of request %s without a whole answer, %v after it was sent: %v", c.agent.number+1, id, after, err)
 }
 
 // rest waits, or until the context ends.
