--- a/internal/connlimit/ending.go
+++ b/internal/connlimit/ending.go
@@ -73,7 +73,7 @@
 // close the other. A request that crosses the end has its answer, however long the process is held up in between. The lock is not held, as
 // system calls may take long.
 func (c *conn) finishRefusal() {
-	besteffort.Ignore(c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)))
+	besteffort.Ignore(c.SetWriteDeadline(time.Now().Add(refusalTimeout)))
 	_, err := c.writeAll([]byte(c.lastAnswer()))
 	besteffort.Ignore(c.CloseWrite())
 	besteffort.Ignore(c.Conn.SetReadDeadline(expiredDeadline)) // net/http stops waiting for a request
