Tests: half a request whose connection is ended gets a whole answer

Need: the other half may cross the end too. The process tests play the limits of head and body; the ends for room and at the last answers of a drain (endReading, EndUnfinished) had no test of their own.

--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -563,3 +564,72 @@
 		t.Error("its context goes on")
 	}
 }
+
+// A client has sent half of a request, its connection is ended, and the other half crosses that end. The client reads a whole answer, of the
+// handler that waits for the body, or of the listener where no handler has begun.
+func TestHalfARequestIsAnsweredWhereItsConnectionIsEnded(t *testing.T) {
+	const head, body = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n", "refund"
+	for name, end := range map[string]func(l *Listener){
+		"its process ends": (*Listener).EndUnfinished,
+		"room is needed":   (*Listener).makeRoom,
+	} {
+		t.Run(name+", half a head", func(t *testing.T) {
+			resp := crossEnd(t, head[:20], head[20:]+body, end)
+			if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusRequestTimeout || !resp.Close {
+				t.Errorf("answered %s, closes: %v", resp.Status, resp.Close)
+			}
+		})
+		t.Run(name+", half a body", func(t *testing.T) {
+			if resp := crossEnd(t, head+body[:3], body[3:], end); resp.StatusCode != http.StatusBadRequest || !resp.Close {
+				t.Errorf("answered %s, closes: %v", resp.Status, resp.Close)
+			}
+		})
+	}
+}
+
+// crossEnd sends the first part of a request to a server, ends its connection when the rest is waited for, sends that, and returns the answer.
+func crossEnd(t *testing.T, first, rest string, end func(l *Listener)) *http.Response {
+	t.Helper()
+	l := New(agenttest.Listen(t), 2, Options{})
+	srv := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.Header().Set("Connection", "close") // as to all malformed input
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})}
+	var running sync.WaitGroup
+	running.Go(func() { besteffort.Ignore(srv.Serve(l)) })
+	t.Cleanup(func() { besteffort.Close(srv); running.Wait() })
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { besteffort.Close(far) })
+	if _, err := far.Write([]byte(first)); err != nil {
+		t.Fatal(err)
+	}
+	hasHandler := strings.Contains(first, "\r\n\r\n")
+	agenttest.Eventually(t, "the rest is waited for", func() bool { return l.awaitsRest(hasHandler) })
+	l.SetLimit(1)
+	end(l)
+	besteffort.IgnoreResult(far.Write([]byte(rest)))
+	resp, err := http.ReadResponse(bufio.NewReader(far), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	besteffort.Close(resp.Body)
+	agenttest.Eventually(t, "its place is free", func() bool { return l.OpenCount() == 0 })
+	return resp
+}
+
+// awaitsRest reports whether the rest of a request is waited for: by its handler, or before it has one.
+func (l *Listener) awaitsRest(hasHandler bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.hasRead && c.isAwaitingRequest && (c.use != idle) == hasHandler {
+			return true
+		}
+	}
+	return false
+}
