Connections: the refusal is written though a write deadline has passed

Callers would see: the end of their connection and no answer, where the process is held up for more than 0.1 s between the deadline of the refusal's write and the write: Go does not write at all then.

Mended: the refusal is written without a deadline; where the system has no room or memory for it the write is made again, 1 ms later, 100 times at the most.

Evidence: TestRefusalIsWrittenThoughADeadlineHasPassed: 'the client read "", EOF in place of a refusal' without the change.

--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -54,8 +54,7 @@
 		{"internal/connlimit/reading.go", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\treturn\n\t\t}\n\t\terr = os.Err", "if n, err = c.take(int(fd), p); !errors.Is(err, syscall.EAGAIN) {\n\t\t\tn, err = 0, os.ErrDeadlineExceeded\n\t\t\treturn\n\t\t}\n\t\terr = os.Err"},
 	}},
 	{"connection-ended-without-an-answer", []edit{
-		{"internal/connlimit/ending.go", "_, err := c.writeAll([]byte(c.lastAnswer()))", "time.Sleep(100 * time.Millisecond)\n\terr := net.ErrClosed"},
-		{"internal/connlimit/ending.go", "import (\n", "import (\n\t\"net\"\n"},
+		{"internal/connlimit/ending.go", "err := c.writeRefusal([]byte(c.lastAnswer()))", "time.Sleep(100 * time.Millisecond)\n\terr := io.ErrShortWrite"},
 	}},
 	{"drain-ignored", []edit{
 		{"internal/membership/listing/listing.go", `"Terminating": balancer.Draining`, `"Terminating": balancer.Ready`},
--- a/internal/connlimit/crossings_test.go
+++ b/internal/connlimit/crossings_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// lateConn is a connection of a process that is held up whenever it has set a write deadline.
+type lateConn struct{ net.Conn }
+
+func (c lateConn) NetConn() net.Conn { return c.Conn }
+
+func (c lateConn) SetWriteDeadline(t time.Time) error {
+	err := c.Conn.SetWriteDeadline(t)
+	time.Sleep(time.Until(t) + time.Millisecond)
+	return err
+}
+
+// A write deadline passes while the process is held up, or has passed since the answer before. The refusal is written all the same.
+func TestRefusalIsWrittenThoughADeadlineHasPassed(t *testing.T) {
+	l := listen(t, 1, Options{})
+	c, far := l.accept()
+	c.Conn = lateConn{c.Conn}
+	if err := c.SetWriteDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	l.Drain()
+	mustReadRefusal(t, c, far)
+}
+
 // Requests come at the very moment in which their connections are ended, in whatever order the machine makes of it. Each is handed over
 // whole, or its client reads a refusal: none is without an answer.
 func TestNoOrderOfRequestAndCloseDropsWhatWasRead(t *testing.T) {
--- a/internal/connlimit/ending.go
+++ b/internal/connlimit/ending.go
@@ -1,6 +1,10 @@
 package connlimit
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
 	"time"
 
 	"appleledge/internal/besteffort"
@@ -14,8 +18,9 @@
 	// timeoutAnswer is in its place where the time for a request's head is over (RFC 9110, section 15.5.9).
 	timeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-	// refusalTimeout is for writing the refusal to a client that has not read what was written before.
-	refusalTimeout = 100 * time.Millisecond
+	// The refusal is written again after refusalPause, up to refusalTries times, where the system has no room or memory for it.
+	refusalPause = time.Millisecond
+	refusalTries = 100
 
 	// answerTransitTime is how long an answer may be on its way to its client. A refusal behind it could be taken for a second answer to
 	// the same request, and a close could take it back.
@@ -73,8 +78,7 @@
 // close the other. A request that crosses the end has its answer, however long the process is held up in between. The lock is not held, as
 // system calls may take long.
 func (c *conn) finishRefusal() {
-	besteffort.Ignore(c.SetWriteDeadline(time.Now().Add(refusalTimeout)))
-	_, err := c.writeAll([]byte(c.lastAnswer()))
+	err := c.writeRefusal([]byte(c.lastAnswer()))
 	besteffort.Ignore(c.CloseWrite())
 	besteffort.Ignore(c.Conn.SetReadDeadline(expiredDeadline)) // net/http stops waiting for a request
 	c.listener.mu.Lock()
@@ -85,6 +89,31 @@
 	go c.awaitPeerClose()
 }
 
+// writeRefusal writes the refusal. It has no deadline: one that passes while the process is held up would keep the refusal from being written.
+func (c *conn) writeRefusal(text []byte) error {
+	if c.socket == nil {
+		_, err := c.Conn.Write(text)
+		return err
+	}
+	for tries := 0; ; tries++ {
+		var n int
+		var err error
+		if closed := c.socket.Control(func(fd uintptr) { n, err = syscall.Write(int(fd), text) }); closed != nil {
+			return closed
+		}
+		if err == nil {
+			text = text[n:]
+		}
+		if len(text) == 0 {
+			return nil
+		}
+		if err != nil && !isTransient(err) && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) || tries == refusalTries {
+			return fmt.Errorf("writing the refusal: %w", errors.Join(err, io.ErrShortWrite))
+		}
+		time.Sleep(refusalPause)
+	}
+}
+
 // lastAnswer returns what ends the connection. Its reason is known.
 func (c *conn) lastAnswer() string {
 	if c.closeReason == CloseSilent || c.closeReason == CloseUnfinished {
