--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -32,7 +32,9 @@
 	// BodyTimeout limits the time for the body of a request, from when its head was read.
 	BodyTimeout = 1200 * time.Millisecond
 
-	idleTimeout    = 20 * time.Second // after which an idle client connection is closed
+	// IdleTimeout is after what time an idle client connection is closed.
+	IdleTimeout = 20 * time.Second
+
 	maxHeaderBytes = 16 << 10
 
 	// MaxInFlightRatio is the share of the clients' connections that may have a request in flight; the rest are answered at once.
@@ -136,7 +138,7 @@
 	return &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: head,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelWarn),
 		ConnState:         connlimit.ConnState,
