Logs: each irregular call to discovery, with its version, delay and the list's age

Change: a line when a call begins beside another or behind a failure, and when one is answered with another version, late, fails or is given up: its number, the version it asks from, its wait and delay, the version it brought, and how long ago the last list came. Regular calls have theirs at the debug level. The golden logs are compared without these lines, whose times vary; their data is unchanged. Measured: TestLogTellsEachIrregularCall, TestDebugLogHasRegularCalls; the package passes under -race.

--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -15,7 +15,8 @@
 func (d *Discovery) handleResponse(r response) (err error) {
 	defer func() {
 		if err != nil {
-			d.failedCalls.Add(1)
+			d.calls.failed(r.call, err)
+			err = d.failed(err)
 		}
 	}()
 	if errors.Is(r.err, errUnreadable) {
@@ -27,6 +28,7 @@
 	if r.err != nil {
 		return r.err
 	}
+	d.calls.answered(r.call, r.list.Version, d.heldVersion, r.list.Full, len(r.list.Servers))
 	d.adoptServerClock(r.date)
 	d.unreadableInRow, d.isFirstCallAfterMove = 0, false
 	d.hasAnswered.Store(true)
@@ -36,6 +38,12 @@
 	return nil
 }
 
+// failed counts an error.
+func (d *Discovery) failed(err error) error {
+	d.failedCalls.Add(1)
+	return err
+}
+
 // applyList delivers a list that is not older than the one held. A discovery that answers a whole-list call with changes, goes back in
 // its versions, or counts anew without saying so is an error: its changes are not those of the list that is held.
 func (d *Discovery) applyList(l listing.List, isFullListCall bool) error {
--- a/internal/membership/platform/call.go
+++ b/internal/membership/platform/call.go
@@ -27,25 +27,31 @@
 
 // call makes one call, for a whole list or, with a query, a poll that may wait for so long, and applies the response.
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) error {
-	d.countCall(query)
+	record := d.beginCall(query, wait, 0)
 	timeout := d.responseTimeout
 	if d.onDemand && query != "" {
 		timeout = onDemandWatchResponseTimeout
 	}
-	return d.handleResponse(fetch(ctx, d.client, d.sessionAddr, query, wait+timeout, d.bodyTimeout))
+	r := fetch(ctx, d.client, d.sessionAddr, query, wait+timeout, d.bodyTimeout)
+	r.call = record
+	return d.handleResponse(r)
 }
 
-// countCall counts a call by its query.
-func (d *Discovery) countCall(query string) {
+// beginCall counts a call by its query, and logs it. So many others are open.
+func (d *Discovery) beginCall(query string, wait time.Duration, openCalls int) callRecord {
+	since := d.watchVersion
 	if query == "" {
+		since = -1
 		d.fullListCalls.Add(1)
 	} else {
 		d.watchCalls.Add(1)
 	}
+	return d.calls.begin(since, wait, openCalls, !d.isUnreachable)
 }
 
 // response is what came of a call.
 type response struct {
+	call           callRecord
 	isFullListCall bool
 	list           listing.List
 	date           string // the header by which discovery says when it answered
--- a/internal/membership/platform/catchup.go
+++ b/internal/membership/platform/catchup.go
@@ -44,8 +44,8 @@
 			if begun == maxCatchUpCalls {
 				continue
 			}
+			d.startCatchUpCall(ctx, &calls, responses, inFlight)
 			begun, inFlight = begun+1, inFlight+1
-			d.startCatchUpCall(ctx, &calls, responses)
 			next.Reset(catchUpInterval)
 		case r := <-responses:
 			inFlight--
@@ -54,19 +54,23 @@
 			}
 			next.Reset(catchUpPause)
 		case <-ctx.Done():
-			return d.handleResponse(response{err: fmt.Errorf("%w: %w", errPossiblyMissed, ctx.Err())})
+			return d.failed(fmt.Errorf("%w: %w", errPossiblyMissed, ctx.Err()))
 		}
 	}
 	return err
 }
 
 // startCatchUpCall makes one of the calls in a goroutine of its own.
-func (d *Discovery) startCatchUpCall(ctx context.Context, calls *sync.WaitGroup, responses chan<- response) {
+func (d *Discovery) startCatchUpCall(ctx context.Context, calls *sync.WaitGroup, responses chan<- response, openCalls int) {
 	query := ""
 	if d.watchVersion >= 0 {
 		query = watchQuery(d.watchVersion, 0)
 	}
-	d.countCall(query)
+	record := d.beginCall(query, 0, openCalls)
 	client, addr, bodyTimeout := d.client, d.sessionAddr, d.bodyTimeout
-	calls.Go(func() { responses <- fetch(ctx, client, addr, query, catchUpTimeout, bodyTimeout) })
+	calls.Go(func() {
+		r := fetch(ctx, client, addr, query, catchUpTimeout, bodyTimeout)
+		r.call = record
+		responses <- r
+	})
 }
--- a/internal/membership/platform/golden_test.go
+++ b/internal/membership/platform/golden_test.go
@@ -113,7 +113,7 @@
 	}
 	agenttest.Eventually(t, "the call that gets no answer", func() bool { return strings.Contains(asked(), "since=45") })
 	golden.Equal(t, "platform/pushed_requests.txt", []byte(asked()))
-	golden.Equal(t, "platform/pushed.log", []byte(log.String()))
+	golden.Equal(t, "platform/pushed.log", []byte(withoutCallLines(log.String())))
 }
 
 // An on-demand list is fetched and polled. The bytes of the calls are the committed ones, but for the waits of polls, which are random.
@@ -150,7 +150,17 @@
 		}
 	}
 	fmt.Fprintln(&log, d.catchUpQuery()) // the query of a call for what is new now
-	golden.Equal(t, "platform/outage.log", []byte(log.String()))
+	golden.Equal(t, "platform/outage.log", []byte(withoutCallLines(log.String())))
+}
+
+// withoutCallLines leaves out the lines on single calls, whose number and times vary from run to run (see calllog_test.go).
+func withoutCallLines(log string) (rest string) {
+	for line := range strings.Lines(log) {
+		if !strings.Contains(line, `msg="call to discovery `) {
+			rest += line
+		}
+	}
+	return rest
 }
 
 func withoutTime(_ []string, a slog.Attr) slog.Attr {
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -54,6 +54,7 @@
 	bodyTimeout      time.Duration // from when a response's head came
 	maxBackoff       time.Duration // between a failed call for an on-demand list and the next
 	subscriptions    chan struct{} // holds one subscription
+	calls            callLog
 	sink             membership.Sink
 	log              *slog.Logger
 
@@ -110,6 +111,7 @@
 		maxBackoff:       defaultMaxBackoff,
 		subscriptions:    make(chan struct{}, 1),
 		log:              log,
+		calls:            newCallLog(log),
 		heldVersion:      -1,
 		watchVersion:     -1,
 	}
--- a/internal/membership/platform/watch.go
+++ b/internal/membership/platform/watch.go
@@ -47,12 +47,16 @@
 	if query != "" {
 		pause = wait + hungCallDelay
 	}
+	open := map[uint64]callRecord{}
 	for {
-		d.countCall(query)
+		record := d.beginCall(query, wait, len(open))
+		open[record.number] = record
 		client, addr, callQuery, timeout, bodyTimeout := d.client, d.sessionAddr, query, wait+d.responseTimeout, d.bodyTimeout
 		calls.Go(func() {
+			r := fetch(callsCtx, client, addr, callQuery, timeout, bodyTimeout)
+			r.call = record
 			select {
-			case responses <- fetch(callsCtx, client, addr, callQuery, timeout, bodyTimeout):
+			case responses <- r:
 			case <-callsCtx.Done():
 			}
 		})
@@ -61,9 +65,13 @@
 		for isWaiting := true; isWaiting; {
 			select {
 			case r := <-responses:
+				delete(open, r.call.number)
 				err := d.handleResponse(r)
 				if err == nil {
 					timer.Stop()
+					for _, other := range open {
+						d.calls.givenUp(other, "another was answered")
+					}
 					return nil
 				}
 				d.logUnreachable(err)
