Discovery: calls are not given up while their answer may come, and every answer is read

Cause: a call was given up 1.5 s behind its wait, one more begun every 0.25 s, and the first answer ended the others. A discovery that works through calls in turn answered the given-up ones first, on closed connections; the calls that were still read waited behind them and were given up in their turn. What is written to any call counts as told. By the same deadlines an answer over 1.5 s late, or a body over 0.5 s behind its head, was never read. Change: a call stays open until it is answered; each answer is applied, the newest version last. Open calls are bounded (an eighth of the descriptors, 16 to 64, reserved in the limit of connections; 16 for whole lists) by giving up overtaken ones, else those that lie closest together. Silence is noted by the time since a call began. No call is added while answers to earlier ones come in, and one call for the whole list is open in a silence. The cached list is used beside the first call, which stays open. Why it works: in a queue, answers come by the order of calls, and open calls are spread over it; where calls of the silence are forgotten, a new one begins every 0.25 s as before. Tests changed: TestRetriesDuringOutageAreBounded held open calls to 7, which is the fault; its bound is that of calls for the whole list (16), and opencalls_test.go and the connections counted in the outage tests hold the rest. TestHungCallDoesNotDelayTheNext shortens the time after which an overtaken call ends. Goldens are unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,10 +34,13 @@
 
 // Limits of file descriptors and connections.
 const (
-	reservedDescriptors    = 24   // for the listener, discovery, the runtime and files
-	minDescriptors         = 100  // a lower limit is taken for this one, as there is no point in running with fewer
-	maxDescriptors         = 4096 // more are never used, whatever the limit allows
-	backendConnectionRatio = 0.45 // of the connections are to backends, the others from clients
+	reservedDescriptors    = 24 // for the listener, the runtime, files and idle connections to discovery
+	minDiscoveryCalls      = 16 // that may be open at the same time, each with a connection
+	maxDiscoveryCalls      = 64
+	discoveryCallRatio     = 0.125 // of the descriptors
+	minDescriptors         = 100   // a lower limit is taken for this one, as there is no point in running with fewer
+	maxDescriptors         = 4096  // more are never used, whatever the limit allows
+	backendConnectionRatio = 0.45  // of the connections are to backends, the others from clients
 
 	idleSweepInterval = time.Second // between two searches for idle upstream connections to close
 )
@@ -161,7 +164,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	available := a.cfg.Sockets - a.features.descriptors() - a.cfg.operatorDescriptors()
+	available := a.cfg.Sockets - a.features.descriptors() - a.cfg.operatorDescriptors() - openDiscoveryCalls(a.cfg.Sockets)
 	a.maxUpstreamConns, a.maxClientConnections = splitConnections(available)
 	a.clock = engine.NewClock().WithOffset(a.features.ClockOffset)
 	a.pool = connpool.New(a.cfg.Site.ConnectTimeout, a.cfg.Site.ConnectionIdleTimeout, a.maxUpstreamConns)
@@ -185,6 +188,11 @@
 	return a.features.hotRestart != nil && !a.features.hotRestart.IsAlone()
 }
 
+// openDiscoveryCalls returns how many calls to discovery may be open at the same time, by the limit on file descriptors.
+func openDiscoveryCalls(limit int) int {
+	return min(max(int(discoveryCallRatio*float64(limit)), minDiscoveryCalls), maxDiscoveryCalls)
+}
+
 // splitConnections returns how many connections there may be to backends and from clients, within a limit on file
 // descriptors.
 func splitConnections(limit int) (toBackends, fromClients int) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -169,7 +169,8 @@
 // between the times that the platform states: 0.4 s and 0.7 s past the longest deadline.
 func TestLimitsOfThePlatform(t *testing.T) {
 	for _, limit := range []int{256, 1024, 4096} {
-		if to, from := splitConnections(limit); to < 1 || from < 1 || to+from > limit-reservedDescriptors {
+		discoveryCalls := openDiscoveryCalls(limit)
+		if to, from := splitConnections(limit - discoveryCalls); to < 1 || from < 1 || to+from > limit-reservedDescriptors-discoveryCalls {
 			t.Errorf("of %d: %d to backends, %d from clients", limit, to, from)
 		} else if third := limit / 3; to < third || int(http1.MaxInFlightRatio*float64(from)) < third {
 			t.Errorf("of %d: usual clients can't hold the third that is theirs", limit)
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -18,6 +18,7 @@
 		CachedList:       a.snapshots.startupList(a.cfg.cachedList),
 		FirstListTimeout: a.snapshots.firstListTimeout(),
 		OnDemand:         a.cfg.Site.Balancer.Subscribe,
+		MaxOpenCalls:     openDiscoveryCalls(a.cfg.Sockets),
 	}
 	if a.features.Recovery != nil {
 		options.UsesServerClock = true
--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"appleledge/internal/membership"
 	"appleledge/internal/membership/listing"
@@ -11,68 +12,74 @@
 // maxUnreadableInRow is how many answers in a row may be unreadable before the whole list is asked for.
 const maxUnreadableInRow = 2
 
-// handleResponse takes what came of a call. An error says that the call failed, or that its list can't be used.
-func (d *Discovery) handleResponse(r response) (err error) {
-	defer func() {
-		if err != nil {
-			d.calls.failed(r.call, err)
-			err = d.failed(err)
-		}
-	}()
+// receive takes what came of an open call. An error says that the call failed, or that its list can't be used.
+func (d *Discovery) receive(r response) (err error) {
+	c := r.call
+	d.open.remove(c)
+	if err := d.handleResponse(r); err != nil {
+		d.failedCalls.Add(1)
+		d.callLog.failed(c.callRecord, err)
+		return err
+	}
+	return nil
+}
+
+// handleResponse applies a response to the session of its call.
+func (d *Discovery) handleResponse(r response) error {
+	c, s := r.call, r.call.session
 	if errors.Is(r.err, errUnreadable) {
 		d.unreadableResponses.Add(1)
-		if d.unreadableInRow++; d.unreadableInRow >= maxUnreadableInRow {
-			d.watchVersion = -1
+		if s.unreadableInRow++; s.unreadableInRow >= maxUnreadableInRow {
+			s.watchVersion = -1
 		}
 	}
 	if r.err != nil {
 		return r.err
 	}
-	d.calls.answered(r.call, r.list.Version, d.heldVersion, r.list.Full, len(r.list.Servers))
-	d.adoptServerClock(r.date)
-	d.unreadableInRow, d.isFirstCallAfterMove = 0, false
+	d.callLog.answered(c.callRecord, r.list.Version, s.heldVersion, r.list.Full, len(r.list.Servers))
+	d.open.noteAnswer(c, time.Now())
+	if s == d.session {
+		d.adoptServerClock(r.date)
+	}
+	s.unreadableInRow, s.isFirstCallAfterMove = 0, false
 	d.hasAnswered.Store(true)
-	if err := d.applyList(r.list, r.isFullListCall); err != nil {
+	if err := d.applyList(s, r.list, c.since); err != nil {
 		return fmt.Errorf("%w: %w", errPossiblyMissed, err)
 	}
 	return nil
 }
 
-// failed counts an error.
-func (d *Discovery) failed(err error) error {
-	d.failedCalls.Add(1)
-	return err
-}
-
-// applyList delivers a list that is not older than the one held. A discovery that answers a whole-list call with changes, goes back in
-// its versions, or counts anew without saying so is an error: its changes are not those of the list that is held.
-func (d *Discovery) applyList(l listing.List, isFullListCall bool) error {
-	if isFullListCall && !l.Full {
+// applyList delivers a list that is not older than the one held; since is the version from which on changes were asked for, -1 for the whole
+// list. A discovery that answers a whole-list call with changes, goes back in its versions, or counts anew without saying so is an error:
+// its changes are not those of the list that is held. An answer that others have overtaken is none.
+func (d *Discovery) applyList(s *session, l listing.List, since int64) error {
+	if since < 0 && !l.Full {
 		return errors.New("discovery answered a call for the whole list with changes")
 	}
-	if !isFullListCall && !l.Full && d.heldVersion < 0 && l.Version < d.watchVersion {
-		d.watchVersion = -1
+	if !l.Full && s.heldVersion < 0 && l.Version < since {
+		s.watchVersion = -1
 		return fmt.Errorf("discovery counts from version %d, the known list is of %d", l.Version, d.cachedList.Version)
 	}
-	if l.Version < d.heldVersion && !l.Full {
-		return fmt.Errorf("discovery went back from version %d to %d", d.heldVersion, l.Version)
+	if !l.Full && l.Version < s.heldVersion && l.Version < since {
+		return fmt.Errorf("discovery went back from version %d to %d", s.heldVersion, l.Version)
 	}
-	if d.isUnreachable {
-		d.isUnreachable = false
+	if s.isUnreachable {
+		s.isUnreachable = false
 		d.log.Info("discovery is back", "version", l.Version)
 	}
-	if l.Version < d.heldVersion || l.Version == d.heldVersion && !l.Full {
+	if l.Version < s.heldVersion || l.Version == s.heldVersion && !l.Full {
 		return nil // what is held is newer
 	}
-	if d.watchVersion = l.Version; d.heldVersion < 0 && !l.Full && len(l.Servers) == 0 {
-		d.heldVersion = l.Version // the cached list is up to date
+	s.needsFullList = s.needsFullList && !l.Full
+	if s.watchVersion = l.Version; s.heldVersion < 0 && !l.Full && len(l.Servers) == 0 {
+		s.heldVersion = l.Version // the cached list is up to date
 		return nil
 	}
 	u := d.decodeUpdate(l)
-	if l.Version != d.heldVersion { // else a discovery that repeats one list would fill the log
+	if l.Version != s.heldVersion { // else a discovery that repeats one list would fill the log
 		d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
 	}
-	d.heldVersion, d.hasEndpoints = l.Version, true
+	s.heldVersion, d.hasEndpoints, d.cachedListAt = l.Version, true, time.Time{}
 	d.sink.Update(u)
 	return nil
 }
--- a/internal/membership/platform/call.go
+++ b/internal/membership/platform/call.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	defaultResponseTimeout = 1500 * time.Millisecond // for an answer, past the wait of a poll
-	defaultBodyTimeout     = 500 * time.Millisecond
-	maxListBytes           = 16 << 20 // over 100,000 endpoints
+	connectTimeout         = 1500 * time.Millisecond
+	defaultResponseTimeout = 1500 * time.Millisecond // without an answer, past the wait of a poll, after which discovery counts as out of reach
+	maxListBytes           = 16 << 20                // over 100,000 endpoints
 )
 
 var (
@@ -25,58 +25,69 @@
 	errUnreadable = errors.New("the list")
 )
 
-// call makes one call, for a whole list or, with a query, a poll that may wait for so long, and applies the response.
-func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) error {
-	record := d.beginCall(query, wait, 0)
-	timeout := d.responseTimeout
-	if d.onDemand && query != "" {
-		timeout = onDemandWatchResponseTimeout
-	}
-	r := fetch(ctx, d.client, d.sessionAddr, query, wait+timeout, d.bodyTimeout)
-	r.call = record
-	return d.handleResponse(r)
+// errNoAnswer returns the error of a call that has no answer after so long.
+func errNoAnswer(waited time.Duration) error {
+	return fmt.Errorf("%w: nothing came for %v", errPossiblyMissed, waited.Round(time.Millisecond))
+}
+
+// response is what came of a call.
+type response struct {
+	call *call
+	list listing.List
+	date string // the header by which discovery says when it answered
+	err  error
+}
+
+// watchQuery is the query of a poll for the changes after a version, which may wait for so long.
+func watchQuery(version int64, wait time.Duration) string {
+	return fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds())
+}
+
+// beginFullListCall begins a call for the whole list.
+func (d *Discovery) beginFullListCall() *call {
+	d.fullListCalls.Add(1)
+	return d.beginCall(-1, 0, "")
+}
+
+// beginWatch begins a poll for the changes since the list that is held, which may wait for so long.
+func (d *Discovery) beginWatch(wait time.Duration) *call {
+	d.watchCalls.Add(1)
+	return d.beginCall(d.watchVersion, wait, watchQuery(d.watchVersion, wait))
 }
 
-// beginCall counts a call by its query, and logs it. So many others are open.
-func (d *Discovery) beginCall(query string, wait time.Duration, openCalls int) callRecord {
-	since := d.watchVersion
-	if query == "" {
-		since = -1
-		d.fullListCalls.Add(1)
-	} else {
-		d.watchCalls.Add(1)
+// beginCall begins a call beside those that are open.
+func (d *Discovery) beginCall(since int64, wait time.Duration, query string) *call {
+	for _, c := range d.open.expired(time.Now()) {
+		d.giveUp(c, "a later one was answered long ago")
+	}
+	if c := d.open.surplus(since < 0); c != nil {
+		d.giveUp(c, "too many are open")
 	}
-	return d.calls.begin(since, wait, openCalls, !d.isUnreachable)
+	c := &call{callRecord: d.callLog.begin(since, wait, len(d.open.calls), !d.isUnreachable), session: d.session}
+	client, addr := d.client, d.addr
+	d.open.start(d.callsCtx, c, func(ctx context.Context) response { return fetch(ctx, client, addr, query) })
+	return c
 }
 
-// response is what came of a call.
-type response struct {
-	call           callRecord
-	isFullListCall bool
-	list           listing.List
-	date           string // the header by which discovery says when it answered
-	err            error
+// giveUp ends a call that has no answer.
+func (d *Discovery) giveUp(c *call, reason string) {
+	c.cancel()
+	d.open.remove(c)
+	d.failedCalls.Add(1)
+	d.callLog.givenUp(c.callRecord, reason)
 }
 
 // fetch makes a call. It changes nothing of the Discovery, so that calls may run beside each other. The error is errPossiblyMissed where
-// the call itself timed out or broke off, but not where its caller ended it.
-func fetch(ctx context.Context, client *http.Client, addr, query string, timeout, bodyTimeout time.Duration) (r response) {
-	outer, isFullListCall := ctx, query == ""
-	defer func() { r.isFullListCall = isFullListCall }()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// the answer broke off or could not be read.
+func fetch(ctx context.Context, client *http.Client, addr, query string) (r response) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return response{err: err}
 	}
 	resp, err := client.Do(req)
-	if err != nil && ctx.Err() != nil && outer.Err() == nil {
-		return response{err: fmt.Errorf("%w: %w", errPossiblyMissed, err)}
-	}
 	if err != nil {
 		return response{err: err}
 	}
-	defer time.AfterFunc(bodyTimeout, cancel).Stop()
 	defer besteffort.Close(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return response{err: fmt.Errorf("discovery answered %s", resp.Status)}
--- a/internal/membership/platform/calllog.go
+++ b/internal/membership/platform/calllog.go
@@ -37,13 +37,13 @@
 	return c
 }
 
-// answered notes that a call brought a list, while the version before it was held.
+// answered notes that a call brought a list, and which version was held before.
 func (l *callLog) answered(c callRecord, version, heldVersion int64, isFullList bool, servers int) {
 	level := c.level()
 	if version != heldVersion || time.Since(c.begun) > c.wait+maxRegularDelay {
 		level = slog.LevelInfo
 	}
-	l.write(level, "call to discovery answered", c, slog.Int64("version", version), slog.Int64("held_version", heldVersion), slog.Bool("full", isFullList),
+	l.write(level, "call to discovery answered", c, slog.Int64("listed", version), slog.Int64("held", heldVersion), slog.Bool("full", isFullList),
 		slog.Int("entries", servers))
 	l.listSeen = time.Now()
 }
--- a/internal/membership/platform/calllog_test.go
+++ b/internal/membership/platform/calllog_test.go
@@ -31,10 +31,10 @@
 		time.Sleep(500 * time.Millisecond)
 		l.answered(beside, 41, 41, false, 0)
 		l.failed(l.begin(-1, 0, 0, false), errors.New("refused"))
-		want := `level=INFO msg="call to discovery answered" call=2 since=40 wait_ms=300 delay_ms=200 list_age_ms=200 version=41 held_version=40 full=false entries=2
+		want := `level=INFO msg="call to discovery answered" call=2 since=40 wait_ms=300 delay_ms=200 list_age_ms=200 listed=41 held=40 full=false entries=2
 level=INFO msg="call to discovery begun" call=4 since=41 wait_ms=0 delay_ms=0 list_age_ms=450 open=1
 level=INFO msg="call to discovery given up" call=3 since=41 wait_ms=300 delay_ms=1500 list_age_ms=1500 reason="too many are open"
-level=INFO msg="call to discovery answered" call=4 since=41 wait_ms=0 delay_ms=1550 list_age_ms=2000 version=41 held_version=41 full=false entries=0
+level=INFO msg="call to discovery answered" call=4 since=41 wait_ms=0 delay_ms=1550 list_age_ms=2000 listed=41 held=41 full=false entries=0
 level=INFO msg="call to discovery begun" call=5 since=-1 wait_ms=0 delay_ms=0 list_age_ms=0 open=0
 level=INFO msg="call to discovery failed" call=5 since=-1 wait_ms=0 delay_ms=0 list_age_ms=0 error=refused
 `
@@ -49,7 +49,7 @@
 	var out bytes.Buffer
 	l := newCallLog(slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	l.answered(l.begin(40, 300*time.Millisecond, 0, true), 40, 40, false, 0)
-	if got := out.String(); strings.Count(got, "level=DEBUG") != 2 || !regexp.MustCompile("call to discovery answered.*version=40").MatchString(got) {
+	if got := out.String(); strings.Count(got, "level=DEBUG") != 2 || !regexp.MustCompile("call to discovery answered.*listed=40").MatchString(got) {
 		t.Errorf("the log is\n%s", got)
 	}
 }
--- a/internal/membership/platform/catchup.go
+++ b/internal/membership/platform/catchup.go
@@ -3,24 +3,26 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"sync"
 	"time"
 )
 
 // Times of the calls behind one that fell silent or could not be read. What it had to tell counts as notified 2 s after its wait at the
-// earliest, and onDemandWatchResponseTimeout of these have passed before its silence shows. A call may also be slow, as discovery works
-// through calls in turn: it is not given up early, as it would lose its turn.
+// earliest, and onDemandWatchResponseTimeout of these have passed before its silence shows.
 const (
-	catchUpTimeout  = 4 * time.Second         // for the first answer
+	catchUpTimeout  = 4 * time.Second         // for the first answer, before the balancer hears of the failure
 	catchUpInterval = 1200 * time.Millisecond // from the start of a call that hangs to the start of the next beside it
 	catchUpPause    = 100 * time.Millisecond  // after a call that failed
 	maxCatchUpCalls = 3
 )
 
-// callOrCatchUp makes one call of an on-demand list. If it may have had something to tell that is not known, changes are asked for at once.
-func (d *Discovery) callOrCatchUp(ctx context.Context, query string, wait time.Duration) error {
-	err := d.call(ctx, query, wait)
+// callOrCatchUp awaits the answer to a call of an on-demand list. If the call may have had something to tell that is not known, changes are
+// asked for at once.
+func (d *Discovery) callOrCatchUp(ctx context.Context, c *call) error {
+	timeout := c.wait + d.responseTimeout
+	if !c.isFullList() {
+		timeout = c.wait + onDemandWatchResponseTimeout
+	}
+	err := d.awaitAnswer(ctx, c, timeout)
 	if !errors.Is(err, errPossiblyMissed) || ctx.Err() != nil {
 		return err
 	}
@@ -28,49 +30,64 @@
 	return d.catchUp(ctx)
 }
 
+// awaitAnswer waits for the answer to a call, and takes what comes of others meanwhile. The call stays open after the timeout.
+func (d *Discovery) awaitAnswer(ctx context.Context, c *call, timeout time.Duration) error {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-d.open.responses:
+			if err := d.receive(r); r.call == c {
+				return err
+			}
+		case <-timer.C:
+			return errNoAnswer(timeout)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // catchUp asks for what is new now, until a call is answered. A single call may break off or hang as well, and the backoff after it would
-// outlast the time at which a drain counts as notified. All calls have ended on return.
+// outlast the time at which a drain counts as notified.
 func (d *Discovery) catchUp(ctx context.Context) (err error) {
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel() // the others are not wanted any more
-	responses := make(chan response, maxCatchUpCalls)
+	timeout := time.NewTimer(catchUpTimeout)
+	defer timeout.Stop()
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for begun, inFlight := 0, 0; begun < maxCatchUpCalls || inFlight > 0; {
+	own := map[*call]bool{} // the calls that hang
+	for begun := 0; begun < maxCatchUpCalls || len(own) > 0; {
 		select {
 		case <-next.C:
 			if begun == maxCatchUpCalls {
 				continue
 			}
-			d.startCatchUpCall(ctx, &calls, responses, inFlight)
-			begun, inFlight = begun+1, inFlight+1
+			begun++
+			own[d.beginCatchUpCall()] = true
 			next.Reset(catchUpInterval)
-		case r := <-responses:
-			inFlight--
-			if err = d.handleResponse(r); err == nil {
+		case r := <-d.open.responses:
+			responseErr := d.receive(r)
+			if responseErr == nil && r.call.session == d.session {
 				return nil
 			}
-			next.Reset(catchUpPause)
+			if own[r.call] {
+				delete(own, r.call)
+				err = responseErr
+				next.Reset(catchUpPause)
+			}
+		case <-timeout.C:
+			return errNoAnswer(catchUpTimeout)
 		case <-ctx.Done():
-			return d.failed(fmt.Errorf("%w: %w", errPossiblyMissed, ctx.Err()))
+			return ctx.Err()
 		}
 	}
 	return err
 }
 
-// startCatchUpCall makes one of the calls in a goroutine of its own.
-func (d *Discovery) startCatchUpCall(ctx context.Context, calls *sync.WaitGroup, responses chan<- response, openCalls int) {
-	query := ""
-	if d.watchVersion >= 0 {
-		query = watchQuery(d.watchVersion, 0)
+// beginCatchUpCall asks for what is new now: changes, as far as what is held can be relied on, else the whole list.
+func (d *Discovery) beginCatchUpCall() *call {
+	if d.watchVersion < 0 {
+		return d.beginFullListCall()
 	}
-	record := d.beginCall(query, 0, openCalls)
-	client, addr, bodyTimeout := d.client, d.sessionAddr, d.bodyTimeout
-	calls.Go(func() {
-		r := fetch(ctx, client, addr, query, catchUpTimeout, bodyTimeout)
-		r.call = record
-		responses <- r
-	})
+	return d.beginWatch(0)
 }
--- a/internal/membership/platform/golden_test.go
+++ b/internal/membership/platform/golden_test.go
@@ -139,17 +139,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	fullListCall := &call{callRecord: callRecord{since: -1}, session: d.session}
+	watch := &call{callRecord: callRecord{since: 41}, session: d.session}
 	for _, a := range []response{
-		{isFullListCall: true, list: full, date: "Thu, 01 Jan 1970 01:00:00 GMT"},
-		{isFullListCall: true, list: listing.List{Version: 42}},
-		{list: listing.List{Version: 40}},
-		{err: http.ErrServerClosed},
+		{call: fullListCall, list: full, date: "Thu, 01 Jan 1970 01:00:00 GMT"},
+		{call: fullListCall, list: listing.List{Version: 42}},
+		{call: watch, list: listing.List{Version: 40}},
+		{call: watch, err: http.ErrServerClosed},
 	} {
 		if err := d.handleResponse(a); err != nil {
 			fmt.Fprintln(&log, err)
 		}
 	}
-	fmt.Fprintln(&log, d.catchUpQuery()) // the query of a call for what is new now
+	if !d.wantsFullList() {
+		fmt.Fprintln(&log, watchQuery(d.watchVersion, 0)) // the query of a call for what is new now
+	}
 	golden.Equal(t, "platform/outage.log", []byte(withoutCallLines(log.String())))
 }
 
--- a/internal/membership/platform/ondemand.go
+++ b/internal/membership/platform/ondemand.go
@@ -33,7 +33,7 @@
 }
 
 // awaitSubscription waits until the list is to be polled: when the balancer subscribes, or, after a call that failed, by the time at
-// which a change would count as notified. False means that the context has ended.
+// which a change would count as notified, or when a call is answered late. False means that the context has ended.
 func (d *Discovery) awaitSubscription(ctx context.Context) bool {
 	var backoffOver <-chan time.Time
 	if d.isUnreachable && d.hasEndpoints {
@@ -41,13 +41,20 @@
 		defer timer.Stop()
 		backoffOver = timer.C
 	}
-	select {
-	case <-d.subscriptions:
-	case <-backoffOver:
-	case <-ctx.Done():
-		return false
+	for {
+		select {
+		case <-d.subscriptions:
+			return true
+		case <-backoffOver:
+			return true
+		case r := <-d.open.responses:
+			if d.receive(r) == nil && r.call.session == d.session {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return true
 }
 
 // onDemandBackoff draws how long an on-demand list is left alone after a call that failed. Most agents then poll for changes alone, which
@@ -63,13 +70,13 @@
 // followOnDemand fetches the whole list, unless changes of the one that is held are enough, then polls for changes until a call fails.
 func (d *Discovery) followOnDemand(ctx context.Context) error {
 	if d.watchVersion < 0 {
-		if err := d.callOrCatchUp(ctx, "", 0); err != nil {
+		if err := d.callOrCatchUp(ctx, d.beginCatchUpCall()); err != nil {
 			return err
 		}
 	}
 	for {
 		previous, start, wait := d.watchVersion, time.Now(), d.drawWatchTimeout()
-		if err := d.callOrCatchUp(ctx, watchQuery(d.watchVersion, wait), wait); err != nil {
+		if err := d.callOrCatchUp(ctx, d.beginWatch(wait)); err != nil {
 			return err
 		}
 		d.delayEarlyWatch(ctx, previous, start, wait)
--- a/internal/membership/platform/ondemand_test.go
+++ b/internal/membership/platform/ondemand_test.go
@@ -175,7 +175,7 @@
 
 // A hundred agents begin long polls together. The polls end at different times, so that the agents do not all call again at once.
 func TestOnDemandWatchTimeoutsAreSpread(t *testing.T) {
-	d := &Discovery{onDemand: true, heldVersion: 3, maxWatchTimeout: defaultMaxWatchTimeout}
+	d := &Discovery{onDemand: true, session: &session{heldVersion: 3}, maxWatchTimeout: defaultMaxWatchTimeout}
 	seen := map[time.Duration]bool{}
 	for range 100 {
 		wait := d.drawWatchTimeout()
@@ -316,7 +316,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := d.handleResponse(response{isFullListCall: true, list: l}); err != nil || d.isFirstCallAfterMove {
+	if err := d.handleResponse(response{call: &call{callRecord: callRecord{since: -1}, session: d.session}, list: l}); err != nil || d.isFirstCallAfterMove {
 		t.Errorf("still marked after an answer: %v, %v", d.isFirstCallAfterMove, err)
 	}
 	if _, end := d.beginSession(t.Context()); d.isFirstCallAfterMove {
--- a/internal/membership/platform/outage_test.go
+++ b/internal/membership/platform/outage_test.go
@@ -87,8 +87,13 @@
 	return c.Conn.Close()
 }
 
-// learnTimes is a sink that notes when a member was first reported.
+// subscribeDelay is after how long the balancer subscribes again.
+const subscribeDelay = time.Second
+
+// learnTimes is a sink that notes when a member was first reported, and subscribes again as the balancer does.
 type learnTimes struct {
+	subscribe func()
+
 	mu    sync.Mutex
 	first map[string]time.Time
 }
@@ -103,7 +108,11 @@
 	}
 }
 
-func (*learnTimes) Disconnected(error) {}
+func (l *learnTimes) Disconnected(err error) {
+	if errors.Is(err, membership.ErrUnsubscribed) {
+		time.AfterFunc(subscribeDelay, l.subscribe)
+	}
+}
 
 func (l *learnTimes) at(id string) (at time.Time, ok bool) {
 	l.mu.Lock()
@@ -210,6 +219,7 @@
 	}
 	a.source = New(options, engine.NewClock(), slog.New(slog.DiscardHandler))
 	a.source.client.Transport = &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return dialers[addr].dial(ctx) }}
+	a.sink.subscribe = a.source.Subscribe
 	f.agents = append(f.agents, a)
 	return a
 }
@@ -250,9 +260,8 @@
 
 // checkNotified holds all agents to have learned a version by when it counts as notified at the latest, with the time that a draining
 // server gets new requests for.
-func (f *outageFleet) checkNotified(t *testing.T, version int64, listed time.Time) {
+func (f *outageFleet) checkNotified(t *testing.T, version int64, listed time.Time, notifiedAfter time.Duration) {
 	t.Helper()
-	const notifiedAfter, drainGrace = 6 * time.Second, 500 * time.Millisecond
 	for number, a := range f.agents {
 		if learned, ok := a.sink.at(serverOf(version)); !ok || learned.Sub(listed) > notifiedAfter+drainGrace {
 			t.Errorf("agent %d learned version %d %v behind the time from which discovery had it and could be reached (%v)", number, version, learned.Sub(listed), ok)
@@ -272,11 +281,14 @@
 	}
 }
 
-// slowness are the ways in which a discovery is slow.
-var slowness = map[string]struct {
+// slowDiscovery is a discovery that is slow in one way, and how many agents call it.
+type slowDiscovery struct {
 	agents int
 	busydiscovery.Options
-}{
+}
+
+// slowness are the ways in which a discovery is slow.
+var slowness = map[string]slowDiscovery{
 	"1 ms a call":                        {40, busydiscovery.Options{ServiceTime: time.Millisecond}},
 	"3 ms a call":                        {40, busydiscovery.Options{ServiceTime: 3 * time.Millisecond}},
 	"0.5 ms a call, 80 agents":           {80, busydiscovery.Options{ServiceTime: 500 * time.Microsecond}},
@@ -302,18 +314,36 @@
 			t.Run(fmt.Sprintf("%s, %v", name, silence), func(t *testing.T) {
 				t.Parallel()
 				playFleet(t, fleetOptions{agents: slow.agents, discoveries: []busydiscovery.Options{slow.Options}}, func(t *testing.T, f *outageFleet) {
-					f.playOutage(t, silence, slow.AnswerDelay <= maxNotifiableDelay)
+					f.playOutage(t, silence, slow.timeUntilNotified())
 				})
 			})
 		}
 	}
 }
 
-// maxNotifiableDelay is the longest delay of answers with which a change can be known by when it counts as notified.
-const maxNotifiableDelay = 3 * time.Second
+// Times by when a change counts as notified, from when discovery lists it and can be reached: of a discovery on the agent's own machine,
+// and of one that is slow.
+const (
+	notifiedAtOnce     = 0
+	notifiedAtLatest   = 6 * time.Second
+	neverNotified      = -1 // it is slower than the pages allow
+	drainGrace         = 500 * time.Millisecond
+	maxNotifiableDelay = 3 * time.Second // of answers
+)
+
+// timeUntilNotified returns after what time a change in a pushed list counts as notified.
+func (s slowDiscovery) timeUntilNotified() time.Duration {
+	switch {
+	case s.AnswerDelay == 0 && s.BodyDelay == 0:
+		return notifiedAtOnce
+	case s.AnswerDelay <= maxNotifiableDelay:
+		return notifiedAtLatest
+	}
+	return neverNotified
+}
 
-// playOutage lets discovery be silent and come back, and lists changes.
-func (f *outageFleet) playOutage(t *testing.T, silence time.Duration, isNotifiable bool) {
+// playOutage lets discovery be silent and come back, and lists changes. They count as notified after a time.
+func (f *outageFleet) playOutage(t *testing.T, silence, notifiedAfter time.Duration) {
 	t.Helper()
 	time.Sleep(25 * time.Second)
 	f.discoveries[0].Silence(true)
@@ -324,8 +354,8 @@
 		listed := time.Now()
 		f.set(0, version)
 		f.check(t, version, 40*time.Second)
-		if isNotifiable {
-			f.checkNotified(t, version, listed)
+		if notifiedAfter != neverNotified {
+			f.checkNotified(t, version, listed, notifiedAfter)
 		}
 	}
 	f.checkConnections(t, maxDiscoveryConns)
@@ -339,7 +369,7 @@
 			t.Run(fmt.Sprintf("%s, %v", name, silence), func(t *testing.T) {
 				t.Parallel()
 				options := fleetOptions{agents: slow.agents, discoveries: []busydiscovery.Options{slow.Options}, adapt: func(o *Options) { o.OnDemand = true }}
-				playFleet(t, options, func(t *testing.T, f *outageFleet) { f.playOutage(t, silence, false) })
+				playFleet(t, options, func(t *testing.T, f *outageFleet) { f.playOutage(t, silence, neverNotified) })
 			})
 		}
 	}
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -5,7 +5,8 @@
 // A pushed list comes from a discovery on the agent's own machine, where calls cost nothing. It is followed by short long polls
 // back to back (followPushed). A call that hangs is not waited for: the next one begins beside it, at the latest
 // pushWatchTimeout and hungCallDelay after the one before. What discovery lists after an outage counts as notified at once, and a
-// draining server gets new requests for 500 ms at most, so an agent that waited out its call would send requests too late.
+// draining server gets new requests for 500 ms at most, so an agent that waited out its call would send requests too late. While answers
+// to calls that hung come in, no call is added: discovery may be working through a queue of them.
 //
 // An on-demand list (Options.OnDemand) comes from one service for all agents, which works through calls in turn. It is polled
 // only when the balancer subscribes, and its long polls are long and end at random times (followOnDemand). A poll that falls
@@ -13,8 +14,12 @@
 // same: so changes are asked for at once, without a wait, and again where that call fails or hangs (catchUp). Any other failure ends
 // the subscription, and the balancer backs off; but an agent that holds endpoints polls on its own before what is new could count as notified (onDemandBackoff).
 //
-// Discovery holds an agent to a change from the moment at which it counts it as notified: when the agent's poll has been answered, or a
-// stated time after it should have been.
+// # Open calls
+//
+// Discovery holds an agent to a change from the moment at which it counts it as notified: when it has written the change to any call of the
+// agent, or a stated time after it should have. So a call stays open until it is answered, however late that is, and every answer is
+// applied, the newest version last. Only the number of open calls is bounded (openCalls); a call is given up where that number is
+// reached, or some time after a later one was answered. Silence is noted by the time since a call began, not by its end.
 //
 // # Versions
 //
@@ -50,11 +55,10 @@
 	agentCount       int  // that call the same discovery; 0: it does not matter
 	usesServerClock  bool // for start times, where the own wall clock is off
 	maxWatchTimeout  time.Duration
-	responseTimeout  time.Duration // past the wait of a poll; for a poll of an on-demand list see call
-	bodyTimeout      time.Duration // from when a response's head came
+	responseTimeout  time.Duration // past the wait of a poll; for a poll of an on-demand list see callOrCatchUp
 	maxBackoff       time.Duration // between a failed call for an on-demand list and the next
 	subscriptions    chan struct{} // holds one subscription
-	calls            callLog
+	callLog          callLog
 	sink             membership.Sink
 	log              *slog.Logger
 
@@ -66,15 +70,12 @@
 	hasAnswered                                                 atomic.Bool
 
 	// Of the goroutine that runs:
-	sessionAddr           string // the address of the present session
-	heldVersion           int64  // of the list that is held; -1: any is newer
-	watchVersion          int64  // from which on changes are wanted; -1: the whole list is
-	unreadableInRow       int
+	*session              // at the present address
+	callsCtx              context.Context
+	open                  openCalls
+	cachedListAt          time.Time // when the cached list is used; zero: it is, or there is none
 	hasLoggedInvalidEntry bool
-	isUnreachable         bool // the last call failed
 	hasEndpoints          bool // a list is held, of discovery or the cached one
-	isFirstCallAfterMove  bool // no call to the present address has ended yet, and there was another address before
-	hasServerTime         bool // discovery at this address has sent a date
 }
 
 // Options say where discovery is and how its list is to be read.
@@ -88,6 +89,8 @@
 	// AgentCount is how many agents call the same discovery. Those that are all without it spread their calls so that it can answer them
 	// when it is back; 0: each calls as if it were alone.
 	AgentCount int
+	// MaxOpenCalls is how many calls may have no answer at the same time, each with a connection of its own; 0: 64.
+	MaxOpenCalls int
 	// UsesServerClock corrects start times by discovery's clock, as the Date of its answers has it, where the own wall clock is off.
 	UsesServerClock bool
 }
@@ -97,8 +100,7 @@
 	return &Discovery{
 		targetAddr:       o.Addr,
 		endSession:       func() {},
-		sessionAddr:      o.Addr,
-		client:           &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: defaultResponseTimeout}).DialContext}},
+		client:           &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext}},
 		decoder:          listing.Decoder{Zones: o.Zones, Clock: clock},
 		cachedList:       o.CachedList,
 		firstListTimeout: o.FirstListTimeout,
@@ -107,13 +109,13 @@
 		usesServerClock:  o.UsesServerClock,
 		maxWatchTimeout:  defaultMaxWatchTimeout,
 		responseTimeout:  defaultResponseTimeout,
-		bodyTimeout:      defaultBodyTimeout,
 		maxBackoff:       defaultMaxBackoff,
 		subscriptions:    make(chan struct{}, 1),
 		log:              log,
-		calls:            newCallLog(log),
-		heldVersion:      -1,
-		watchVersion:     -1,
+		callLog:          newCallLog(log),
+		session:          newSession(o.Addr),
+		callsCtx:         context.Background(),
+		open:             newOpenCalls(o.MaxOpenCalls),
 	}
 }
 
@@ -136,14 +138,6 @@
 	}
 }
 
-// SetAddress points to another discovery. Calls to the present one end at once, whether or not it still answers.
-func (d *Discovery) SetAddress(addr string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.targetAddr = addr
-	d.endSession()
-}
-
 // Run follows the list until the context ends, at whatever address discovery is. In an outage the last list stays in force.
 func (d *Discovery) Run(ctx context.Context, to membership.Sink) {
 	d.sink = to
@@ -151,38 +145,18 @@
 		d.firstListTimeout = defaultFirstListTimeout
 	}
 	defer d.client.CloseIdleConnections()
-	d.fetchFirstList(ctx)
+	calls, end := context.WithCancel(ctx)
+	defer d.open.running.Wait()
+	defer end()
+	d.callsCtx = calls
+	d.scheduleCachedList()
 	for ctx.Err() == nil {
-		session, end := d.beginSession(ctx)
-		d.runSession(session)
+		sessionCtx, end := d.beginSession(ctx)
+		d.runSession(sessionCtx)
 		end()
 	}
 }
 
-// beginSession starts a session with discovery at its present address, which lasts until the address changes. Another discovery
-// counts versions of its own, which may be lower than those of the one before; kept, they would make its lists look old.
-func (d *Discovery) beginSession(ctx context.Context) (context.Context, context.CancelFunc) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	session, end := context.WithCancel(ctx)
-	d.endSession = end
-	if d.sessionAddr != d.targetAddr {
-		d.sessionAddr, d.heldVersion, d.watchVersion, d.isUnreachable, d.isFirstCallAfterMove, d.hasServerTime = d.targetAddr, -1, -1, false, true, false
-		d.client.CloseIdleConnections()
-		d.Subscribe() // the balancer's subscription was with the discovery before
-	}
-	return session, end
-}
-
-// runSession follows the list at one address until its context ends.
-func (d *Discovery) runSession(ctx context.Context) {
-	if !d.onDemand {
-		d.followPushed(ctx)
-		return
-	}
-	d.runOnDemand(ctx)
-}
-
 // logUnreachable notes that a call has failed.
 func (d *Discovery) logUnreachable(err error) {
 	if !d.isUnreachable {
--- a/internal/membership/platform/platform_test.go
+++ b/internal/membership/platform/platform_test.go
@@ -119,7 +119,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return d.applyList(l, whole)
+		since := d.heldVersion
+		if whole {
+			since = -1
+		}
+		return d.applyList(d.session, l, since)
 	}
 	ready := agenttest.EntryText("s-1", "127.0.0.1:1", "Ready", 0)
 	for _, step := range []struct {
@@ -186,7 +190,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := d.applyList(l, true); err != nil {
+		if err := d.applyList(d.session, l, -1); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -285,6 +289,7 @@
 	}))
 	t.Cleanup(server.Close)
 	d, events := newTestDiscovery(t, strings.TrimPrefix(server.URL, "http://"), io.Discard)
+	d.open.overtakenTimeout = time.Second
 	runUntilTestEnds(t, d, events)
 	nextUpdate(t, events)
 	set := func(is bool) {
@@ -396,9 +401,9 @@
 			h.sendsPartOfBody = tt.slowly
 			at := strings.TrimPrefix(h.URL, "http://")
 			d, events := newTestDiscovery(t, at, io.Discard)
-			d.responseTimeout, d.bodyTimeout = time.Hour, time.Hour // the call hangs on, however late the machine runs
+			d.responseTimeout = time.Hour // the call hangs on, however late the machine runs
 			if tt.moved {
-				d.targetAddr, d.sessionAddr = agenttest.Refusing(t), "" // where it is before
+				d.targetAddr, d.addr = agenttest.Refusing(t), "" // where it is before
 				runUntilTestEnds(t, d, events)
 				d.SetAddress(at)
 			} else {
@@ -437,8 +442,8 @@
 	agenttest.Eventually(t, "some calls are given up", func() bool { return d.Counts().Failed >= 4 })
 	mu.Lock()
 	defer mu.Unlock()
-	if beside := int(defaultResponseTimeout/minRetryBackoff) + 1; most > beside || most < 2 {
-		t.Errorf("%d calls beside each other, %d at the most", most, beside)
+	if most > maxOpenFullLists || most < 2 {
+		t.Errorf("%d calls beside each other, %d at the most", most, maxOpenFullLists)
 	}
 	if n, could := d.Counts().FullLists, uint64(time.Since(began)/minRetryBackoff)+1; n > could {
 		t.Errorf("%d calls in a time for %d", n, could)
--- /dev/null
+++ b/internal/membership/platform/session.go
@@ -0,0 +1,53 @@
+package platform
+
+import "context"
+
+// session is what is known of the discovery at one address. Another discovery counts versions of its own, which may be lower.
+type session struct {
+	addr                 string
+	heldVersion          int64 // of the list that is held; -1: any is newer
+	watchVersion         int64 // from which on changes are wanted; -1: the whole list is
+	unreadableInRow      int
+	isUnreachable        bool // the last call failed, or none is answered in time
+	needsFullList        bool // a pushed list may have been reset in an outage
+	isFirstCallAfterMove bool // no call has ended yet, and there was another address before
+	hasServerTime        bool // discovery has sent a date
+}
+
+// newSession returns the state before the first call to an address.
+func newSession(addr string) *session { return &session{addr: addr, heldVersion: -1, watchVersion: -1} }
+
+// SetAddress points to another discovery. Calls to the present one end at once, whether or not it still answers.
+func (d *Discovery) SetAddress(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targetAddr = addr
+	d.endSession()
+}
+
+// beginSession starts to follow the list at discovery's present address, until the address changes.
+func (d *Discovery) beginSession(ctx context.Context) (context.Context, context.CancelFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sessionCtx, end := context.WithCancel(ctx)
+	d.endSession = end
+	if d.addr != d.targetAddr {
+		d.session = newSession(d.targetAddr)
+		d.isFirstCallAfterMove = true
+		for _, c := range d.open.ofEarlierSessions(d.session) {
+			d.giveUp(c, "discovery has another address")
+		}
+		d.client.CloseIdleConnections()
+		d.Subscribe() // the balancer's subscription was with the discovery before
+	}
+	return sessionCtx, end
+}
+
+// runSession follows the list at one address until its context ends.
+func (d *Discovery) runSession(ctx context.Context) {
+	if !d.onDemand {
+		d.followPushed(ctx)
+		return
+	}
+	d.runOnDemand(ctx)
+}
--- a/internal/membership/platform/watch.go
+++ b/internal/membership/platform/watch.go
@@ -2,96 +2,130 @@
 
 import (
 	"context"
-	"fmt"
-	"sync"
 	"time"
 )
 
-// Times of a pushed list. A change counts as notified 2 s after the wait of a poll is over, so silence must be noticed before that;
-// and a poll counts as a new one when it comes 200 ms after the one before.
+// Times of a pushed list. What discovery lists behind an outage counts as notified at once, and a poll counts as a new one when it comes
+// 200 ms after the one before.
 const (
 	pushWatchTimeout = 300 * time.Millisecond // how long a poll waits for changes
 	hungCallDelay    = 150 * time.Millisecond // past that wait, after which another call begins beside it
+	nextAnswerDelay  = 300 * time.Millisecond // after an answer, for that of the next open call, before another call begins
 )
 
+// pushedSchedule says when the next call for a pushed list begins, and which it is.
+type pushedSchedule struct {
+	nextCall  time.Time
+	isWatch   bool      // the next call waits for changes; else it asks for what is new now
+	firstCall time.Time // of those since the last answer or failure; zero: none is open
+	silentAt  time.Time // from when on discovery counts as out of reach; zero: no call is open, or it does so already
+}
+
+// next returns when the next of the times comes.
+func (s *pushedSchedule) next(cachedListAt time.Time) time.Time {
+	next := s.nextCall
+	for _, at := range []time.Time{s.silentAt, cachedListAt} {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// isDue reports whether a time is set and has come.
+func isDue(at, now time.Time) bool { return !at.IsZero() && !now.Before(at) }
+
 // followPushed follows a pushed list until the context ends.
 func (d *Discovery) followPushed(ctx context.Context) {
-	if d.callUntilAnswered(ctx, "", 0) != nil {
-		return
-	}
+	var s pushedSchedule
+	d.needsFullList = true // at an address that may be another discovery's
+	d.beginPushedCall(&s)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		previous, start := d.watchVersion, time.Now()
-		if d.callUntilAnswered(ctx, watchQuery(d.watchVersion, pushWatchTimeout), pushWatchTimeout) != nil {
+		timer.Reset(time.Until(s.next(d.cachedListAt)))
+		select {
+		case r := <-d.open.responses:
+			d.handlePushed(&s, r)
+		case <-timer.C:
+			d.firePushedTimer(&s, time.Now())
+		case <-ctx.Done():
 			return
 		}
-		d.delayEarlyWatch(ctx, previous, start, pushWatchTimeout)
 	}
 }
 
-// watchQuery is the query of a poll for the changes after a version, which may wait for so long.
-func watchQuery(version int64, wait time.Duration) string {
-	return fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds())
+// firePushedTimer does what is due.
+func (d *Discovery) firePushedTimer(s *pushedSchedule, now time.Time) {
+	if isDue(d.cachedListAt, now) {
+		d.useCachedList()
+	}
+	if isDue(s.silentAt, now) {
+		s.silentAt = time.Time{}
+		d.noteUnreachable(errNoAnswer(now.Sub(s.firstCall)))
+	}
+	if isDue(s.nextCall, now) {
+		d.beginPushedCall(s)
+	}
 }
 
-// callUntilAnswered calls discovery until it answers: at first with the given query, which may wait for so long. A call that hangs is
-// not waited for. The next one begins beside it, a pause later, and asks for changes at once; the first answer ends the others. A
-// call that began during an outage could otherwise hang for its whole timeout after discovery is back, and a drain would come that
-// late. The error is the context's; all calls have ended on return.
-func (d *Discovery) callUntilAnswered(ctx context.Context, query string, wait time.Duration) error {
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	callsCtx, cancel := context.WithCancel(ctx)
-	defer cancel() // the others are not wanted any more
-	responses := make(chan response)
+// beginPushedCall begins the next call, beside those that hang.
+func (d *Discovery) beginPushedCall(s *pushedSchedule) {
+	var c *call
 	pause := d.retryBackoff()
-	if query != "" {
-		pause = wait + hungCallDelay
+	switch {
+	case d.wantsFullList():
+		c = d.beginFullListCall()
+	case s.isWatch:
+		c, pause = d.beginWatch(pushWatchTimeout), pushWatchTimeout+hungCallDelay
+	default:
+		c = d.beginWatch(0)
 	}
-	open := map[uint64]callRecord{}
-	for {
-		record := d.beginCall(query, wait, len(open))
-		open[record.number] = record
-		client, addr, callQuery, timeout, bodyTimeout := d.client, d.sessionAddr, query, wait+d.responseTimeout, d.bodyTimeout
-		calls.Go(func() {
-			r := fetch(callsCtx, client, addr, callQuery, timeout, bodyTimeout)
-			r.call = record
-			select {
-			case responses <- r:
-			case <-callsCtx.Done():
-			}
-		})
-		nextCall := time.Now().Add(pause)
-		timer := time.NewTimer(pause)
-		for isWaiting := true; isWaiting; {
-			select {
-			case r := <-responses:
-				delete(open, r.call.number)
-				err := d.handleResponse(r)
-				if err == nil {
-					timer.Stop()
-					for _, other := range open {
-						d.calls.givenUp(other, "another was answered")
-					}
-					return nil
-				}
-				d.logUnreachable(err)
-				d.sink.Disconnected(err)
-				timer.Reset(min(time.Until(nextCall), d.retryBackoff()))
-			case <-timer.C:
-				isWaiting = false
-			case <-ctx.Done():
-				timer.Stop()
-				return ctx.Err()
-			}
+	s.isWatch, s.nextCall = false, c.begun.Add(pause)
+	if s.firstCall.IsZero() {
+		s.firstCall, s.silentAt = c.begun, c.begun.Add(c.wait+d.responseTimeout)
+	}
+}
+
+// wantsFullList reports whether the next call is for the whole list: none is held that could be relied on. While discovery is silent one
+// such call is enough.
+func (d *Discovery) wantsFullList() bool {
+	return d.watchVersion < 0 || d.needsFullList && !(d.isUnreachable && d.open.hasFullListCall(d.session))
+}
+
+// handlePushed takes a response and says when the next call begins.
+func (d *Discovery) handlePushed(s *pushedSchedule, r response) {
+	err := d.receive(r)
+	c, now := r.call, time.Now()
+	if c.session != d.session {
+		return
+	}
+	s.firstCall, s.silentAt = time.Time{}, time.Time{}
+	switch backoff := now.Add(d.retryBackoff()); {
+	case err != nil:
+		d.noteUnreachable(err)
+		s.isWatch = false
+		if backoff.Before(s.nextCall) {
+			s.nextCall = backoff
 		}
-		query, wait, pause = d.catchUpQuery(), 0, d.retryBackoff()
+		return
+	case d.open.hasLater(c):
+		s.nextCall = now.Add(nextAnswerDelay)
+		s.firstCall, s.silentAt = now, now.Add(d.responseTimeout)
+	case d.watchVersion == c.since && now.Sub(c.begun) < c.wait/2: // a discovery that answers without waiting is not called in a tight loop
+		s.nextCall = now.Add(earlyWatchDelay)
+	default:
+		s.nextCall = now
 	}
+	s.isWatch = true
 }
 
-// catchUpQuery is the query for what is new now: changes, as far as what is held can be relied on, else the whole list.
-func (d *Discovery) catchUpQuery() string {
-	if d.isUnreachable || d.watchVersion < 0 {
-		return ""
+// noteUnreachable notes that discovery does not answer as it should, and that a pushed list may not be relied on after that.
+func (d *Discovery) noteUnreachable(err error) {
+	d.logUnreachable(err)
+	d.needsFullList = true
+	d.sink.Disconnected(err)
+	if !d.cachedListAt.IsZero() {
+		d.useCachedList()
 	}
-	return watchQuery(d.watchVersion, 0)
 }
