Discovery: what the old address still answers counts until the new one has a list

Callers would see new requests at a removed server for as long as a new address is silent or slow: 3 s in the test. Cause: a new configuration ended the calls to the old address, which was writing a change to them; what is written to an agent counts as told. Change: each call belongs to the session of its address; open calls of earlier addresses are read until the present one has sent a list, and given up then. Why it works: the versions of each address are compared among themselves, and the present one's first list is taken whatever its version, as before.

--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -12,15 +12,24 @@
 // maxUnreadableInRow is how many answers in a row may be unreadable before the whole list is asked for.
 const maxUnreadableInRow = 2
 
-// receive takes what came of an open call. An error says that the call failed, or that its list can't be used.
+// receive takes what came of an open call. An error says that the call failed, or that its list can't be used. What an earlier address
+// still says counts until the present one has sent a list.
 func (d *Discovery) receive(r response) (err error) {
 	c := r.call
 	d.open.remove(c)
+	if c.session != d.session && d.heldVersion >= 0 {
+		return nil
+	}
 	if err := d.handleResponse(r); err != nil {
 		d.failedCalls.Add(1)
 		d.callLog.failed(c.callRecord, err)
 		return err
 	}
+	if c.session == d.session && d.heldVersion >= 0 {
+		for _, earlier := range d.open.ofEarlierSessions(d.session) {
+			d.giveUp(earlier, "another address has answered")
+		}
+	}
 	return nil
 }
 
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -24,8 +24,9 @@
 // # Versions
 //
 // A discovery counts versions of its list. A poll says from which version on it wants changes; a list that is older than the one
-// held is ignored. A discovery at another address counts anew, so its first list is taken whatever its version. A list
-// cached from before a restart (Options.CachedList) is used only where discovery does not answer at once.
+// held is ignored. A discovery at another address counts anew, so its first list is taken whatever its version. Until then, what the one
+// before still answers to the calls that are open there is in force. A list cached from before a restart (Options.CachedList) is used only
+// where discovery does not answer at once.
 //
 // In an outage the last list stays in force. Nothing is stored here; package fleet/snapshot keeps the list over a restart.
 package platform
--- a/internal/membership/platform/session.go
+++ b/internal/membership/platform/session.go
@@ -17,7 +17,8 @@
 // newSession returns the state before the first call to an address.
 func newSession(addr string) *session { return &session{addr: addr, heldVersion: -1, watchVersion: -1} }
 
-// SetAddress points to another discovery. Calls to the present one end at once, whether or not it still answers.
+// SetAddress points to another discovery. No call to the present one begins any more; what it writes to the calls that are open there
+// counts until the other one has sent a list.
 func (d *Discovery) SetAddress(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -34,9 +35,6 @@
 	if d.addr != d.targetAddr {
 		d.session = newSession(d.targetAddr)
 		d.isFirstCallAfterMove = true
-		for _, c := range d.open.ofEarlierSessions(d.session) {
-			d.giveUp(c, "discovery has another address")
-		}
 		d.client.CloseIdleConnections()
 		d.Subscribe() // the balancer's subscription was with the discovery before
 	}
