Discovery: behind a failed call an on-demand list is asked for without a wait

Callers would see new requests at a draining or removed server for up to 12 s behind the return of discovery. Cause: after a call that failed the agent began a long poll of 4 to 20 s; where discovery was still silent and forgot that call, its end showed only when the poll was over. Change: the first call behind a failure asks for what is new now; long polls follow once a call was answered. It costs one call a failure.

--- a/internal/membership/platform/ondemand.go
+++ b/internal/membership/platform/ondemand.go
@@ -67,9 +67,11 @@
 	return limit/2 + rand.N(limit/2)
 }
 
-// followOnDemand fetches the whole list, unless changes of the one that is held are enough, then polls for changes until a call fails.
+// followOnDemand fetches the whole list, unless changes of the one that is held are enough, then polls for changes until a call fails. Behind
+// a call that failed the first one does not wait for changes: discovery may still be silent, and a change counts as notified sooner
+// than a long poll would show that.
 func (d *Discovery) followOnDemand(ctx context.Context) error {
-	if d.watchVersion < 0 {
+	if d.watchVersion < 0 || d.isUnreachable {
 		if err := d.callOrCatchUp(ctx, d.beginCatchUpCall()); err != nil {
 			return err
 		}
--- a/internal/membership/platform/outage_test.go
+++ b/internal/membership/platform/outage_test.go
@@ -452,3 +452,25 @@
 		t.Errorf("version %d: %d agents learned it over %v behind its first write to them, the last %v", version, late, maxLearnTime, latest)
 	}
 }
+
+// An on-demand list's discovery is silent for longer than a long poll lasts, forgets the calls of that time, and lists a change right behind
+// its return. No long poll of before is open any more, so the change counts as notified 6 s after that, and all agents have it by then.
+func TestLongPollThatBeginsInAnOutageHidesItsEnd(t *testing.T) {
+	for _, silence := range []time.Duration{40 * time.Second, 41 * time.Second, 43 * time.Second} {
+		t.Run(fmt.Sprint(silence), func(t *testing.T) {
+			t.Parallel()
+			slow := slowness["calls of the silence are forgotten"]
+			options := fleetOptions{agents: slow.agents, discoveries: []busydiscovery.Options{slow.Options}, adapt: func(o *Options) { o.OnDemand = true }}
+			playFleet(t, options, func(t *testing.T, f *outageFleet) {
+				time.Sleep(25 * time.Second)
+				f.discoveries[0].Silence(true)
+				time.Sleep(silence)
+				f.discoveries[0].Silence(false)
+				listed := time.Now()
+				f.set(0, 41)
+				f.check(t, 41, 30*time.Second)
+				f.checkNotified(t, 41, listed, notifiedAtLatest)
+			})
+		})
+	}
+}
