Soak: the list's source falls silent, and a deployment begins around its return

Change: event list_silence; the emulated discovery takes calls, answers none, and works through them in turn afterwards, 40 ms each, also those whose caller has gone.

--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -27,8 +27,11 @@
 // maxWatchTime is the longest that a watch waits.
 const maxWatchTime = time.Minute
 
+// catchUpCallTime is spent on each call of a silence, in turn, when it is over: as long as the calls of twenty more agents take.
+const catchUpCallTime = 40 * time.Millisecond
+
 // Discovery serves the endpoint list on a loopback socket: the whole list, and watches for changes since a version. Its
-// updates can be delayed, and it can be made unavailable. It is safe for concurrent use.
+// updates can be delayed, and it can be made unavailable or silent. It is safe for concurrent use.
 type Discovery struct {
 	Addr string // host and port
 
@@ -44,6 +47,8 @@
 	changed        chan struct{} // closed at the next change
 	lag            time.Duration
 	isUnavailable  bool
+	isSilent       bool
+	silentCalls    []chan struct{}          // of a silence, in turn; each is closed when its call may go on
 	delayed        map[*time.Timer]struct{} // changes that are on their way
 	closed         bool
 }
@@ -83,6 +88,10 @@
 func (d *Discovery) Close() {
 	d.mu.Lock()
 	d.closed = true
+	for _, turn := range d.silentCalls {
+		close(turn)
+	}
+	d.silentCalls = nil
 	for t := range d.delayed {
 		t.Stop()
 	}
@@ -154,6 +163,46 @@
 	d.wakeWatches()
 }
 
+// SetSilent makes the discovery take calls and answer none. When it ends, the calls of that time are worked through in turn, also those whose
+// caller has gone.
+func (d *Discovery) SetSilent(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isSilent = silent; silent {
+		d.wakeWatches() // they are among the calls that are not answered
+	} else if !d.closed {
+		d.served.Go(d.workThroughSilence)
+	}
+}
+
+// workThroughSilence lets the calls of a silence go on, one after another.
+func (d *Discovery) workThroughSilence() {
+	for {
+		time.Sleep(catchUpCallTime)
+		d.mu.Lock()
+		if d.isSilent && !d.closed || len(d.silentCalls) == 0 {
+			d.mu.Unlock()
+			return
+		}
+		close(d.silentCalls[0])
+		d.silentCalls = d.silentCalls[1:]
+		d.mu.Unlock()
+	}
+}
+
+// awaitEndOfSilence returns at once when the discovery is not silent, and else when the silence is over and it is the call's turn.
+func (d *Discovery) awaitEndOfSilence() {
+	d.mu.Lock()
+	if !d.isSilent && len(d.silentCalls) == 0 || d.closed {
+		d.mu.Unlock()
+		return
+	}
+	turn := make(chan struct{})
+	d.silentCalls = append(d.silentCalls, turn)
+	d.mu.Unlock()
+	<-turn
+}
+
 // endpoints answers calls for the list and watches.
 func (d *Discovery) endpoints(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
@@ -162,6 +211,7 @@
 	limit := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWatchTime))
 	defer limit.Stop()
 	for {
+		d.awaitEndOfSilence()
 		d.mu.Lock()
 		out, version, news := d.isUnavailable || d.closed, d.version, d.changed
 		l := d.listSince(since, whole || since < d.droppedVersion)
--- a/internal/membership/platform/opencalls.go
+++ b/internal/membership/platform/opencalls.go
@@ -60,14 +60,9 @@
 	})
 }
 
-// remove takes a call off the open ones. It returns false for one that has been given up.
-func (o *openCalls) remove(c *call) bool {
-	i := slices.Index(o.calls, c)
-	if i < 0 {
-		return false
-	}
-	o.calls = slices.Delete(o.calls, i, i+1)
-	return true
+// remove takes a call off the open ones, if it is one.
+func (o *openCalls) remove(c *call) {
+	o.calls = slices.DeleteFunc(o.calls, func(open *call) bool { return open == c })
 }
 
 // noteAnswer marks the open calls that began before an answered one.
--- a/internal/membership/platform/watch.go
+++ b/internal/membership/platform/watch.go
@@ -90,7 +90,10 @@
 // wantsFullList reports whether the next call is for the whole list: none is held that could be relied on. While discovery is silent one
 // such call is enough.
 func (d *Discovery) wantsFullList() bool {
-	return d.watchVersion < 0 || d.needsFullList && !(d.isUnreachable && d.open.hasFullListCall(d.session))
+	if d.isUnreachable && d.open.hasFullListCall(d.session) {
+		return d.watchVersion < 0
+	}
+	return d.watchVersion < 0 || d.needsFullList
 }
 
 // handlePushed takes a response and says when the next call begins.
--- a/internal/scenario/events.go
+++ b/internal/scenario/events.go
@@ -33,6 +33,8 @@
 	switch e.Type {
 	case "list_outage":
 		r.startListOutage(lasts)
+	case "list_silence":
+		r.startListSilence(lasts)
 	case "list_lag":
 		lag := e.Period.draw(r.random)
 		r.listLag += lag
@@ -98,6 +100,18 @@
 	})
 }
 
+// startListSilence makes the source of the endpoint list silent for the given time. Silences may overlap.
+func (r *scenarioRun) startListSilence(lasts time.Duration) {
+	if r.listSilences++; r.listSilences == 1 {
+		r.environment.setListSilence(true)
+	}
+	r.scheduleAfter(lasts, func() {
+		if r.listSilences--; r.listSilences == 0 {
+			r.environment.setListSilence(false)
+		}
+	})
+}
+
 // powerLoss stops servers and agents at once and starts each again after its own delay. A pod all of whose servers are lost
 // forgets its idempotency keys. While servers are down the endpoint list goes on naming them.
 func (r *scenarioRun) powerLoss(e Event, dark time.Duration) {
--- a/internal/scenario/live_server.go
+++ b/internal/scenario/live_server.go
@@ -114,7 +114,7 @@
 		entries = append(entries, s.entry)
 		if s.state == balancer.Draining {
 			s.applyFaults(s.faults)
-			if l.listOutages == 0 && l.listLag == 0 {
+			if l.listOutages+l.listSilences == 0 && l.listLag == 0 {
 				s.drainListedAt = l.elapsed()
 			}
 		}
@@ -130,6 +130,20 @@
 	l.discovery.SetOut(out)
 }
 
+// setListSilence implements environment. What was listed meanwhile counts as notified from the end of the silence.
+func (l *liveRun) setListSilence(silent bool) {
+	l.forgetDrainTimes()
+	l.discovery.SetSilent(silent)
+	if silent || l.listOutages > 0 || l.listLag > 0 {
+		return
+	}
+	for _, s := range l.liveServers {
+		if s.state == balancer.Draining && l.current[s.id] == s.server {
+			s.drainListedAt = l.elapsed()
+		}
+	}
+}
+
 // setListLag implements environment.
 func (l *liveRun) setListLag(by time.Duration) {
 	l.forgetDrainTimes()
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -38,6 +38,7 @@
 	startServer(m *server, spec emulator.Spec, seed uint64, warm bool) serverHost
 	listChanged()                                         // servers were added, drain or are removed
 	setListOutage(out bool)                               // the endpoint list becomes unavailable, or is back
+	setListSilence(silent bool)                           // the source of the endpoint list takes calls and answers none, or goes on
 	setListLag(time.Duration)                             // by which updates are late
 	killAgent(number int, down time.Duration, power bool) // it starts again after down; power: its machine reboots
 	forgetPod(pod int)                                    // loses its idempotency keys
@@ -49,16 +50,17 @@
 // scenarioRun is the part of a run that is the same in simulated time and on sockets.
 type scenarioRun struct {
 	scheduler
-	script      Script
-	random      *rand.Rand // draws everything that the script leaves open
-	environment environment
-	servers     []*server          // in the order of their start, removed ones too
-	current     map[string]*server // by id
-	listOutages int                // events under way that make the list unavailable
-	listLag     time.Duration      // by which list updates are late
-	loadFactor  float64            // 1: the rate of the script
-	successors  int
-	report      Report
+	script       Script
+	random       *rand.Rand // draws everything that the script leaves open
+	environment  environment
+	servers      []*server          // in the order of their start, removed ones too
+	current      map[string]*server // by id
+	listOutages  int                // events under way that make the list unavailable
+	listSilences int                // events under way that make its source silent
+	listLag      time.Duration      // by which list updates are late
+	loadFactor   float64            // 1: the rate of the script
+	successors   int
+	report       Report
 }
 
 // newScenarioRun returns a run at startTime with no servers.
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -184,6 +184,7 @@
 	"restart":        {selectsServers: true, description: "ends and starts anew, cold, under its name"},
 	"rolling_deploy": {selectsServers: true, needsPeriod: true, needsBatchShare: true, description: "is replaced by a cold successor, batch by batch"},
 	"list_outage":    {needsDuration: true, description: "the server list is out of reach"},
+	"list_silence":   {needsDuration: true, description: "the source of the server list takes calls and answers none, then works through them in turn"},
 	"list_lag":       {needsDuration: true, needsPeriod: true, description: "changes of the list come `over` late"},
 	"load":           {needsDuration: true, needsFactor: true, description: "clients send `to` times as much"},
 	"ramp":           {needsDuration: true, needsFactor: true, needsPeriod: true, description: "the load rises evenly to `to` times the usual over that time, and stays"},
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -124,7 +124,7 @@
 
 // updateList sends the agent the entries that changed since its last update, or all of them.
 func (a *simAgent) updateList(full bool) {
-	if a.sim.listOutages > 0 || !a.isUp {
+	if a.sim.listOutages+a.sim.listSilences > 0 || !a.isUp {
 		return
 	}
 	l := engine.EndpointUpdate{Full: full || !a.hasList} // an earlier incarnation's list isn't in force
--- a/internal/scenario/simulation.go
+++ b/internal/scenario/simulation.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// setListSilence implements environment: to a simulated agent it is an outage.
+func (w *simulation) setListSilence(silent bool) { w.setListOutage(silent) }
+
 // setListLag implements environment; listChanged reads the lag.
 func (w *simulation) setListLag(time.Duration) {}
 
--- a/internal/scenario/soak.go
+++ b/internal/scenario/soak.go
@@ -131,6 +131,11 @@
 	minStandstillGap               = 700 * time.Millisecond
 	maxStandstillGap               = 2 * time.Second
 	standstillStream               = 7 // of the seed's random numbers
+	silenceStream                  = 8
+	silenceChance                  = 0.6 // of a day with a silent list source, and a deployment around its end
+	minListSilence                 = time.Second
+	maxListSilence                 = 8 * time.Second
+	maxDeployDistance              = 300 * time.Millisecond // from the end of the silence, either way
 
 	earliestEvent = 0.05 // as a share of the day, as are the following
 	latestEvent   = 0.75
@@ -164,10 +169,27 @@
 	s.Fleet.OmitsContinue = random.Float64() < 0.5 // drawn last, so that all else of a seed's day is as it was before servers were of two kinds
 	s.Clients.RestingConns = soakRestingConns
 	s.Events = append(s.Events, drawStandstills(rand.New(rand.NewPCG(seed, standstillStream)), s.Fleet.Agents, lasts)...)
+	s.Events = append(s.Events, drawListSilence(rand.New(rand.NewPCG(seed, silenceStream)), lasts)...)
 	slices.SortStableFunc(s.Events, func(a, b Event) int { return int(a.At.From - b.At.From) })
 	return s
 }
 
+// drawListSilence draws whether the source of the server list falls silent, and with it a deployment that begins around its end. It has draws of
+// its own, as the standstills do.
+func drawListSilence(random *rand.Rand, day time.Duration) []Event {
+	if random.Float64() >= silenceChance {
+		return nil
+	}
+	longest := min(maxListSilence, day/3)
+	silence := minListSilence + time.Duration(random.Int64N(int64(longest-minListSilence)))
+	deployment := Event{Type: "rolling_deploy", ServerShare: 0.6, BatchShare: 0.4, Period: Span{time.Second, 2 * time.Second}}
+	at := drawTime(random, day, silence+maxDeployDistance+deployment.Period.To)
+	end := at.From + silence
+	deployAt := end - maxDeployDistance + time.Duration(random.Int64N(int64(2*maxDeployDistance)))
+	deployment.At = Span{deployAt, deployAt}
+	return []Event{{Type: "list_silence", At: at, Duration: Span{silence, silence}}, deployment}
+}
+
 // drawStandstills draws when the agents' processes do not run for a moment, as others have the processor: each again and again. It has draws
 // of its own, so that all else of a seed's day is as it was without them.
 func drawStandstills(random *rand.Rand, agents int, day time.Duration) (events []Event) {
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -66,7 +66,7 @@
 			drawn[e.Type] = true
 		}
 	}
-	for _, e := range slices.Concat(soakEvents, []Event{{Type: "agent_kill"}, {Type: "agent_sigterm"}, {Type: "agent_reload"}, {Type: "agent_pause"}}) {
+	for _, e := range slices.Concat(soakEvents, []Event{{Type: "list_silence"}, {Type: "agent_kill"}, {Type: "agent_sigterm"}, {Type: "agent_reload"}, {Type: "agent_pause"}}) {
 		if !drawn[e.Type] {
 			t.Errorf("no day has %s", e.Type)
 		}
