--- a/internal/cmd/planted/faults.go
+++ b/internal/cmd/planted/faults.go
@@ -60,7 +60,7 @@
 		{"internal/membership/listing/listing.go", `"Terminating": balancer.Draining`, `"Terminating": balancer.Ready`},
 	}},
 	{"silence-of-the-list-ignored", []edit{
-		{"internal/membership/platform/watch.go", "pause = wait + hungCallDelay", "pause = time.Hour"},
+		{"internal/membership/platform/watch.go", "d.beginWatch(pushWatchTimeout), pushWatchTimeout+hungCallDelay", "d.beginWatch(pushWatchTimeout), time.Hour"},
 	}},
 	{"cold-start-forgotten", []edit{
 		{"internal/balancer/slowstart.go", "if s.Started == 0 || age >= b.settings.SlowStartDuration {", "if s.Started == 0 || age >= 0 {"},
