Discovery: a list waits for no log line

Callers would see a list learned later where writes of log lines are held up (0.15 s each): behind an outage each answered call has a line since the commit of the logs, and the lines of the list stood before its delivery. Change: lines on calls are written by a goroutine of their own (at most 128 wait, others are counted as suppressed), and the list is delivered before its lines.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -6,8 +6,11 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
+
+	"appleledge/internal/besteffort"
 )
 
 // Limits of a Logger.
@@ -37,6 +40,11 @@
 // Log writes a line, if the rate allows one more and the level is on. Attributes are built by the caller; ask Enabled first where that
 // costs something.
 func (l *Logger) Log(level slog.Level, message string, attrs ...slog.Attr) {
+	l.LogAt(time.Now(), level, message, attrs...)
+}
+
+// LogAt is Log for what happened at another time than now.
+func (l *Logger) LogAt(at time.Time, level slog.Level, message string, attrs ...slog.Attr) {
 	if !l.Enabled(level) {
 		return
 	}
@@ -47,7 +55,16 @@
 	if n := l.suppressed.Swap(0); n > 0 {
 		attrs = append(attrs, slog.Uint64(suppressedKey, n))
 	}
-	l.log.LogAttrs(context.Background(), level, message, attrs...)
+	record := slog.NewRecord(at, level, message, 0)
+	record.AddAttrs(attrs...)
+	besteffort.Ignore(l.log.Handler().Handle(context.Background(), record))
+}
+
+// Suppress counts a line that its caller leaves out.
+func (l *Logger) Suppress() {
+	if l != nil {
+		l.suppressed.Add(1)
+	}
 }
 
 // Enabled reports whether lines of the level are written at all.
--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -72,27 +72,34 @@
 	if !l.Full && l.Version < s.heldVersion && l.Version < since {
 		return fmt.Errorf("discovery went back from version %d to %d", s.heldVersion, l.Version)
 	}
-	if s.isUnreachable {
-		s.isUnreachable = false
-		d.log.Info("discovery is back", "version", l.Version)
-	}
-	if l.Version < s.heldVersion || l.Version == s.heldVersion && !l.Full {
-		return nil // what is held is newer
+	wasUnreachable, held := s.isUnreachable, s.heldVersion
+	s.isUnreachable = false
+	if l.Version < held || l.Version == held && !l.Full { // what is held is newer
+		d.logList(l, wasUnreachable, false)
+		return nil
 	}
 	s.needsFullList = s.needsFullList && !l.Full
-	if s.watchVersion = l.Version; s.heldVersion < 0 && !l.Full && len(l.Servers) == 0 {
-		s.heldVersion = l.Version // the cached list is up to date
+	if s.watchVersion = l.Version; held < 0 && !l.Full && len(l.Servers) == 0 { // the cached list is up to date
+		s.heldVersion = l.Version
+		d.logList(l, wasUnreachable, false)
 		return nil
 	}
-	u := d.decodeUpdate(l)
-	if l.Version != s.heldVersion { // else a discovery that repeats one list would fill the log
-		d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
-	}
 	s.heldVersion, d.hasEndpoints, d.cachedListAt = l.Version, true, time.Time{}
-	d.sink.Update(u)
+	d.sink.Update(d.decodeUpdate(l))
+	d.logList(l, wasUnreachable, l.Version != held) // a discovery that repeats one list would fill the log
 	return nil
 }
 
+// logList notes that discovery answers again, and a new list. It is called behind the list's delivery, as the write of a line may be held up.
+func (d *Discovery) logList(l listing.List, wasUnreachable, isNew bool) {
+	if wasUnreachable {
+		d.log.Info("discovery is back", "version", l.Version)
+	}
+	if isNew {
+		d.log.Info("list of backends", "version", l.Version, "full", l.Full, "entries", len(l.Servers))
+	}
+}
+
 // decodeUpdate decodes a list. An invalid entry is skipped, and its endpoint retained: left out of a whole list, it would look as if
 // the endpoint had been removed.
 func (d *Discovery) decodeUpdate(l listing.List) membership.Update {
--- a/internal/membership/platform/calllog.go
+++ b/internal/membership/platform/calllog.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
 	"appleledge/internal/eventlog"
@@ -19,16 +20,46 @@
 	isRegular bool // the only one that was open when it began, and none had failed before it
 }
 
+// maxQueuedLines is how many lines may wait to be written; further ones are dropped.
+const maxQueuedLines = 128
+
 // callLog writes a line when an irregular call begins, and when any call ends other than a regular one that brings nothing new. The lines
-// of all regular calls are of the debug level. It is used by the goroutine that runs the Discovery.
+// of all regular calls are of the debug level. It is used by the goroutine that runs the Discovery, and writes in one of its own while
+// that runs: a write that is held up delays no list.
 type callLog struct {
 	events     *eventlog.Logger
 	lastNumber uint64
-	listSeen   time.Time // when discovery last answered with a list; zero: never
+	listSeen   time.Time    // when discovery last answered with a list; zero: never
+	lines      chan logLine // nil: lines are written at once
+	writing    sync.WaitGroup
+}
+
+// logLine is a line that is not written yet.
+type logLine struct {
+	at      time.Time
+	level   slog.Level
+	message string
+	attrs   []slog.Attr
 }
 
 func newCallLog(log *slog.Logger) callLog { return callLog{events: eventlog.New(log)} }
 
+// start writes the lines that follow in a goroutine of their own, until stop.
+func (l *callLog) start() {
+	l.lines = make(chan logLine, maxQueuedLines)
+	l.writing.Go(func() {
+		for line := range l.lines {
+			l.events.LogAt(line.at, line.level, line.message, line.attrs...)
+		}
+	})
+}
+
+// stop returns when all lines are written.
+func (l *callLog) stop() {
+	close(l.lines)
+	l.writing.Wait()
+}
+
 // begin notes that a call begins beside so many others, and returns its record.
 func (l *callLog) begin(since int64, wait time.Duration, openCalls int, isReachable bool) callRecord {
 	l.lastNumber++
@@ -75,6 +106,15 @@
 	if !l.listSeen.IsZero() {
 		listAge = time.Since(l.listSeen).Milliseconds()
 	}
-	l.events.Log(level, message, append([]slog.Attr{slog.Uint64("call", c.number), slog.Int64("since", c.since), slog.Int64("wait_ms", c.wait.Milliseconds()),
-		slog.Int64("delay_ms", time.Since(c.begun).Milliseconds()), slog.Int64("list_age_ms", listAge)}, attrs...)...)
+	line := logLine{time.Now(), level, message, append([]slog.Attr{slog.Uint64("call", c.number), slog.Int64("since", c.since), slog.Int64("wait_ms", c.wait.Milliseconds()),
+		slog.Int64("delay_ms", time.Since(c.begun).Milliseconds()), slog.Int64("list_age_ms", listAge)}, attrs...)}
+	if l.lines == nil {
+		l.events.LogAt(line.at, line.level, line.message, line.attrs...)
+		return
+	}
+	select {
+	case l.lines <- line:
+	default:
+		l.events.Suppress()
+	}
 }
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -150,6 +150,8 @@
 	defer d.open.running.Wait()
 	defer end()
 	d.callsCtx = calls
+	d.callLog.start()
+	defer d.callLog.stop()
 	d.scheduleCachedList()
 	for ctx.Err() == nil {
 		sessionCtx, end := d.beginSession(ctx)
--- /dev/null
+++ b/internal/membership/platform/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package platform
+
+// fleetDivisor is by how much the tests' fleets are smaller, and each of their calls longer.
+const fleetDivisor = 1
