Transport: what is given up has left the socket before its outcome is reported

Callers could see an effect twice: the rest of a request that timed out went out behind its outcome, when a stopped server read again. Change: an attempt that has timed out closes its connection itself, outside the pool's lock. Why it works: the close with linger 0 drops the send queue before the engine hears of the end; the pool's own close is a second one and does nothing.

--- a/internal/upstream/connpool/pool.go
+++ b/internal/upstream/connpool/pool.go
@@ -148,12 +148,13 @@
 // AllowBytes lets the peer send n more bytes.
 func (c *Conn) AllowBytes(n int64) { c.responseLimit.N, c.hasResponse = n, true }
 
-// DropUnsent makes the close of the connection drop what has not been sent yet: of a request that is given up, the rest would
-// still go out to a backend that has no room for it now.
-func (c *Conn) DropUnsent() {
+// Abort closes the connection, which has to be released all the same, and drops what has not been sent yet: of a request that is given up,
+// the rest would still go out to a backend that has no room for it now. On return nothing of it goes out any more.
+func (c *Conn) Abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		besteffort.Ignore(tcp.SetLinger(0))
 	}
+	besteffort.Close(c)
 }
 
 // Get returns a connection to the backend: the idle one that was used last, or a new one. It blocks while it dials. Besides
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -131,7 +131,7 @@
 	got, err := s.readResponse(c, a, req, until)
 	if err != nil {
 		if out.Result = resultOfReadError(err); out.Result == balancer.TimedOut {
-			c.DropUnsent()
+			c.Abort()
 		}
 		return false, false
 	}
