Discovery: a whole list of an older version is not fetched in a tight loop

Found by reading again: where discovery had gone back in its versions, its whole list changed nothing and the agent still wanted one, so it asked again at once. Change: any whole list ends that want; where none is held that could be relied on, the next call waits for the backoff.

--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -74,11 +74,11 @@
 	}
 	wasUnreachable, held := s.isUnreachable, s.heldVersion
 	s.isUnreachable = false
+	s.needsFullList = s.needsFullList && !l.Full
 	if l.Version < held || l.Version == held && !l.Full { // what is held is newer
 		d.logList(l, wasUnreachable, false)
 		return nil
 	}
-	s.needsFullList = s.needsFullList && !l.Full
 	if s.watchVersion = l.Version; held < 0 && !l.Full && len(l.Servers) == 0 { // the cached list is up to date
 		s.heldVersion = l.Version
 		d.logList(l, wasUnreachable, false)
--- a/internal/membership/platform/outage_test.go
+++ b/internal/membership/platform/outage_test.go
@@ -497,3 +497,19 @@
 	options := fleetOptions{agents: slow.agents, discoveries: []busydiscovery.Options{slow.Options}, logDelay: 150 * time.Millisecond}
 	playFleet(t, options, func(t *testing.T, f *outageFleet) { f.playOutage(t, silences[0], slow.timeUntilNotified()) })
 }
+
+// Discovery has gone back in its versions, as one that was restored, and is asked for the whole list. That list is older than the one held and
+// changes nothing; the agent asks again at its pace and not in a tight loop.
+func TestWholeListOfAnOlderVersionIsFetchedInATightLoop(t *testing.T) {
+	options := fleetOptions{agents: fleetDivisor, discoveries: []busydiscovery.Options{{ServiceTime: time.Millisecond}}}
+	playFleet(t, options, func(t *testing.T, f *outageFleet) {
+		time.Sleep(settleTime)
+		f.set(0, 5)
+		f.agents[0].source.SetAddress(addressOf(0)) // a reload that leaves it where it is: the whole list is fetched
+		before := f.discoveries[0].Calls()
+		time.Sleep(settleTime)
+		if n := f.discoveries[0].Calls() - before; n > int(settleTime/minRetryBackoff) {
+			t.Errorf("%d calls in %v", n, settleTime)
+		}
+	})
+}
--- a/internal/membership/platform/watch.go
+++ b/internal/membership/platform/watch.go
@@ -117,6 +117,8 @@
 		s.firstCall, s.silentAt = now, now.Add(d.responseTimeout)
 	case d.watchVersion == c.since && now.Sub(c.begun) < c.wait/2: // a discovery that answers without waiting is not called in a tight loop
 		s.nextCall = now.Add(earlyWatchDelay)
+	case c.isFullList() && d.wantsFullList(): // it was older than the list that is held
+		s.nextCall = backoff
 	default:
 		s.nextCall = now
 	}
