Tests: the bound on open calls is held at the agent, where it is exact

So that the check is as strict as before, the agent's own count is held besides, by its log: a call begins beside 15 others and never beside 16. Seen to fail with the bound broken to 17.

--- a/internal/membership/platform/platform_test.go
+++ b/internal/membership/platform/platform_test.go
@@ -434,7 +434,8 @@
 		mu.Unlock()
 	}))
 	t.Cleanup(server.Close)
-	d, events := newTestDiscovery(t, strings.TrimPrefix(server.URL, "http://"), io.Discard)
+	var log agenttest.LockedBuffer
+	d, events := newTestDiscovery(t, strings.TrimPrefix(server.URL, "http://"), &log)
 	began := time.Now()
 	runUntilTestEnds(t, d, events)
 	agenttest.Eventually(t, "some calls are given up", func() bool { return d.Counts().Failed >= 4 })
@@ -443,6 +444,9 @@
 	if mayBe := maxOpenFullLists + 1; most > mayBe || most < 2 { // one that is given up ends at the server a moment behind the start of the next
 		t.Errorf("%d calls beside each other, %d at the most", most, mayBe)
 	}
+	if full, over := fmt.Sprintf("open=%d\n", maxOpenFullLists-1), fmt.Sprintf("open=%d\n", maxOpenFullLists); log.Count(full) == 0 || log.Count(over) > 0 {
+		t.Errorf("no call began beside %d others, or one beside %d; the log:\n%s", maxOpenFullLists-1, maxOpenFullLists, &log)
+	}
 	if n, could := d.Counts().FullLists, uint64(time.Since(began)/minRetryBackoff)+1; n > could {
 		t.Errorf("%d calls in a time for %d", n, could)
 	}
