--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -150,7 +150,7 @@
 
 // stalledFirst: one of six servers stops for six seconds; refunds that lie unread there are repeated by their clients.
 func stalledFirst() {
-	const refunds = 40
+	const refunds = 60
 	r := newRig()
 	r.startServers(3, 2)
 	r.writeConfig(settings(2*time.Second), r.discovery.text())
@@ -171,7 +171,7 @@
 				r.send(q)
 			}
 		})
-		time.Sleep(25 * time.Millisecond)
+		time.Sleep(8 * time.Millisecond)
 	}
 	all.Wait()
 	time.Sleep(time.Until(began.Add(6 * time.Second)))
