--- a/review/standins/further.go
+++ b/review/standins/further.go
@@ -12,6 +12,43 @@
 
 // What was found beside the five cases; the report has it.
 
+// stalledFirst: one of six servers stops for six seconds; refunds that lie unread there are repeated by their clients.
+func stalledFirst() {
+	const refunds = 60
+	r := newRig()
+	r.startServers(3, 2)
+	r.writeConfig(settings(2*time.Second), r.discovery.text())
+	a := r.startAgent("agent", r.ties(), "")
+	r.awaitReady(a)
+	stop := r.traffic(60*time.Millisecond, 120*time.Millisecond)
+	time.Sleep(5 * time.Second)
+	if r.trouble {
+		r.signal(r.servers[0], syscall.SIGSTOP)
+	}
+	began := time.Now()
+	var all sync.WaitGroup
+	for i := range refunds {
+		all.Go(func() {
+			q := request{class: "refund-record", key: key(i), timeout: 1400 * time.Millisecond} // a try is given up after 70 to 100% of the 2 s
+			if _, status := r.send(q); status != 200 {
+				q.retried = true
+				r.send(q)
+			}
+		})
+		time.Sleep(8 * time.Millisecond)
+	}
+	all.Wait()
+	time.Sleep(time.Until(began.Add(6 * time.Second)))
+	if r.trouble {
+		r.signal(r.servers[0], syscall.SIGCONT)
+	}
+	time.Sleep(2 * time.Second)
+	stop()
+	double := r.countDouble(refunds)
+	r.say("%d of %d refunds ran twice", double, refunds)
+	r.end(double > 0)
+}
+
 // longerWindow: SIGHUP brings a longer window of the keyed class; a refund fails in its pod; the client repeats it within the window.
 func longerWindow() {
 	const refunds, window = 12, 15 * time.Second
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -14,6 +14,7 @@
 	"new-zones":     newZones,
 	"compacted":     compacted,
 	"slow-upload":   slowUpload,
+	"late-second":   lateSecond,
 	"stalled-first": stalledFirst,
 	"longer-window": longerWindow,
 	"power-loss":    powerLoss,
@@ -26,6 +27,10 @@
 		serverMain(os.Args[2:])
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == "twice" {
+		twiceMain(os.Args[2:])
+		return
+	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standins CASE")
 		os.Exit(2)
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -299,12 +299,18 @@
 
 // send sends a request as a client and returns the status of the answer; 0: there was none in the client's time.
 func (r *rig) send(q request) (id string, status int) {
+	id, status, _ = r.ask(q)
+	return id, status
+}
+
+// ask is send that also returns the answer's body.
+func (r *rig) ask(q request) (id string, status int, text string) {
 	id = fmt.Sprintf("%016x", 0x1b1f03aa00000000+r.lastID.Add(1))
-	method, body, length := http.MethodGet, q.body, q.length
+	method, content, length := http.MethodGet, q.body, q.length
 	if q.key != "" {
-		if method = http.MethodPost; body == nil {
-			text := []byte("refund " + q.key + strings.Repeat(".", 180))
-			body, length = bytes.NewReader(text), int64(len(text))
+		if method = http.MethodPost; content == nil {
+			small := []byte("refund " + q.key + strings.Repeat(".", 180))
+			content, length = bytes.NewReader(small), int64(len(small))
 		}
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -314,7 +320,7 @@
 		wait += time.Minute
 	}
 	defer time.AfterFunc(wait, stop).Stop()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.listen+"/"+q.class, body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.listen+"/"+q.class, content)
 	must(err)
 	if req.ContentLength = length; length == 0 {
 		req.Body = nil
@@ -333,12 +339,12 @@
 	resp, err := r.client.Do(req)
 	if err != nil {
 		r.note("client: %s id=%s key=%s no answer: %v", q.class, id, q.key, err)
-		return id, 0
+		return id, 0, ""
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
+	body, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	r.note("client: %s id=%s key=%s answered %d %v", q.class, id, q.key, resp.StatusCode, err)
-	return id, resp.StatusCode
+	return id, resp.StatusCode, string(body)
 }
 
 // traffic sends requests of other visitors at an even rate until the returned function is called.
