--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/standins"
 command -v go >/dev/null || export PATH="$PATH:/usr/local/go/bin"
 mkdir -p ../bin
-GOFLAGS=-mod=mod GOPROXY=off go build -o ../bin/standins .
+GOWORK=off GOFLAGS=-mod=readonly GOPROXY=off go build -o ../bin/standins .
--- a/review/standins/further.go
+++ b/review/standins/further.go
@@ -198,7 +198,10 @@
 	if told.IsZero() {
 		must(fmt.Errorf("the agent was not told"))
 	}
-	r.discovery.setSilent(true)
+	if r.trouble {
+		r.discovery.setSilent(true)
+		r.say("discovery is silent")
+	}
 	time.Sleep(500 * time.Millisecond)
 	ops2 := freeAddr()
 	b := r.startAgent("agent-2", "", ops2)
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -204,12 +205,19 @@
 	r.listen, r.ops = freeAddr(), freeAddr()
 }
 
-// freeAddr is a loopback address at which nothing listens.
+// freeAddr is a loopback address at which nothing listens. Its port is below those that the system gives to outgoing connections, which could
+// take it before the agent does.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	must(fmt.Errorf("no port is free"))
+	return ""
 }
 
 // settings are the platform's settings of the site, with the window of refund-record.
