Let a case of the review end also where a stand-in does not start

Cause: a stand-in that printed no address left cleanUp waiting for ever, past the 120 seconds that a case may take.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -247,7 +248,9 @@
 	stop := r.traffic(60*time.Millisecond, 120*time.Millisecond)
 	time.Sleep(5 * time.Second)
 	if r.trouble {
-		out, err := exec.Command(filepath.Join(r.root, "bin/appleledgectl"), "affinity", "--dir", filepath.Join(r.dir, "ties"), "compact").CombinedOutput()
+		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+		defer stop()
+		out, err := exec.CommandContext(ctx, filepath.Join(r.root, "bin/appleledgectl"), "affinity", "--dir", filepath.Join(r.dir, "ties"), "compact").CombinedOutput()
 		must(err)
 		r.say("appleledgectl affinity compact: %s", strings.TrimSpace(string(out)))
 	}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -36,7 +36,7 @@
 		os.Exit(2)
 	}
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() { <-stop; cleanUp(); os.Exit(2) }()
 	cases[os.Args[1]]()
 }
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -170,12 +170,11 @@
 	processes = append(processes, p)
 	processesMu.Unlock()
 	if wantsLine {
-		line, err := bufio.NewReader(out).ReadString('\n')
-		must(err)
-		first = strings.TrimSpace(line)
+		first, err = bufio.NewReader(out).ReadString('\n')
 	}
-	go func() { cmd.Wait(); close(p.done) }()
-	return p, first
+	go func() { cmd.Wait(); close(p.done) }() // also where the line did not come: cleanUp waits for it
+	must(err)
+	return p, strings.TrimSpace(first)
 }
 
 // signal sends a signal to a process of the rig's.
