Record what the servers of review case 5 have run and answered

Cause: record.txt of case 5 had only the clients' side. Change: its form servers note each request and each second answer, and the rig adds that to the record.

--- a/review/standins/late.go
+++ b/review/standins/late.go
@@ -27,7 +27,9 @@
 // a process of its own.
 func twiceMain(args []string) {
 	flags := flag.NewFlagSet("twice", flag.ExitOnError)
+	name := flags.String("name", "", "id of the server")
 	share := flags.Float64("share", 0, "of the answers that come twice")
+	began := flags.Int64("began", 0, "from when times count, in nanoseconds of Unix time")
 	must(flags.Parse(args))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
@@ -35,12 +37,15 @@
 	for {
 		c, err := l.Accept()
 		must(err)
-		go answerConn(c, *share)
+		go answerConn(c, *share, func(format string, args ...any) { // the rig adds it to the record
+			line := fmt.Sprintf("%8.3f server %s: ", time.Since(time.Unix(0, *began)).Seconds(), *name) + fmt.Sprintf(format, args...)
+			io.WriteString(os.Stderr, line+"\n")
+		})
 	}
 }
 
-// answerConn answers the requests of a connection.
-func answerConn(c net.Conn, share float64) {
+// answerConn answers the requests of a connection, and notes what it does.
+func answerConn(c net.Conn, share float64, note func(format string, args ...any)) {
 	defer c.Close()
 	in := bufio.NewReader(c)
 	var mu sync.Mutex
@@ -69,6 +74,8 @@
 		isWaiting = false
 		io.WriteString(c, text)
 		mu.Unlock()
+		id := r.Header.Get("X-Request-ID")
+		note("%s id=%s key=%s run and answered to %v", r.URL.Path[1:], id, r.Header.Get("Idempotency-Key"), c.RemoteAddr())
 		if rand.Float64() >= share {
 			continue
 		}
@@ -77,6 +84,7 @@
 			defer mu.Unlock()
 			if !isWaiting {
 				io.WriteString(c, text)
+				note("id=%s answered a second time to %v", id, c.RemoteAddr())
 			}
 		})
 	}
@@ -93,7 +101,7 @@
 		share = "0"
 	}
 	for i := range 6 {
-		p, addr := r.start(fmt.Sprintf("s-%d", i+1), exec.Command(self, "twice", "-share", share), true)
+		p, addr := r.start(fmt.Sprintf("s-%d", i+1), exec.Command(self, "twice", "-name", fmt.Sprintf("s-%d", i+1), "-share", share, "-began", fmt.Sprint(r.began.UnixNano())), true)
 		r.servers = append(r.servers, p)
 		r.entries = append(r.entries, entry{ID: p.name, Addr: addr, Zone: "edinburgh-dc", Kind: "twin-core", Cell: i/2 + 1, State: "Ready", Weight: 1})
 	}
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -412,9 +412,12 @@
 // end ends the run with the verdict: 1 if the rule was broken, else 0.
 func (r *rig) end(broken bool) {
 	for _, p := range processes {
-		if text, err := os.ReadFile(filepath.Join(r.dir, p.name+".log")); err == nil && !strings.HasPrefix(p.name, "s-") {
+		if text, err := os.ReadFile(filepath.Join(r.dir, p.name+".log")); err == nil {
 			for line := range strings.Lines(string(text)) {
-				r.record.WriteString("    log of " + p.name + ": " + line)
+				if !strings.HasPrefix(p.name, "s-") { // form servers write lines of the record
+					line = "    log of " + p.name + ": " + line
+				}
+				r.record.WriteString(line)
 			}
 		}
 	}
