--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -295,6 +295,24 @@
 	}
 }
 
+// awaitYes waits until a process answers GET /ops/readiness with 200, as the platform does at an upgrade.
+func (r *rig) awaitYes(ops string) {
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ops+"/ops/readiness", nil)
+		must(err)
+		resp, err := r.client.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		stop()
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	must(fmt.Errorf("the new process did not say yes"))
+}
+
 // request is what a client sends.
 type request struct {
 	class, key string
@@ -311,7 +329,10 @@
 }
 
 // ask is send that also returns the answer's body.
-func (r *rig) ask(q request) (id string, status int, text string) {
+func (r *rig) ask(q request) (id string, status int, text string) { return r.sendBy(r.client, q) }
+
+// sendBy is ask by a client of its own.
+func (r *rig) sendBy(client *http.Client, q request) (id string, status int, text string) {
 	id = fmt.Sprintf("%016x", 0x1b1f03aa00000000+r.lastID.Add(1))
 	method, content, length := http.MethodGet, q.body, q.length
 	if q.key != "" {
@@ -329,6 +350,7 @@
 	defer time.AfterFunc(wait, stop).Stop()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.listen+"/"+q.class, content)
 	must(err)
+	req.GetBody = nil // net/http would repeat a keyed request by itself where its connection broke
 	if req.ContentLength = length; length == 0 {
 		req.Body = nil
 	}
@@ -343,7 +365,7 @@
 		req.Header.Set("X-Retried", "1")
 	}
 	r.note("client: %s id=%s key=%s sent", q.class, id, q.key)
-	resp, err := r.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		r.note("client: %s id=%s key=%s no answer: %v", q.class, id, q.key, err)
 		return id, 0, ""
