--- a/review/standins/slowtaker.go
+++ b/review/standins/slowtaker.go
@@ -14,9 +14,9 @@
 
 func init() { cases["slow-taker"] = slowTaker }
 
-// slowTaker: clients take long answers at 64 kB a second, without a pause. With TROUBLE=0 they take them as fast as they come.
+// slowTaker: clients take long answers at 64 kB a second, or twice that, without a pause. With TROUBLE=0 they take them as fast as they come.
 func slowTaker() {
-	const clients, length, rate = 4, 32 << 20, 64_000
+	const clients, length = 4, 32 << 20
 	r := newRig()
 	for i := range 4 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -34,7 +34,7 @@
 	var all sync.WaitGroup
 	for i := range clients {
 		all.Go(func() {
-			if got := r.takeLong(fmt.Sprintf("9b1f03aa5c7e%04d", i), rate, 95*time.Second); got >= 0 && got < length {
+			if got := r.takeLong(fmt.Sprintf("9b1f03aa5c7e%04d", i), 64_000*(1+i%2), 95*time.Second); got >= 0 && got < length {
 				cut.Add(1)
 			}
 		})
@@ -81,7 +81,7 @@
 		n, err := io.ReadFull(resp.Body, buf)
 		got += int64(n)
 		if err != nil {
-			r.say("client id=%s: the answer ended after %d of %d bytes and %.1f s (%v); it never paused for more than %.2f s", id, got, resp.ContentLength,
+			r.say("client id=%s, at %d bytes a second: the answer ended after %d of %d bytes and %.1f s (%v); it never paused for more than %.2f s", id, rate, got, resp.ContentLength,
 				time.Since(began).Seconds(), err, longest.Seconds())
 			return got
 		}
