Review: case 5, an agent that does not start again after the platform dropped a class

Cause: the stored state is compiled with the configuration before the one in force, which may name a class that is gone. Beside it two stand-ins of the same kind: [join] after a dropped class, and an upgrade with the external processor.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-RECORD="$here/record.txt" exec review/bin/standins slow-taker
+RECORD="$here/record.txt" exec review/bin/standins dropped-class
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -54,6 +54,7 @@
 	discovery   *discovery
 	listen, ops string
 	configFile  string
+	program     string // in place of the deploy file's run; empty: that
 	lastID      atomic.Int64
 	client      *http.Client
 }
@@ -255,6 +256,9 @@
 		must(fmt.Errorf("the deploy file has no run"))
 	}
 	command := string(m[1])
+	if r.program != "" {
+		command = r.program
+	}
 	if ownSettings != "" {
 		file := filepath.Join(r.dir, name+".toml")
 		must(os.WriteFile(file, []byte(ownSettings), 0o600))
