--- a/review/standins/droppedclass.go
+++ b/review/standins/droppedclass.go
@@ -126,5 +126,6 @@
 		r.end(true)
 	case <-time.After(6 * time.Second):
 	}
+	r.say("the new version runs")
 	r.end(false)
 }
--- a/review/standins/stoppedupload.go
+++ b/review/standins/stoppedupload.go
@@ -15,7 +15,7 @@
 
 // stoppedUpload: one of six servers stops for 8 s; clients write refunds with long bodies meanwhile, as fast as they can.
 func stoppedUpload() {
-	const refunds, timeout = 48, 2 * time.Second
+	const refunds, timeout = 60, 2 * time.Second
 	r := newRig()
 	r.startServers(3, 2)
 	r.writeConfig(settings(2*time.Second), r.discovery.text())
@@ -31,7 +31,7 @@
 	var all sync.WaitGroup
 	for i := range refunds {
 		all.Go(func() {
-			if r.sendFast(i, (2+i%5)<<20, timeout) {
+			if r.sendFast(i, (3+i%4)<<20, timeout) {
 				late.Add(1)
 			}
 		})
