Review: the build of the stand-ins needs no version control

It replaces GOFLAGS, and with it a -buildvcs=false of the machine: in a checkout of another user go build would fail.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/standins"
 command -v go >/dev/null || export PATH="$PATH:/usr/local/go/bin"
 mkdir -p ../bin
-GOTOOLCHAIN=local GOWORK=off GOFLAGS=-mod=readonly GOPROXY=off go build -o ../bin/standins .
+GOTOOLCHAIN=local GOWORK=off GOFLAGS=-mod=readonly GOPROXY=off go build -buildvcs=false -o ../bin/standins .
