--- a/cmd/appleledge/memory_limit_test.go
+++ b/cmd/appleledge/memory_limit_test.go
@@ -57,6 +57,20 @@
 
 // startLimited starts an agent with so many MB, file descriptors, an operators' address or none, and arguments.
 func startLimited(t *testing.T, memoryMB, sockets int, operated bool, arguments ...string) *limitedAgent {
+	t.Helper()
+	large := smallAnswer
+	if operated {
+		large = largeAnswer
+	}
+	var servers []string
+	for range serverCount {
+		servers = append(servers, crowdServer(t, large))
+	}
+	return startLimitedBeside(t, memoryMB, sockets, operated, servers, arguments...)
+}
+
+// startLimitedBeside is startLimited beside servers at given addresses.
+func startLimitedBeside(t *testing.T, memoryMB, sockets int, operated bool, servers []string, arguments ...string) *limitedAgent {
 	t.Helper()
 	path, err := buildAgent()
 	if err != nil {
@@ -68,12 +82,8 @@
 	}
 	t.Cleanup(host.Close)
 	var entries []string
-	large := smallAnswer
-	if operated {
-		large = largeAnswer
-	}
-	for i := range serverCount {
-		entries = append(entries, agenttest.EntryText(fmt.Sprint("s-", i), crowdServer(t, large), "Ready", 0))
+	for i, addr := range servers {
+		entries = append(entries, agenttest.EntryText(fmt.Sprint("s-", i), addr, "Ready", 0))
 	}
 	discovery := agenttest.NewDiscovery(t, 1, entries...)
 	config := strings.NewReplacer(`"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB)).
@@ -177,6 +187,11 @@
 
 // askAsUsual sends a request of a usual client, by its number, and waits for its answer.
 func (a *limitedAgent) askAsUsual(client *http.Client, number int, isKept bool) error {
+	return a.askWithin(client, number, isKept, 2*time.Second)
+}
+
+// askWithin is askAsUsual with a time of the request.
+func (a *limitedAgent) askWithin(client *http.Client, number int, isKept bool, timeout time.Duration) error {
 	r, err := http.NewRequest(http.MethodGet, "http://"+a.addr+"/form-check", nil)
 	if number >= usualClients/2 {
 		r, err = http.NewRequest(http.MethodPost, "http://"+a.addr+"/refund-record", strings.NewReader(strings.Repeat("x", 200)))
@@ -185,7 +200,7 @@
 		return err
 	}
 	id := a.lastID.Add(1)
-	for name, value := range map[string]string{"X-Request-ID": fmt.Sprintf("%016x", id), "X-Tenant-Id": "lerwick-port", "X-Timeout": "2000m", "Idempotency-Key": fmt.Sprint(id)} {
+	for name, value := range map[string]string{"X-Request-ID": fmt.Sprintf("%016x", id), "X-Tenant-Id": "lerwick-port", "X-Timeout": fmt.Sprintf("%dm", timeout.Milliseconds()), "Idempotency-Key": fmt.Sprint(id)} {
 		r.Header.Set(name, value)
 	}
 	resp, err := client.Do(r)
@@ -379,3 +394,17 @@
 	}
 	besteffort.Ignore(a.process.Signal(syscall.SIGTERM))
 }
+
+// seedOfRun returns the seed that APPLELEDGE_SEED states, or that of CI.
+func seedOfRun(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("APPLELEDGE_SEED")
+	if text == "" {
+		return 1
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
