Answers: one rule says when what has come is forwarded, whatever the framing

Cause, three faults of one class, a decision that is taken only when further bytes let a read return: - In chunks: net/http's reader waits for the rest of a chunk, or of the size of the next, once it was asked, and can't go on behind a time-out. The look at the connection before it (awaitBytes) took an end of line that lay there for data. - Without a length: what had come was forwarded 0.3 s behind the head, whatever was left of the client's time. - Without a byte of the body, with a length or without: nothing was ever forwarded. The same reader held up to 32 KiB back of an answer that was forwarded already.

Change: responseBody reads a body as it comes in each framing, takes nothing of a part that has not come whole, and goes on behind a time-out. forwardingOf is the one rule: a long answer with its first byte, one of no stated length behind 0.3 s or 64 KiB, both at the latest 0.2 s before the attempt's time is over, with the head alone if need be. A short answer has to come whole, as before. A server may pause in a long answer for 30 s, as servers stand still for up to 25 s (was 5 s); the memory for a part is held only while there is one to forward.

--- a/internal/downstream/http1/largebodies.go
+++ b/internal/downstream/http1/largebodies.go
@@ -164,36 +164,78 @@
 	defer resp.Discard()
 	connlimit.LimitSendBuffer(ctx, bodySendBuffer)
 	control := http.NewResponseController(w)
-	var buf []byte
-	if l.memory.TryAcquire(pieceSize) {
-		defer l.memory.Release(pieceSize)
-		whole := l.pieces.Get().(*[pieceSize]byte)
-		defer l.pieces.Put(whole)
-		buf = whole[:]
-	} else {
-		buf = make([]byte, smallPieceSize)
-	}
+	piece := &piece{of: l}
+	defer piece.release()
 	for {
 		if err := control.Flush(); err != nil {
 			return errors.Join(errClientStoppedReading, err)
 		}
-		n, err := resp.Rest.Read(buf)
-		if n > 0 {
-			if failed := control.SetWriteDeadline(time.Now().Add(bodyWriteTimeout)); failed != nil {
-				return errors.Join(errClientStoppedReading, failed)
-			}
-			if _, failed := w.Write(buf[:n]); failed != nil {
-				return errors.Join(errClientStoppedReading, failed)
+		if !piece.isHeld() { // nothing is held while the server pauses
+			if err := resp.Rest.Await(); err != nil {
+				return passError(ctx, err)
 			}
+			piece.acquire()
+		}
+		n, err := resp.Rest.Read(piece.bytes)
+		if failed := writePiece(control, w, piece.bytes[:n]); failed != nil {
+			return errors.Join(errClientStoppedReading, failed)
+		}
+		if n < len(piece.bytes) {
+			piece.release()
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
-		if ctx.Err() != nil {
-			return errors.Join(errClientStoppedReading, ctx.Err())
-		}
-		if err != nil {
-			return errors.Join(errResponseBroken, err)
+		if err != nil || ctx.Err() != nil {
+			return passError(ctx, err)
 		}
 	}
 }
+
+// passError returns the error of a response that could not be read, or whose client has left meanwhile.
+func passError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return errors.Join(errClientStoppedReading, ctx.Err())
+	}
+	return errors.Join(errResponseBroken, err)
+}
+
+// writePiece writes bytes that a client has to accept in time.
+func writePiece(control *http.ResponseController, w io.Writer, p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if err := control.SetWriteDeadline(time.Now().Add(bodyWriteTimeout)); err != nil {
+		return err
+	}
+	_, err := w.Write(p)
+	return err
+}
+
+// piece is the memory for one part of a response at a time. It belongs to one goroutine.
+type piece struct {
+	of    *LargeBodies
+	bytes []byte           // nil: none is held
+	whole *[pieceSize]byte // that bytes are of; nil where the budget was used up
+}
+
+func (p *piece) isHeld() bool { return p.bytes != nil }
+
+// acquire takes memory of the budget, or a little beside it where that is used up.
+func (p *piece) acquire() {
+	if !p.of.memory.TryAcquire(pieceSize) {
+		p.bytes = make([]byte, smallPieceSize)
+		return
+	}
+	p.whole = p.of.pieces.Get().(*[pieceSize]byte)
+	p.bytes = p.whole[:]
+}
+
+// release gives the memory back, if some is held.
+func (p *piece) release() {
+	if p.whole != nil {
+		p.of.pieces.Put(p.whole)
+		p.of.memory.Release(pieceSize)
+	}
+	p.bytes, p.whole = nil, nil
+}
--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -19,10 +19,15 @@
 // Limits of responses that are read or forwarded while they arrive, where large bodies are allowed.
 const (
 	headTimeout             = time.Second            // for the head, from its first byte
-	streamTimeout           = 5 * time.Second        // for the next bytes of a body that is forwarded, or for a peer to accept them
+	streamTimeout           = 5 * time.Second        // for a peer to accept the next bytes of a body that is forwarded
+	streamPauseTimeout      = 30 * time.Second       // for the next bytes of a response: servers stand still for up to 25 s
 	unknownLengthBufferTime = 300 * time.Millisecond // after which a body without a stated length is forwarded as it arrives
-	maxBufferedBytes        = 32 << 10               // of a large body that are buffered before the rest is forwarded
+	firstBodyBuffer         = 4 << 10                // bytes of a body that are read at first
 	chunkOverheadFactor     = 8                      // the encoding of a body by chunks may be this many times its length
+
+	// forwardMargin is how long before the end of its time an attempt forwards what has come of a response that may be long. The process may
+	// be held up for 0.15 s.
+	forwardMargin = 200 * time.Millisecond
 )
 
 // Stream is the rest of a response body that is forwarded while it arrives. It is not safe for concurrent use, except that
@@ -30,18 +35,26 @@
 type Stream struct {
 	conn  *connpool.Conn
 	pool  *connpool.Pool
-	body  io.Reader
+	body  *responseBody
 	left  int64 // bytes that the body may still have
 	keep  bool  // the connection can be reused after the last byte
 	freed atomic.Bool
 }
 
+// Await waits until Read has something to return at once, without a buffer of the caller.
+func (s *Stream) Await() error {
+	if err := s.allowPause(); err != nil {
+		return err
+	}
+	if err := s.body.Await(); err != nil && !errors.Is(err, io.EOF) { // Read returns the end
+		return err
+	}
+	return nil
+}
+
 // Read reads bytes as they arrive. io.EOF means that the body is complete; any other error that it is not.
 func (s *Stream) Read(to []byte) (int, error) {
-	if s.freed.Load() {
-		return 0, errUploadAborted
-	}
-	if err := s.conn.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
+	if err := s.allowPause(); err != nil {
 		return 0, err
 	}
 	n, err := s.body.Read(to)
@@ -54,6 +67,14 @@
 	return n, err
 }
 
+// allowPause gives the server time for its next bytes. The error says that the stream was discarded, or that its connection is closed.
+func (s *Stream) allowPause() error {
+	if s.freed.Load() {
+		return errUploadAborted
+	}
+	return s.conn.SetReadDeadline(time.Now().Add(streamPauseTimeout))
+}
+
 // free releases the connection, once.
 func (s *Stream) free(keep bool) {
 	if !s.freed.Swap(true) {
@@ -68,27 +89,7 @@
 	}
 }
 
-// awaitBytes waits for the next bytes until then, and reports whether none came. It takes nothing: the decoder of a body in chunks can't go on
-// behind a time-out. A connection that breaks is an error, which the system tells once; its end is not.
-func (s *Transport) awaitBytes(c *connpool.Conn, until time.Duration) (isSilent bool, err error) {
-	if c.Reader.Buffered() > 0 {
-		return false, nil
-	}
-	if err := c.SetReadDeadline(s.Clock.At(until)); err != nil {
-		return false, err
-	}
-	_, err = c.Reader.Peek(1)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return true, nil
-	case errors.Is(err, io.EOF):
-		return false, nil
-	}
-	return false, err
-}
-
-// readBody reads a body: completely, or its first part where it is large. A server may take the whole time of the request for the first bytes
-// of a large one, and for all of a small one.
+// readBody reads a body: completely, or its first part where it may be large.
 func (s *Transport) readBody(c *connpool.Conn, resp *http.Response, until time.Duration) (*Response, error) {
 	out := &Response{Length: resp.ContentLength, ContentType: resp.Header.Get("Content-Type")}
 	if resp.Request.Method == http.MethodHead { // its length is that of a body which is not sent
@@ -103,55 +104,69 @@
 		return nil, fmt.Errorf("a length of %d", out.Length)
 	}
 	c.AllowBytes(chunkOverheadFactor * (MaxLargeBody + maxResponseHeadBytes))
-	return s.bufferBody(c, resp, out, until)
+	return s.bufferBody(c, resp, out, s.forwardingOf(out.Length, until))
 }
 
-// bufferLimits returns how many bytes of a body are buffered, and until when: behind either, what has come is forwarded.
-func (s *Transport) bufferLimits(length int64) (room int64, until time.Duration) {
+// forwarding says when the first part of a response is forwarded, whatever its framing: the one rule for that.
+type forwarding struct {
+	room  int64         // bytes: as soon as so many have come
+	most  int64         // bytes that are kept
+	begin time.Duration // on the transport's clock: what has come by then, also where that is the head alone
+	until time.Duration // when a response that is not forwarded has failed
+}
+
+// forwardingOf returns the rule for a body of a length; -1: not stated. A client that waits for a long answer has to get its head in time, and the
+// rest as it comes. A short one has to come whole in time, as nobody is served by a part of it. One of no stated length may be either: it is kept
+// for a while, so that it has a length and may be retried.
+func (s *Transport) forwardingOf(length int64, until time.Duration) forwarding {
+	begin := until - forwardMargin
 	switch {
 	case length > maxBodyBytes:
-		return maxBufferedBytes, 0
+		return forwarding{room: 1, most: firstBodyBuffer, begin: begin, until: until}
 	case length >= 0:
-		return length, time.Duration(math.MaxInt64)
+		return forwarding{room: length, most: length, begin: time.Duration(math.MaxInt64), until: until}
 	}
-	return maxBodyBytes, s.Clock.Now() + unknownLengthBufferTime
+	return forwarding{room: maxBodyBytes, most: maxBodyBytes, begin: min(begin, s.Clock.Now()+unknownLengthBufferTime), until: until}
+}
+
+// isDue reports whether what has come of a response is forwarded now.
+func (f forwarding) isDue(came int64, now time.Duration) bool {
+	return came >= f.room || now >= f.begin
 }
 
 // bufferBody reads a body until it is complete or its first part is to be forwarded.
-func (s *Transport) bufferBody(c *connpool.Conn, resp *http.Response, out *Response, until time.Duration) (*Response, error) {
-	room, bufferUntil := s.bufferLimits(out.Length)
-	body := make([]byte, 0, min(room, 4<<10))
+func (s *Transport) bufferBody(c *connpool.Conn, resp *http.Response, out *Response, rule forwarding) (*Response, error) {
+	body := newResponseBody(c.Reader, resp)
 	for {
-		if out.Length >= 0 && int64(len(body)) == out.Length {
-			out.Body = body
+		if out.Length >= 0 && int64(len(out.Body)) == out.Length {
 			return out, nil
 		}
-		isDue := len(body) > 0 && (int64(len(body)) == room || s.Clock.Now() >= bufferUntil)
-		if len(body) > 0 && !isDue && out.Length < 0 {
-			var err error
-			if isDue, err = s.awaitBytes(c, min(until, bufferUntil)); err != nil {
-				return nil, err
-			}
-		}
-		if isDue {
-			out.Body = body
-			out.Rest = &Stream{conn: c, pool: s.Pool, body: resp.Body, left: MaxLargeBody - int64(len(body)), keep: !resp.Close}
+		if rule.isDue(int64(len(out.Body)), s.Clock.Now()) {
+			out.Rest = &Stream{conn: c, pool: s.Pool, body: body, left: MaxLargeBody - int64(len(out.Body)), keep: !resp.Close}
 			return out, nil
 		}
-		if len(body) == cap(body) {
-			body = append(make([]byte, 0, min(room, int64(2*cap(body)))), body...)
-		}
-		if err := c.SetReadDeadline(s.Clock.At(until)); err != nil {
+		if err := c.SetReadDeadline(s.Clock.At(min(rule.begin, rule.until))); err != nil {
 			return nil, err
 		}
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) && out.Length < 0 {
-			out.Body, out.Length = body, int64(len(body))
+		out.Body = growBody(out.Body, rule.most)
+		n, err := body.Read(out.Body[len(out.Body):cap(out.Body)])
+		out.Body = out.Body[:len(out.Body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			out.Length = int64(len(out.Body))
 			return out, nil
-		}
-		if err != nil && (!errors.Is(err, io.EOF) || int64(len(body)) != out.Length) {
+		case errors.Is(err, os.ErrDeadlineExceeded) && rule.begin < rule.until: // what has come is due
+		case err != nil:
 			return nil, err
 		}
 	}
 }
+
+// growBody returns a body with room for further bytes, where it is full, up to a number of bytes.
+func growBody(body []byte, most int64) []byte {
+	if len(body) < cap(body) {
+		return body
+	}
+	size := min(most, int64(max(firstBodyBuffer, 2*cap(body))))
+	return append(make([]byte, 0, size), body...)
+}
