Connections: those that never wait for their client share one rate

Cause: a connection that finds its next request in its buffer never waits, and keeps the core until the scheduler takes it away, 10 ms at a time, whatever else is ready; with one core the network is looked at only behind that. It takes the listener's one lock many times in each request, so that it is often stopped with the lock held, and each step of a usual request waits once more. The class: nothing bounds what one client gets of the core where the answer costs no wait.

A client that waits for its answers is never paced.

--- a/internal/agent/downstream.go
+++ b/internal/agent/downstream.go
@@ -37,6 +37,7 @@
 		MaxDeadline:    a.rules.MaxDeadline,
 		GossipStatus:   statusOf(a.gossip),
 		OverloadStatus: func() *overload.Status { return a.overload.statusOrNil() },
+		PacedCount:     func() uint64 { return a.clients.PacedCount() },
 		HasSibling:     a.hasSibling,
 		ClientCloses:   func() connlimit.CloseCounts { return a.clients.CloseCounts() },
 		Log:            a.log,
@@ -59,7 +60,7 @@
 // are many, so that both get their limits there.
 func (a *assembly) openClients() error {
 	a.memory = memorybudget.New(memorybudget.SizeFor(int64(a.cfg.MemoryMB)<<20), downstreamhttp1.MaxBodyMemory)
-	limits := connlimit.Options{Events: eventlog.New(a.log)}
+	limits := connlimit.Options{Cores: a.cfg.Cores, Events: eventlog.New(a.log)}
 	if a.cfg.Operator != "" {
 		a.largeBodies = downstreamhttp1.NewLargeBodies(a.memory)
 		limits.FirstRequestTimeout = silentClientTimeout
--- a/internal/agent/features.go
+++ b/internal/agent/features.go
@@ -75,7 +75,8 @@
 	GossipStatus   func() *gossip.Status   // nil without Features.Gossip
 	OverloadStatus func() *overload.Status // nil without Features.Overload
 	ClientCloses   func() connlimit.CloseCounts
-	HasSibling     func() bool // another process of the agent runs, which may hold an address that this one needs
+	PacedCount     func() uint64 // requests of connections at full speed that were paced
+	HasSibling     func() bool   // another process of the agent runs, which may hold an address that this one needs
 	Log            *slog.Logger
 }
 
--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -104,6 +104,7 @@
 	for reason, name := range connlimit.CloseReasonNames {
 		add("closed_"+name, closes.ByReason[reason])
 	}
+	add("paced", f.clients.PacedCount())
 	add("closed_refused", closes.Refused)
 	add("closed_refused_requests", closes.RefusedRequests)
 	add("closed_unread", closes.Unread)
--- a/internal/cli/telemetry.go
+++ b/internal/cli/telemetry.go
@@ -23,7 +23,7 @@
 			return nil, fmt.Errorf("%s: %w", f.Position("telemetry.listen"), err)
 		}
 		c.Engine.TrackLatency(c.Site.Balancer.Classes)
-		s := &telemetry.Server{Engine: c.Engine, Pool: c.Pool, Gossip: c.GossipStatus, Overload: c.OverloadStatus, ClientCloses: c.ClientCloses, Log: c.Log}
+		s := &telemetry.Server{Engine: c.Engine, Pool: c.Pool, Gossip: c.GossipStatus, Overload: c.OverloadStatus, ClientCloses: c.ClientCloses, PacedCount: c.PacedCount, Log: c.Log}
 		return func(ctx context.Context) error {
 			if taken {
 				if l = listenLater(ctx, f.Telemetry.Listen); l == nil {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -21,7 +21,7 @@
 // # Files
 //
 // connlimit.go has the Listener, conn.go its connections, reading.go how they are read, ending.go how they are ended, reaping.go who makes
-// room, linger.go the close that does not take an answer back, peerwatch.go how a client that leaves is noticed, closereason.go why
+// room, pacing.go what bounds those that never wait, linger.go the close that does not take an answer back, peerwatch.go how a client that leaves is noticed, closereason.go why
 // connections were closed, and httpserver.go what an http.Server calls. Everything may be called from any goroutine; one lock, the
 // listener's, guards the states, and no system call is made under it. Nothing is stored.
 package connlimit
@@ -34,6 +34,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"appleledge/internal/acceptretry"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/eventlog"
@@ -47,6 +49,8 @@
 	// FirstRequestTimeout is how long a connection that has brought no request yet may be silent, also in the midst of one, before it
 	// is closed ahead of those between requests. 0: connections that have said nothing go first, and those in the midst of a request last.
 	FirstRequestTimeout time.Duration
+	// Cores is how much of the machine the process may use, which bounds what connections at full speed get; 0: one core.
+	Cores float64
 	// Events logs closes that a client may miss an answer by. nil: they are counted only.
 	Events *eventlog.Logger
 }
@@ -65,11 +69,13 @@
 	conns      map[*conn]struct{}
 	closes     CloseCounts
 	refusals   sync.WaitGroup // that are being written
+	steps      *rate.Limiter  // of the connections at full speed; guarded by itself
+	paced      uint64         // steps that were paced
 }
 
 // New returns a listener of at most limit connections, which it accepts from inner.
 func New(inner net.Listener, limit int, o Options) *Listener {
-	l := &Listener{Listener: acceptretry.Listener{Listener: inner, Events: o.Events}, Options: o, limit: limit, conns: map[*conn]struct{}{}}
+	l := &Listener{Listener: acceptretry.Listener{Listener: inner, Events: o.Events}, Options: o, limit: limit, conns: map[*conn]struct{}{}, steps: newPace(o.Cores)}
 	l.socket, _ = inner.(syscall.Conn)
 	l.roomFreed = sync.NewCond(&l.mu)
 	return l
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -46,18 +47,24 @@
 			n, err = c.readAtDeadline(p)
 		}
 		if !isTransient(err) || tries == transientTries {
-			c.endWait()
+			if c.endWait(n) {
+				c.pace(context.Background())
+			}
 			return n, c.readError(err)
 		}
 		time.Sleep(transientPause)
 	}
 }
 
-// endWait notes that no Read waits any more.
-func (c *conn) endWait() {
+// endWait notes that no Read waits any more: it has read so many bytes. It reports whether the connection has to be paced.
+func (c *conn) endWait(count int) (mustPace bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.hasFoundNothing = false
+	if count <= 1 || c.use == readingBody || c.use == inUse {
+		return false
+	}
+	return c.noteStep()
 }
 
 // awaitBytes waits until something has come, or the deadline, and takes it.
@@ -72,6 +79,7 @@
 		// net/http reads one byte behind a request that it has whole; any longer read waits for a request, or the rest of one.
 		c.isAwaitingRequest = len(p) > 1
 		c.hasFoundNothing = c.isAwaitingRequest
+		c.noteAwaited(time.Now())
 		isDrained = c.endIfDraining()
 		return isDrained
 	})
@@ -184,6 +192,7 @@
 		return
 	}
 	c.lastReadAt = time.Now()
+	c.noteAwaitedEnd(c.lastReadAt)
 	if c.isSocketEmpty {
 		c.sentAfter = c.lastReadAt
 	}
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -156,6 +156,7 @@
 	if connlimit.IsEnded(r.Context()) { // the connection was closed while this request arrived; it was not forwarded, and its client sends it again
 		s.abort(r, abortConnectionEnded)
 	}
+	connlimit.Pace(r.Context())
 	if r.ContentLength == 0 {
 		connlimit.MarkRequestRead(r.Context())
 	}
--- a/internal/telemetry/agentmetrics.go
+++ b/internal/telemetry/agentmetrics.go
@@ -28,6 +28,9 @@
 	if s.ClientCloses == nil {
 		return
 	}
+	if s.PacedCount != nil {
+		p.counter("appleledge_client_requests_paced_total", "", s.PacedCount())
+	}
 	closes := s.ClientCloses()
 	for reason, name := range connlimit.CloseReasonNames {
 		p.counter("appleledge_client_connections_closed_total", fmt.Sprintf("reason=%q", name), closes.ByReason[reason])
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -46,6 +46,7 @@
 	Gossip       func() *gossip.Status        // nil, or returning nil: the agent has no gossip, and there are no such series
 	Overload     func() *overload.Status      // nil, or returning nil: no fleet-wide overload control, and no such series
 	ClientCloses func() connlimit.CloseCounts // nil: no such series
+	PacedCount   func() uint64                // requests of connections at full speed that were paced; nil: no such series
 	Log          *slog.Logger
 }
 
