Logs: what an attempt waits for, how far an answer has come, what holds memory and core

Change: 'request not served' has waited_for (binding, connection, write, continue, head, body), waited_ms and response_bytes of an attempt that is out; 'request ended without an answer' has response_bytes, response_length and the error of an answer that was begun. New lines, at a bounded rate: 'process was held up' (a look that comes 0.15 s late) and 'memory is at its highest' (heap, stacks, budget, goroutines and connections, from half of the limit on).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -146,6 +146,7 @@
 		a.openHotRestart,
 		a.openOperators,
 		a.openStats,
+		a.openProcessWatch,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/internal/downstream/http1/answers.go
+++ b/internal/downstream/http1/answers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -47,13 +48,17 @@
 		return
 	}
 	s.writeHeadAndBody(w, a)
+	came := int64(len(resp.Body))
 	resp.Body = nil // while the client takes the rest
-	switch err := s.LargeBodies.pass(r.Context(), w, resp); {
-	case errors.Is(err, errResponseBroken):
-		s.abort(r, abortResponseBroken)
-	case err != nil:
-		s.abort(r, abortClientStoppedReading)
+	passed, err := s.LargeBodies.pass(r.Context(), w, resp)
+	if err == nil {
+		return
+	}
+	progress := []slog.Attr{slog.Int64("response_bytes", came+passed), slog.Int64("response_length", resp.Length), slog.String("error", err.Error())}
+	if errors.Is(err, errResponseBroken) {
+		s.abort(r, abortResponseBroken, progress...)
 	}
+	s.abort(r, abortClientStoppedReading, progress...)
 }
 
 // rejectMalformed answers malformed input. It closes the connection, as the next bytes may belong to that input.
--- a/internal/downstream/http1/largebodies.go
+++ b/internal/downstream/http1/largebodies.go
@@ -159,8 +159,9 @@
 	errResponseBroken       = errors.New("the response broke off")
 )
 
-// pass forwards the rest of a response. After an error the connection has to be reset, so that the client can tell that it is not whole.
-func (l *LargeBodies) pass(ctx context.Context, w http.ResponseWriter, resp *http1.Response) error {
+// pass forwards the rest of a response, and returns how many bytes of it were read. After an error the connection has to be reset, so that the
+// client can tell that it is not whole.
+func (l *LargeBodies) pass(ctx context.Context, w http.ResponseWriter, resp *http1.Response) (passed int64, err error) {
 	defer resp.Discard()
 	connlimit.LimitSendBuffer(ctx, bodySendBuffer)
 	control := http.NewResponseController(w)
@@ -168,26 +169,27 @@
 	defer piece.release()
 	for {
 		if err := control.Flush(); err != nil {
-			return errors.Join(errClientStoppedReading, err)
+			return passed, errors.Join(errClientStoppedReading, err)
 		}
 		if !piece.isHeld() { // nothing is held while the server pauses
 			if err := resp.Rest.Await(); err != nil {
-				return passError(ctx, err)
+				return passed, passError(ctx, err)
 			}
 			piece.acquire()
 		}
 		n, err := resp.Rest.Read(piece.bytes)
+		passed += int64(n)
 		if failed := writePiece(control, w, piece.bytes[:n]); failed != nil {
-			return errors.Join(errClientStoppedReading, failed)
+			return passed, errors.Join(errClientStoppedReading, failed)
 		}
 		if n < len(piece.bytes) {
 			piece.release()
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return passed, nil
 		}
 		if err != nil || ctx.Err() != nil {
-			return passError(ctx, err)
+			return passed, passError(ctx, err)
 		}
 	}
 }
--- a/internal/downstream/http1/requestlog.go
+++ b/internal/downstream/http1/requestlog.go
@@ -32,9 +32,9 @@
 
 // abort gives a request up, logs why, and makes net/http close the connection: a plain return would make it answer 200, which no backend
 // has. It does not return.
-func (s *Server) abort(r *http.Request, reason abortReason) {
+func (s *Server) abort(r *http.Request, reason abortReason, attrs ...slog.Attr) {
 	connlimit.Abort(r.Context())
-	s.logRequest(r, "request ended without an answer", string(reason))
+	s.logRequest(r, "request ended without an answer", string(reason), attrs...)
 	panic(http.ErrAbortHandler)
 }
 
@@ -43,6 +43,7 @@
 	s.logRequest(r, "request not served", string(reason))
 }
 
-func (s *Server) logRequest(r *http.Request, message, reason string) {
-	s.RequestLog.Log(slog.LevelInfo, message, slog.String("id", r.Header.Get(requesthead.RequestIDHeader)), slog.String("reason", reason))
+func (s *Server) logRequest(r *http.Request, message, reason string, attrs ...slog.Attr) {
+	all := append([]slog.Attr{slog.String("id", r.Header.Get(requesthead.RequestIDHeader)), slog.String("reason", reason)}, attrs...)
+	s.RequestLog.Log(slog.LevelInfo, message, all...)
 }
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -39,17 +39,20 @@
 	IsKeyedRepeat  bool          // it repeats, under an idempotency key, what may have run
 	Original       *Attempt      // of a keyed repeat: the first attempt that may have run; nil: this process has made none
 
-	writtenAt    atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
-	brokenAt     atomic.Int64  // when its connection ended without an answer, on the engine's clock; 0: it has not
-	isRead       atomic.Bool   // its server has shown that it has read it, or will never read it
-	isUncertain  atomic.Bool   // it may have gone to another process than its server
-	isOverBudget bool          // it is Forbidden by the fleet's retry budget
-	ended        bool          // its outcome is known
-	isBound      bool          // the table of bindings counts it
-	expiry       *time.Timer   // of an external caller's: ends it at Deadline
-	bodySentAt   time.Duration // when the server had it complete, where its body was read meanwhile; else 0
-	engine       *Engine       // nil of an attempt that none made
-	commit       BindingCommit // to be waited for before the first byte goes out; nil: nothing
+	writtenAt     atomic.Int64  // when it was written completely, on the engine's clock; 0: not, or not told
+	brokenAt      atomic.Int64  // when its connection ended without an answer, on the engine's clock; 0: it has not
+	phase         atomic.Int32  // its AttemptPhase
+	phaseSince    atomic.Int64  // when that has begun, on the engine's clock; 0: when it was made
+	responseBytes atomic.Int64  // of its body that have come
+	isRead        atomic.Bool   // its server has shown that it has read it, or will never read it
+	isUncertain   atomic.Bool   // it may have gone to another process than its server
+	isOverBudget  bool          // it is Forbidden by the fleet's retry budget
+	ended         bool          // its outcome is known
+	isBound       bool          // the table of bindings counts it
+	expiry        *time.Timer   // of an external caller's: ends it at Deadline
+	bodySentAt    time.Duration // when the server had it complete, where its body was read meanwhile; else 0
+	engine        *Engine       // nil of an attempt that none made
+	commit        BindingCommit // to be waited for before the first byte goes out; nil: nothing
 }
 
 // MarkWritten says that the attempt was written completely. It may be called from any goroutine, once.
@@ -174,6 +177,7 @@
 		a.IsKeyedRepeat, a.Original = true, c.original
 	}
 	c.noteSend(a)
+	c.latestAttempt = a
 	c.attemptsMade++
 	c.inFlight++
 	return a
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -53,6 +53,7 @@
 	original        *Attempt        // that attempt; nil without one, and where it was made under another id
 	laterSends      []*Attempt      // the others that may have run, in order
 	external        ExternalCaller  // the responder, where it is one
+	latestAttempt   *Attempt        // that was made; nil before
 	lastAttempt     *Attempt        // the latest attempt of an external caller's call
 	arrivedAt       time.Duration   // when the engine got its arrival
 	isCountedOpen   bool            // counters has it as open
--- a/internal/engine/requestlog.go
+++ b/internal/engine/requestlog.go
@@ -52,5 +52,8 @@
 	if c.attemptsEnded > 0 {
 		attrs = append(attrs, slog.String("previous", balancer.ResultNames[c.lastResult]))
 	}
+	if c.inFlight > 0 && c.latestAttempt != nil {
+		attrs = append(attrs, c.latestAttempt.progress(e.clock.Now())...)
+	}
 	e.requestLog.Log(slog.LevelInfo, "request not served", attrs...)
 }
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -36,6 +37,8 @@
 	free *semaphore.Weighted
 	size int64
 
+	inUse atomic.Int64 // bytes that were taken
+
 	mu       sync.Mutex
 	withheld int64 // bytes that are left to another process of the agent
 	unit     int64 // bytes that are withheld at a time
@@ -53,15 +56,37 @@
 	if b == nil {
 		return nil
 	}
-	return b.free.Acquire(ctx, count)
+	if err := b.free.Acquire(ctx, count); err != nil {
+		return err
+	}
+	b.inUse.Add(count)
+	return nil
 }
 
 // TryAcquire takes memory, if there is enough now.
-func (b *Budget) TryAcquire(count int64) bool { return b == nil || b.free.TryAcquire(count) }
+func (b *Budget) TryAcquire(count int64) bool {
+	if b == nil {
+		return true
+	}
+	isFree := b.free.TryAcquire(count)
+	if isFree {
+		b.inUse.Add(count)
+	}
+	return isFree
+}
+
+// InUse returns how many bytes are taken.
+func (b *Budget) InUse() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.inUse.Load()
+}
 
 // Release gives memory back.
 func (b *Budget) Release(count int64) {
 	if b != nil {
+		b.inUse.Add(-count)
 		b.free.Release(count)
 	}
 }
--- a/internal/upstream/http1/expectcontinue.go
+++ b/internal/upstream/http1/expectcontinue.go
@@ -137,6 +137,7 @@
 		wait = maxUnknownContinueWait
 	}
 	c.AllowBytes(maxResponseHeadBytes)
+	a.SetPhase(engine.AwaitsContinue)
 	resp, err := s.readContinue(c, req, min(a.WriteDeadline, headWritten+wait))
 	switch {
 	case isSilence(err) && a.WriteDeadline < headWritten+minInformativeWait: // not sent, and nothing is learned
--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleledge/internal/engine"
 	"appleledge/internal/upstream/connpool"
 )
 
@@ -90,7 +91,7 @@
 }
 
 // readBody reads a body: completely, or its first part where it may be large.
-func (s *Transport) readBody(c *connpool.Conn, resp *http.Response, until time.Duration) (*Response, error) {
+func (s *Transport) readBody(c *connpool.Conn, a *engine.Attempt, resp *http.Response, until time.Duration) (*Response, error) {
 	out := &Response{Length: resp.ContentLength, ContentType: resp.Header.Get("Content-Type")}
 	if resp.Request.Method == http.MethodHead { // its length is that of a body which is not sent
 		return out, nil
@@ -104,7 +105,7 @@
 		return nil, fmt.Errorf("a length of %d", out.Length)
 	}
 	c.AllowBytes(chunkOverheadFactor * (MaxLargeBody + maxResponseHeadBytes))
-	return s.bufferBody(c, resp, out, s.forwardingOf(out.Length, until))
+	return s.bufferBody(c, a, resp, out, s.forwardingOf(out.Length, until))
 }
 
 // forwarding says when the first part of a response is forwarded, whatever its framing: the one rule for that.
@@ -135,7 +136,7 @@
 }
 
 // bufferBody reads a body until it is complete or its first part is to be forwarded.
-func (s *Transport) bufferBody(c *connpool.Conn, resp *http.Response, out *Response, rule forwarding) (*Response, error) {
+func (s *Transport) bufferBody(c *connpool.Conn, a *engine.Attempt, resp *http.Response, out *Response, rule forwarding) (*Response, error) {
 	body := newResponseBody(c.Reader, resp)
 	for {
 		if out.Length >= 0 && int64(len(out.Body)) == out.Length {
@@ -151,6 +152,7 @@
 		out.Body = growBody(out.Body, rule.most)
 		n, err := body.Read(out.Body[len(out.Body):cap(out.Body)])
 		out.Body = out.Body[:len(out.Body)+n]
+		a.NoteResponseBytes(len(out.Body))
 		switch {
 		case errors.Is(err, io.EOF):
 			out.Length = int64(len(out.Body))
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -91,6 +91,7 @@
 		out.OriginalUnread = true
 		return out
 	}
+	a.SetPhase(engine.AwaitsConnection)
 	ctx, cancel := context.WithDeadline(ctx, s.connectBy(a))
 	defer cancel()
 	c, err := s.Pool.Get(ctx, backendOf(a))
@@ -167,10 +168,12 @@
 // the rest of the response, and with it the connection, belongs to the outcome's payload.
 func (s *Transport) exchange(c *connpool.Conn, a *engine.Attempt, out *engine.Outcome) (keep, passed bool) {
 	begun := s.Clock.Now()
+	a.SetPhase(engine.AwaitsWrite)
 	req, until, ok := s.writeRequest(c, a, out)
 	if !ok {
 		return false, false
 	}
+	a.SetPhase(engine.AwaitsHead)
 	got, err := s.readResponse(c, a, req, until)
 	if err != nil {
 		a.MarkBroken(s.Clock.Now())
@@ -257,7 +260,8 @@
 	if err != nil {
 		return receivedResponse{}, err
 	}
-	body, err := s.readBody(c, final.head, until)
+	a.SetPhase(engine.AwaitsBody)
+	body, err := s.readBody(c, a, final.head, until)
 	if err != nil {
 		return receivedResponse{}, fmt.Errorf("%w: %w", errMalformedResponse, err)
 	}
