Memory: few wait for it, and long requests have half of the places

Cause, by the new log lines and a profile of a trial: of 500 connections 231 waited for the budget of bodies, each with its buffers and stacks (33 kB, which no budget counted) and with a look at its client every 25 ms, ten thousand a second on one core. All places of clients were taken by long requests: usual ones waited to be accepted. The class: what waits is begun, too.

Change: as many wait for memory as the budget has room for once, the others are rejected at once, as nothing was forwarded. Half of the places at most are taken by requests with bodies of over 4 KiB or answers in parts. Clients' connections are bounded by the memory limit as well, 40 KiB each. Where for 0.4 s nothing else can be closed, a body that has come for 0.5 s makes room; a request that is ended so is answered 503, was 400.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -169,6 +169,7 @@
 	}
 	available := a.cfg.Sockets - a.features.descriptors() - a.cfg.operatorDescriptors() - openDiscoveryCalls(a.cfg.Sockets)
 	a.maxUpstreamConns, a.maxClientConnections = splitConnections(available)
+	a.maxClientConnections = min(a.maxClientConnections, memorybudget.MaxConnections(int64(a.cfg.MemoryMB)<<20))
 	a.clock = engine.NewClock().WithOffset(a.features.ClockOffset)
 	a.pool = connpool.New(a.cfg.Site.ConnectTimeout, a.cfg.Site.ConnectionIdleTimeout, a.maxUpstreamConns)
 	a.engine = engine.New(policy, a.clock, a.pool, a.log)
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -15,7 +15,7 @@
 const (
 	idle           connUse = iota // no request has begun
 	readingRequest                // one has begun, but is not known to be valid
-	readingBody                   // a valid one has begun: closed to make room only while its client sends nothing
+	readingBody                   // a valid one has begun: closed to make room where its client sends nothing, or for long
 	inUse                         // a valid one is open: never closed to make room
 )
 
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -5,9 +5,9 @@
 // # States of a connection
 //
 // idle: no request has begun; readingRequest: one has begun, but is not known to be valid; readingBody: a valid one has begun, nothing of it
-// is forwarded, and the connection is closed to make room only when its client has sent nothing for maxBodyPause; inUse: a
-// valid one is open, and the connection is never closed to make room. ConnState, MarkReadingBody and MarkInUse, which the server and its
-// handlers call, move between them. Beside that a
+// is forwarded, and the connection is closed to make room when its client has sent nothing for maxBodyPause, or where for maxFullTime no other
+// could be closed; inUse: a valid one is open, and the connection is never closed to make room. ConnState, MarkReadingBody and MarkInUse, which
+// the server and its handlers call, move between them. Beside that a
 // connection is ended (nothing is read from it any more) and then closing (its answer may still be on the way to the client).
 //
 // # The end of a connection
@@ -64,6 +64,7 @@
 	mu         sync.Mutex // guards what follows, and the states of the connections
 	limit      int
 	roomFreed  *sync.Cond // a connection may have become one that can be closed, or the limit has changed
+	fullSince  time.Time  // since when a search for room has found none, or only the midst of bodies that come; zero: the last found one
 	isClosed   bool
 	isDraining bool // connections end as soon as no request has begun on them
 	conns      map[*conn]struct{}
--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -14,6 +14,10 @@
 	// maxBodyPause is the longest pause between two parts of a body in which its connection is not closed to make room.
 	maxBodyPause = 200 * time.Millisecond
 
+	// A body that has come for maxBodyTime, and still comes, loses its connection where for maxFullTime no other could be closed.
+	maxBodyTime = 500 * time.Millisecond
+	maxFullTime = 2 * maxBodyPause
+
 	// maxLooks is the number of sockets that one search looks at. More than a few have unread bytes only after a standstill, and for a moment.
 	maxLooks = 16
 )
@@ -24,6 +28,7 @@
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.limit && !l.isClosed {
 		c := l.reapCandidate()
+		l.noteSearch(c)
 		if c == nil {
 			l.awaitRoom(roomPoll)
 			continue
@@ -36,6 +41,21 @@
 	}
 }
 
+// noteSearch notes whether a search for room has found a connection that is not in the midst of a body that comes. The lock is held.
+func (l *Listener) noteSearch(found *conn) {
+	switch {
+	case found != nil && (found.use != readingBody || found.isClosing || found.silence(time.Now()) >= maxBodyPause):
+		l.fullSince = time.Time{}
+	case l.fullSince.IsZero():
+		l.fullSince = time.Now()
+	}
+}
+
+// isFullForLong reports whether no other connection could be closed for a while than those in the midst of a body that comes. The lock is held.
+func (l *Listener) isFullForLong(now time.Time) bool {
+	return !l.fullSince.IsZero() && now.Sub(l.fullSince) >= maxFullTime
+}
+
 // reap ends a connection, or closes one that is ended: its place is free then, at the latest when its handler has answered. The lock is held,
 // and released meanwhile.
 func (l *Listener) reap(c *conn) {
@@ -112,7 +132,8 @@
 	if c.isClosing {
 		return !c.isRefusing
 	}
-	if c.use == readingBody && c.silence(time.Now()) < maxBodyPause {
+	now := time.Now()
+	if c.use == readingBody && c.silence(now) < maxBodyPause && (now.Sub(c.useSince) < maxBodyTime || !c.listener.isFullForLong(now)) {
 		return false
 	}
 	return !c.isEnded && !c.isReading && c.use != inUse && (c.isAwaitingRequest || !c.hasRead)
@@ -133,8 +154,10 @@
 	switch {
 	case c.isClosing:
 		return -1
-	case c.use == readingBody: // silent, as mayBeReaped has seen
+	case c.use == readingBody && silent >= maxBodyPause:
 		return 0
+	case c.use == readingBody: // its body comes, but for long
+		return 4
 	case c.use == idle && c.hasServed && c.hasNewBytes: // its next request is on its way
 		return 3
 	case c.use == idle && c.hasServed:
--- a/internal/downstream/http1/answers.go
+++ b/internal/downstream/http1/answers.go
@@ -28,7 +28,7 @@
 }
 
 // writeAnswer writes the final answer.
-func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, up *http1.Upload, a engine.Answer) {
+func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, up *http1.Upload, a engine.Answer, memory *bodyReservation) {
 	if up != nil && a.Kind != engine.Served {
 		broken := end(w, up)
 		w.Header().Set("Connection", "close")
@@ -47,6 +47,7 @@
 		s.writeHeadAndBody(w, engine.Answer{Kind: engine.Failed})
 		return
 	}
+	memory.takePlace()
 	s.writeHeadAndBody(w, a)
 	came := int64(len(resp.Body))
 	resp.Body = nil // while the client takes the rest
--- a/internal/downstream/http1/bodymemory.go
+++ b/internal/downstream/http1/bodymemory.go
@@ -27,8 +27,15 @@
 	MaxBodyMemory = smallBodyCopies * (requesthead.MaxBody + 1)
 )
 
-// errFull reports that the budget has no memory for another body. Nothing of its request was forwarded.
-var errFull = errors.New("no room for another body")
+// maxLongRatio is the part of the clients' connections that may have a request which takes long: its body has more than freeBody bytes, or its
+// answer goes in parts. The others are left to usual requests, whatever a crowd sends.
+const maxLongRatio = 0.5
+
+// Why there is no room for a body. Nothing of its request was forwarded.
+var (
+	errFull     = errors.New("no room for another body")         // in the budget
+	errLongFull = errors.New("no room for another long request") // among the connections
+)
 
 // bodyMemory returns how much of the budget a body of a length takes, in bytes.
 func bodyMemory(length int64) int64 {
@@ -43,19 +50,46 @@
 	return largePrefix + copyBuffer
 }
 
-// bodyReservation is the memory of a request's body. It belongs to the goroutine of the request.
+// bodyReservation is what a request takes that is not a usual one: memory for its body, and a place among the long requests. It belongs to the
+// goroutine of the request.
 type bodyReservation struct {
 	server *Server
 	r      *http.Request
 	held   int64 // bytes of the budget
+	isLong bool  // it has a place among the long requests
 }
 
-// acquire takes the memory, and waits for it until then: the body's last byte may have been sent already. The error is errFull.
+// acquirePlace takes a place among the long requests, unless the request has one. The error is errLongFull.
+func (m *bodyReservation) acquirePlace() error {
+	if m.isLong {
+		return nil
+	}
+	if m.server.longRequests.Add(1) > int64(maxLongRatio*float64(m.server.clients.Limit())) {
+		m.server.longRequests.Add(-1)
+		return errLongFull
+	}
+	m.isLong = true
+	return nil
+}
+
+// takePlace takes a place among the long requests, whether there is one or not: the request's answer has begun.
+func (m *bodyReservation) takePlace() {
+	if !m.isLong {
+		m.server.longRequests.Add(1)
+		m.isLong = true
+	}
+}
+
+// acquire takes a place among the long requests, and the memory, for which it waits until then: the body's last byte may have been sent
+// already. The error is errLongFull or errFull.
 func (m *bodyReservation) acquire(until time.Time) error {
 	count := bodyMemory(m.r.ContentLength)
 	if count == 0 || m.held > 0 {
 		return nil
 	}
+	if err := m.acquirePlace(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(m.r.Context(), until)
 	defer cancel()
 	if m.server.Memory.Acquire(ctx, count) != nil {
@@ -65,8 +99,12 @@
 	return nil
 }
 
-// release gives the memory back.
+// release gives all back.
 func (m *bodyReservation) release() {
+	if m.isLong {
+		m.server.longRequests.Add(-1)
+		m.isLong = false
+	}
 	if m.held > 0 {
 		m.server.Memory.Release(m.held)
 		m.held = 0
--- a/internal/downstream/http1/largebodies.go
+++ b/internal/downstream/http1/largebodies.go
@@ -80,7 +80,7 @@
 
 // badBody returns the error that answers a body which could not be read.
 func badBody(err error) error {
-	if errors.Is(err, errFull) {
+	if errors.Is(err, errFull) || errors.Is(err, errLongFull) {
 		return err
 	}
 	if errors.Is(err, errLong) {
@@ -165,44 +165,41 @@
 	defer resp.Discard()
 	connlimit.LimitSendBuffer(ctx, bodySendBuffer)
 	control := http.NewResponseController(w)
-	piece := &piece{of: l}
-	defer piece.release()
+	buffer, release := l.acquirePiece()
+	defer release()
 	for {
 		if err := control.Flush(); err != nil {
 			return passed, errors.Join(errClientStoppedReading, err)
 		}
-		if !piece.isHeld() { // nothing is held while the server pauses
-			if err := resp.Rest.Await(); err != nil {
-				return passed, passError(ctx, err)
-			}
-			piece.acquire()
-		}
-		n, err := resp.Rest.Read(piece.bytes)
+		n, err := resp.Rest.Read(buffer)
 		passed += int64(n)
-		if failed := writePiece(control, w, piece.bytes[:n]); failed != nil {
+		if failed := writePiece(control, w, buffer[:n]); failed != nil {
 			return passed, errors.Join(errClientStoppedReading, failed)
 		}
-		if n < len(piece.bytes) {
-			piece.release()
-		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			return passed, nil
-		}
-		if err != nil || ctx.Err() != nil {
-			return passed, passError(ctx, err)
+		case ctx.Err() != nil:
+			return passed, errors.Join(errClientStoppedReading, ctx.Err())
+		case err != nil:
+			return passed, errors.Join(errResponseBroken, err)
 		}
 	}
 }
 
-// passError returns the error of a response that could not be read, or whose client has left meanwhile.
-func passError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return errors.Join(errClientStoppedReading, ctx.Err())
+// acquirePiece returns a buffer for the parts of a response: of the budget, or a small one beside it where that is used up.
+func (l *LargeBodies) acquirePiece() (buffer []byte, release func()) {
+	if !l.memory.TryAcquire(pieceSize) {
+		return make([]byte, smallPieceSize), func() {}
+	}
+	whole := l.pieces.Get().(*[pieceSize]byte)
+	return whole[:], func() {
+		l.pieces.Put(whole)
+		l.memory.Release(pieceSize)
 	}
-	return errors.Join(errResponseBroken, err)
 }
 
-// writePiece writes bytes that a client has to accept in time.
+// writePiece writes a part of a response, which its client has to accept in time.
 func writePiece(control *http.ResponseController, w io.Writer, p []byte) error {
 	if len(p) == 0 {
 		return nil
@@ -213,31 +210,3 @@
 	_, err := w.Write(p)
 	return err
 }
-
-// piece is the memory for one part of a response at a time. It belongs to one goroutine.
-type piece struct {
-	of    *LargeBodies
-	bytes []byte           // nil: none is held
-	whole *[pieceSize]byte // that bytes are of; nil where the budget was used up
-}
-
-func (p *piece) isHeld() bool { return p.bytes != nil }
-
-// acquire takes memory of the budget, or a little beside it where that is used up.
-func (p *piece) acquire() {
-	if !p.of.memory.TryAcquire(pieceSize) {
-		p.bytes = make([]byte, smallPieceSize)
-		return
-	}
-	p.whole = p.of.pieces.Get().(*[pieceSize]byte)
-	p.bytes = p.whole[:]
-}
-
-// release gives the memory back, if some is held.
-func (p *piece) release() {
-	if p.whole != nil {
-		p.of.pieces.Put(p.whole)
-		p.of.memory.Release(pieceSize)
-	}
-	p.bytes, p.whole = nil, nil
-}
--- a/internal/downstream/http1/requestlog.go
+++ b/internal/downstream/http1/requestlog.go
@@ -24,10 +24,13 @@
 type unservedReason string
 
 const (
-	unservedFull          unservedReason = "full"            // too many requests are in flight
-	unservedMemory        unservedReason = "memory"          // the memory for bodies is used up
-	unservedDrainTooShort unservedReason = "drain_too_short" // an upload could be answered only after the process has ended
-	unservedEngineEnded   unservedReason = "engine_ended"
+	unservedFull     unservedReason = "full"      // too many requests are in flight
+	unservedMemory   unservedReason = "memory"    // the memory for bodies is used up
+	unservedLongFull unservedReason = "long_full" // too many requests with long bodies or answers are open
+	// unservedConnectionEnded: its connection was ended while its body came, to make room or at the end of the process.
+	unservedConnectionEnded unservedReason = "connection_ended"
+	unservedDrainTooShort   unservedReason = "drain_too_short" // an upload could be answered only after the process has ended
+	unservedEngineEnded     unservedReason = "engine_ended"
 )
 
 // abort gives a request up, logs why, and makes net/http close the connection: a plain return would make it answer 200, which no backend
--- a/internal/downstream/http1/server.go
+++ b/internal/downstream/http1/server.go
@@ -73,6 +73,7 @@
 type Server struct {
 	Options
 	inFlight      atomic.Int64 // requests that were accepted and have no answer yet
+	longRequests  atomic.Int64 // requests whose body comes, or whose answer goes, in parts
 	draining      atomic.Bool
 	closing       atomic.Bool   // each answer closes its connection
 	drainDeadline atomic.Int64  // by the engine's clock: when each request must have its answer; 0 before the drain
@@ -168,10 +169,20 @@
 	memory := &bodyReservation{server: s, r: r}
 	defer memory.release()
 	c, up, err := s.accept(w, r, sentAfter, memory)
-	if errors.Is(err, errFull) {
+	switch {
+	case errors.Is(err, errFull):
 		s.logUnserved(r, unservedMemory)
 		s.reject(w, c, true)
 		return
+	case errors.Is(err, errLongFull):
+		s.logUnserved(r, unservedLongFull)
+		s.reject(w, c, true)
+		return
+	}
+	if err != nil && c != nil && connlimit.IsEnded(r.Context()) { // to make room, or as the process ends: trying again is harmless
+		s.logUnserved(r, unservedConnectionEnded)
+		s.reject(w, c, true)
+		return
 	}
 	if err != nil {
 		rejectMalformed(w, err)
@@ -204,18 +215,18 @@
 		s.abort(r, abortClientLeft)
 	}
 	s.Engine.Arrive(c)
-	s.awaitAnswer(w, r, c, up, waits)
+	s.awaitAnswer(w, r, c, up, waits, memory)
 }
 
 // awaitAnswer waits for the engine's answer to a call and writes it, unless the client leaves first.
-func (s *Server) awaitAnswer(w http.ResponseWriter, r *http.Request, c *engine.Call, up *http1.Upload, waits *caller) {
+func (s *Server) awaitAnswer(w http.ResponseWriter, r *http.Request, c *engine.Call, up *http1.Upload, waits *caller, memory *bodyReservation) {
 	last := s.finalAnswers
 	overdue := time.NewTimer(overdueWait(up))
 	defer overdue.Stop()
 	for {
 		select {
 		case a := <-waits.answer:
-			s.writeAnswer(w, r, up, a)
+			s.writeAnswer(w, r, up, a, memory)
 			return
 		case <-last: // requests from before the drain must be answered now as well
 			s.Engine.ForceAnswer(c, engine.UnservedDraining)
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 
@@ -24,8 +25,22 @@
 
 	// minRequests may be open under any limit.
 	minRequests = 64
+
+	// connectionMemory is what a client's connection takes in bytes: its buffers, its stacks and the head that it brings.
+	connectionMemory = 40 << 10
+
+	// minConnections may be open under any limit.
+	minConnections = 64
 )
 
+// ErrTooManyWaiting reports that as many wait for memory already as the whole budget has room for: one more would wait too long.
+var ErrTooManyWaiting = errors.New("too many wait for memory")
+
+// MaxConnections returns how many connections clients may have under a limit on the memory of the process in bytes.
+func MaxConnections(limit int64) int {
+	return int(max(minConnections, (limit-fixedMemory)/connectionMemory))
+}
+
 // MaxRequests returns how many requests may be open at a time under a limit on the memory of the process in bytes.
 func MaxRequests(limit int64) int { return int(max(minRequests, (limit-fixedMemory)/requestMemory)) }
 
@@ -37,7 +52,8 @@
 	free *semaphore.Weighted
 	size int64
 
-	inUse atomic.Int64 // bytes that were taken
+	inUse   atomic.Int64 // bytes that were taken
+	waiting atomic.Int64 // calls of Acquire that wait
 
 	mu       sync.Mutex
 	withheld int64 // bytes that are left to another process of the agent
@@ -51,11 +67,15 @@
 	return &Budget{free: semaphore.NewWeighted(size), size: size, unit: unit}
 }
 
-// Acquire takes memory, and waits for it until the context ends. The error is the context's.
+// Acquire takes memory, and waits for it until the context ends. The error is the context's, or ErrTooManyWaiting.
 func (b *Budget) Acquire(ctx context.Context, count int64) error {
-	if b == nil {
+	if b.TryAcquire(count) {
 		return nil
 	}
+	defer b.waiting.Add(-1)
+	if b.waiting.Add(1) > max(1, b.size/b.unit) {
+		return ErrTooManyWaiting
+	}
 	if err := b.free.Acquire(ctx, count); err != nil {
 		return err
 	}
--- a/internal/upstream/http1/responsebody.go
+++ b/internal/upstream/http1/responsebody.go
@@ -85,15 +85,6 @@
 	return b.readData(p)
 }
 
-// Await waits until bytes of the body are there, or its end, which is io.EOF.
-func (b *responseBody) Await() error {
-	if err := b.passOverhead(); err != nil {
-		return err
-	}
-	_, err := b.in.Peek(1)
-	return b.readError(err)
-}
-
 // hasBuffered reports whether the body goes on, or ends, in what was read already.
 func (b *responseBody) hasBuffered() bool {
 	switch {
--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -42,20 +42,12 @@
 	freed atomic.Bool
 }
 
-// Await waits until Read has something to return at once, without a buffer of the caller.
-func (s *Stream) Await() error {
-	if err := s.allowPause(); err != nil {
-		return err
-	}
-	if err := s.body.Await(); err != nil && !errors.Is(err, io.EOF) { // Read returns the end
-		return err
-	}
-	return nil
-}
-
 // Read reads bytes as they arrive. io.EOF means that the body is complete; any other error that it is not.
 func (s *Stream) Read(to []byte) (int, error) {
-	if err := s.allowPause(); err != nil {
+	if s.freed.Load() {
+		return 0, errUploadAborted
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(streamPauseTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := s.body.Read(to)
@@ -68,14 +60,6 @@
 	return n, err
 }
 
-// allowPause gives the server time for its next bytes. The error says that the stream was discarded, or that its connection is closed.
-func (s *Stream) allowPause() error {
-	if s.freed.Load() {
-		return errUploadAborted
-	}
-	return s.conn.SetReadDeadline(time.Now().Add(streamPauseTimeout))
-}
-
 // free releases the connection, once.
 func (s *Stream) free(keep bool) {
 	if !s.freed.Swap(true) {
