Answers: a head may come in parts for as long as the request has time

Cause: a limit of its own, beside the one clock of the request.

Change: where bodies may be large, a head has the attempt's time.

Evidence: TestAnswerThatIsWrittenSlowlyComesWhole/a_head_in_two_parts failed before (502 behind 1.5 s) and passes now.

--- a/internal/agent/slowanswer_test.go
+++ b/internal/agent/slowanswer_test.go
@@ -42,6 +42,7 @@
 		serve func(net.Conn, *bufio.Reader)
 		size  int
 	}{
+		"a head in two parts":                {slowWriter(ok+"Content-", 1500*time.Millisecond, "Length: 1000\r\n\r\n"+small, 1, 0), 1_000},
 		"a small one in pieces":              {slowWriter(length(8_000), 0, small, 8, 150*time.Millisecond), 8_000},
 		"a small one long behind its head":   {slowWriter(length(1_000), 1500*time.Millisecond, small, 1, 0), 1_000},
 		"a small one with a pause":           {slowWriter(length(2_000), 0, small, 2, 1300*time.Millisecond), 2_000},
--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -19,7 +19,6 @@
 
 // Limits of responses that are read or forwarded while they arrive, where large bodies are allowed.
 const (
-	headTimeout             = time.Second            // for the head, from its first byte
 	streamTimeout           = 5 * time.Second        // for a peer to accept the next bytes of a body that is forwarded
 	streamPauseTimeout      = 30 * time.Second       // for the next bytes of a response: servers stand still for up to 25 s
 	unknownLengthBufferTime = 300 * time.Millisecond // after which a body without a stated length is forwarded as it arrives
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -284,7 +284,7 @@
 	return finalHead{}, fmt.Errorf("%w: too many interim answers", errMalformedResponse)
 }
 
-// readHead waits for a response and reads its head. The time for that counts from its first byte.
+// readHead waits for a response and reads its head.
 func (s *Transport) readHead(c *connpool.Conn, req *http.Request, until time.Duration) (*http.Response, error) {
 	if err := c.SetReadDeadline(s.Clock.At(until)); err != nil {
 		return nil, err
@@ -292,11 +292,10 @@
 	if err := checkPrefix(c.Reader); err != nil {
 		return nil, err
 	}
-	wait := responseReadTimeout
-	if s.AllowsLargeBodies {
-		wait = headTimeout
+	if !s.AllowsLargeBodies { // else servers may be slow, and the head has the whole time
+		until = min(until, s.Clock.Now()+responseReadTimeout)
 	}
-	if err := c.SetReadDeadline(s.Clock.At(min(until, s.Clock.Now()+wait))); err != nil {
+	if err := c.SetReadDeadline(s.Clock.At(until)); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(c.Reader, req)
