Connections: the check of framing holds no lock, and bodies at full speed yield

Cause: how bytes divide into requests was checked under the listener's one lock, and a client decides how much work that is; a connection in the midst of a body yielded to nobody.

Change: the filter is called without the lock, while the connection is marked as being read; a body that comes without a wait in between yields at each read. It is not paced: how fast long bodies go is for the servers to say.

--- a/cmd/appleledge/fullspeed_test.go
+++ b/cmd/appleledge/fullspeed_test.go
@@ -27,14 +27,23 @@
 // fullSpeedSetting is what some clients write at full speed, without waiting for answers.
 type fullSpeedSetting struct {
 	name         string
-	text         string
+	begin        string // ends the head with which a connection begins; empty: there is none
+	text         string // that is written again and again
 	connections  int
 	readsAnswers bool
 }
 
 // fullSpeedSettings returns those of CI, or all.
 func fullSpeedSettings() (all []fullSpeedSetting) {
+	begins := map[string]string{
+		"tiny chunks":  "Transfer-Encoding: chunked\r\n\r\n",
+		"large chunks": "Transfer-Encoding: chunked\r\n\r\n",
+		"a long body":  "Content-Length: 33000000\r\n\r\n",
+	}
 	texts := map[string]string{
+		"tiny chunks":            "1\r\nx\r\n",
+		"large chunks":           "2000\r\n" + strings.Repeat("x", 8<<10) + "\r\n",
+		"a long body":            strings.Repeat("x", 1000),
 		"GET /ready":             "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n",
 		"POST /ready":            "POST /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
 		"POST /ready, bodies":    "POST /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n" + strings.Repeat("x", 100),
@@ -43,7 +52,7 @@
 		"empty lines":            "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n",
 		"without an id":          "GET /form-check HTTP/1.1\r\nHost: a\r\n\r\n",
 	}
-	names, connections := []string{"GET /ready"}, []int{6}
+	names, connections := []string{"GET /ready", "tiny chunks"}, []int{6}
 	if isLongRun() {
 		names, connections = nil, []int{1, 2, 3, 6, 20}
 		for name := range texts {
@@ -53,17 +62,19 @@
 	}
 	for _, name := range names {
 		for _, count := range connections {
-			all = append(all, fullSpeedSetting{name, texts[name], count, true}, fullSpeedSetting{name, texts[name], count, false})
+			for _, readsAnswers := range []bool{true, false} {
+				all = append(all, fullSpeedSetting{name, begins[name], texts[name], count, readsAnswers})
+			}
 		}
 	}
 	return all
 }
 
 // write keeps a connection full until the context ends. A connection that the agent has ended is followed by another.
-func (f fullSpeedSetting) write(ctx context.Context, addr string) {
+func (f fullSpeedSetting) write(ctx context.Context, a *limitedAgent) {
 	batch := strings.Repeat(f.text, floodBatch)
 	for ctx.Err() == nil {
-		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", a.addr)
 		if err != nil {
 			continue
 		}
@@ -71,6 +82,9 @@
 		if f.readsAnswers {
 			go func() { besteffort.IgnoreResult(io.Copy(io.Discard, c)) }()
 		}
+		if f.begin != "" {
+			_, err = io.WriteString(c, a.head(f.begin))
+		}
 		for err == nil {
 			_, err = io.WriteString(c, batch)
 		}
@@ -121,7 +135,7 @@
 	defer cancel()
 	var all sync.WaitGroup
 	for range f.connections {
-		all.Go(func() { f.write(ctx, a.addr) })
+		all.Go(func() { f.write(ctx, a) })
 	}
 	took, unanswered := a.impatient(ctx)
 	all.Wait()
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -59,7 +59,7 @@
 	isSocketEmpty bool         // the last read has found nothing, or less than it had room for
 	sentAfter     time.Time    // when the socket was last empty before the bytes of the last read came
 	awaitedUntil  time.Time    // when a Read for a request, or for the rest of one, got bytes for which it had waited
-	unawaited     int          // requests and reads of heads that came without a wait, see pacing.go
+	unawaited     int          // requests and reads that came without a wait, see pacing.go
 	awaitsSince   time.Time    // when the wait for the client has begun; zero: there is none
 	isPaced       bool         // a step of it was paced
 	closeNow      func() error // closes the descriptor and frees the place, once
--- a/internal/connlimit/pacing.go
+++ b/internal/connlimit/pacing.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// unpacedSteps is how many requests and reads of heads a connection may bring in a row without a wait for its client.
+	// unpacedSteps is how many requests and reads a connection may bring in a row without a wait for its client.
 	unpacedSteps = 32
 
 	// maxUnawaited bounds what a connection has to wait for until it may bring as many again.
@@ -32,7 +32,8 @@
 
 // A connection whose client writes faster than it is served never waits, and so never gives the core up: each waits for the rest of the process
 // for as long as the scheduler allows it to, and so do others behind the locks that it takes meanwhile. So what comes without a wait in between
-// is paced: all such connections share one rate, whatever they ask for and however many they are, and yield before each step.
+// is paced: all such connections share one rate, whatever they ask for and however many they are, and yield before each step. A body that comes
+// at full speed is only made to yield: how fast long ones go is for the servers to say.
 
 // newPace returns the rate of the connections at full speed under so many cores, of which a part may be one.
 func newPace(cores float64) *rate.Limiter {
@@ -56,7 +57,7 @@
 	}
 }
 
-// noteStep counts a request, or a read of a head, and reports whether the connection has to be paced. The lock is held.
+// noteStep counts a request, or a read, and reports whether the connection has to be paced. The lock is held.
 func (c *conn) noteStep() bool {
 	c.unawaited = min(c.unawaited+1, maxUnawaited)
 	return c.unawaited > unpacedSteps
--- a/internal/connlimit/reading.go
+++ b/internal/connlimit/reading.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -47,24 +48,27 @@
 			n, err = c.readAtDeadline(p)
 		}
 		if !isTransient(err) || tries == transientTries {
-			if c.endWait(n) {
-				c.pace(context.Background())
-			}
+			c.endWait(n)
 			return n, c.readError(err)
 		}
 		time.Sleep(transientPause)
 	}
 }
 
-// endWait notes that no Read waits any more: it has read so many bytes. It reports whether the connection has to be paced.
-func (c *conn) endWait(count int) (mustPace bool) {
+// endWait notes that no Read waits any more: it has read so many bytes. Where the connection never waits, it is paced while a head comes, and
+// yields while a body does.
+func (c *conn) endWait(count int) {
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
 	c.hasFoundNothing = false
-	if count <= 1 || c.use == readingBody || c.use == inUse {
-		return false
+	isAtFullSpeed := count > 1 && c.noteStep()
+	isBody := c.use == readingBody || c.use == inUse
+	c.listener.mu.Unlock()
+	switch {
+	case isAtFullSpeed && isBody:
+		runtime.Gosched()
+	case isAtFullSpeed:
+		c.pace(context.Background())
 	}
-	return c.noteStep()
 }
 
 // awaitBytes waits until something has come, or the deadline, and takes it.
@@ -148,29 +152,43 @@
 			break
 		}
 	}
+	sentAfter, err := c.noteResult(n, len(p), err)
+	if err != nil {
+		return 0, err
+	}
+	return c.filter(p[:n], len(p), sentAfter)
+}
+
+// noteResult notes what a read of the descriptor has brought, where size bytes were asked for. It returns when the socket was last empty before,
+// or why nothing was read; then the connection may be ended again.
+func (c *conn) noteResult(n, size int, err error) (sentAfter time.Time, _ error) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.isReading = false
 	switch {
 	case err != nil:
+		c.isReading = false
 		c.isSocketEmpty = c.isSocketEmpty || errors.Is(err, syscall.EAGAIN)
 		c.hasPeerEnded = c.hasPeerEnded || !errors.Is(err, syscall.EAGAIN) && !isTransient(err)
-		return 0, err
-	case n == 0 && len(p) > 0:
-		c.hasPeerEnded = true
-		return 0, io.EOF
+		return time.Time{}, err
+	case n == 0 && size > 0:
+		c.isReading, c.hasPeerEnded = false, true
+		return time.Time{}, io.EOF
 	}
-	c.noteRead(n, len(p))
-	return c.filter(p[:n], len(p))
+	c.noteRead(n, size)
+	return c.sentAfter, nil
 }
 
-// filter returns how much of what was read, where size bytes were asked for, is handed over. The lock is held.
-func (c *conn) filter(p []byte, size int) (admitted int, err error) {
-	f, ok := c.Conn.(ReadFilter)
-	if !ok {
-		return len(p), nil
+// filter returns how much of what was read, where size bytes were asked for, is handed over. The lock is not held while the filter looks at it:
+// a client decides how much work that is.
+func (c *conn) filter(p []byte, size int, sentAfter time.Time) (admitted int, err error) {
+	admitted = len(p)
+	if f, ok := c.Conn.(ReadFilter); ok {
+		admitted, err = f.FilterRead(p, sentAfter)
 	}
-	if admitted, c.filterError = f.FilterRead(p, c.sentAfter); admitted > 0 || c.filterError == nil {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.isReading, c.filterError = false, err
+	if admitted > 0 || err == nil {
 		return admitted, nil
 	}
 	return 0, c.filtered(size)
@@ -214,22 +232,31 @@
 // readWithoutSocket reads a connection that has no descriptor. What crosses the end is dropped.
 func (c *conn) readWithoutSocket(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	sentAfter, ended := c.noteReadWithoutSocket(n, len(p), err)
+	switch {
+	case ended != nil:
+		return 0, ended
+	case n == 0:
+		return 0, err
+	}
+	admitted, filterError := c.filter(p[:n], len(p), sentAfter)
+	return admitted, errors.Join(filterError, err)
+}
+
+// noteReadWithoutSocket notes what a read has brought. It returns when the connection was last empty before, or why nothing is handed over any more.
+func (c *conn) noteReadWithoutSocket(n, size int, err error) (sentAfter time.Time, ended error) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.hasTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
 	c.hasPeerEnded = c.hasPeerEnded || err != nil && !c.hasTimedOut && !c.isEnded
 	if c.isEnded {
-		return 0, io.EOF
+		return time.Time{}, io.EOF
 	}
 	if c.filterError != nil {
-		return 0, c.filterError
+		return time.Time{}, c.filterError
 	}
-	c.noteRead(n, len(p))
-	if n == 0 {
-		return 0, err
-	}
-	admitted, filterError := c.filter(p[:n], len(p))
-	return admitted, errors.Join(filterError, err)
+	c.noteRead(n, size)
+	return c.sentAfter, nil
 }
 
 // SetReadDeadline limits how long a Read waits for the client. A time of 1970 ends a Read at once.
