--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -53,7 +53,7 @@
 	if s.left -= int64(n); s.left < 0 {
 		return 0, fmt.Errorf("an answer of more than %d bytes", MaxLargeBody)
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		s.free(s.keep)
 	}
 	return n, err
