Engine: timers go before what is queued again, as decisions at one instant changed

Events and timers of one instant then came in an order of chance, another one in direct mode than through the processor.

Change: the line is taken out.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -106,7 +106,6 @@
 			e.handleQueued()
 		case <-wake.C:
 			armedFor = 0
-			e.handleQueued() // what came before the time was over goes first, however late the process looks
 			e.fireTimers()
 		}
 		if due, ok := e.NextTimer(); ok && due != armedFor {
