--- a/cmd/appleledge/memory_limit_test.go
+++ b/cmd/appleledge/memory_limit_test.go
@@ -191,6 +191,7 @@
 				slowest = max(slowest, took)
 				if err != nil {
 					unanswered++
+					a.t.Logf("usual client %d, keeps its connection %t, behind %v: %v", i, isKept, took.Round(time.Millisecond), err)
 				}
 				mu.Unlock()
 				time.Sleep(usualInterval)
@@ -406,7 +407,7 @@
 		t.Errorf("the slowest answer to a usual client took %v", slowest)
 	}
 	if unanswered > 0 {
-		t.Errorf("%d of %d requests of usual clients got no answer", unanswered, total)
+		t.Errorf("%d of %d requests of usual clients got no answer; the agent's log:\n%s", unanswered, total, a.log)
 	}
 	besteffort.Ignore(a.process.Signal(syscall.SIGTERM))
 }
