Connections: a lack of room that has ended long ago is not remembered

A body that had come for 0.5 s could then lose its connection at once (503), and not behind 0.4 s in which no other could be closed.

Change: a search that comes 0.4 s or more behind the one before begins anew.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -65,6 +65,7 @@
 	limit      int
 	roomFreed  *sync.Cond // a connection may have become one that can be closed, or the limit has changed
 	fullSince  time.Time  // since when a search for room has found none, or only the midst of bodies that come; zero: the last found one
+	searchedAt time.Time  // when room was last searched
 	isClosed   bool
 	isDraining bool // connections end as soon as no request has begun on them
 	conns      map[*conn]struct{}
--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -43,11 +43,14 @@
 
 // noteSearch notes whether a search for room has found a connection that is not in the midst of a body that comes. The lock is held.
 func (l *Listener) noteSearch(found *conn) {
+	now := time.Now()
+	hadRoom := now.Sub(l.searchedAt) >= maxFullTime // nobody has looked for room meanwhile
+	l.searchedAt = now
 	switch {
-	case found != nil && (found.use != readingBody || found.isClosing || found.silence(time.Now()) >= maxBodyPause):
+	case found != nil && (found.use != readingBody || found.isClosing || found.silence(now) >= maxBodyPause):
 		l.fullSince = time.Time{}
-	case l.fullSince.IsZero():
-		l.fullSince = time.Now()
+	case l.fullSince.IsZero(), hadRoom:
+		l.fullSince = now
 	}
 }
 
