Connections: a fresh one is not ended for room before its request can have come

Cause: clients' connections had no least age. One that was accepted just now, whose first request was on its way, was the least useful of all where the others had requests, and was ended by a refusal to accept the next. Likelier since connections follow the memory limit.

Change: MinAge of 20 ms, as operators' connections have it.

--- a/internal/agent/downstream.go
+++ b/internal/agent/downstream.go
@@ -26,6 +26,9 @@
 // silentClientTimeout is after what time a client that has sent nothing may be closed to make room.
 const silentClientTimeout = 500 * time.Millisecond
 
+// minClientAge: a younger connection is not closed to make room, as its first request may be on its way.
+const minClientAge = 20 * time.Millisecond
+
 // openDownstreamServers builds the servers beside the platform's own port. Their listeners close when they have drained.
 func (a *assembly) openDownstreamServers() error {
 	core := Core{
@@ -60,7 +63,7 @@
 // are many, so that both get their limits there.
 func (a *assembly) openClients() error {
 	a.memory = memorybudget.New(memorybudget.SizeFor(int64(a.cfg.MemoryMB)<<20), downstreamhttp1.MaxBodyMemory)
-	limits := connlimit.Options{Cores: a.cfg.Cores, Events: eventlog.New(a.log)}
+	limits := connlimit.Options{MinAge: minClientAge, Cores: a.cfg.Cores, Events: eventlog.New(a.log)}
 	if a.cfg.Operator != "" {
 		a.largeBodies = downstreamhttp1.NewLargeBodies(a.memory)
 		limits.FirstRequestTimeout = silentClientTimeout
