Connections: a refused request does not keep its place while its client goes on sending

Cause: behind an answer that closes the connection net/http reads the rest of a body of up to 256 KB, for as long as the client sends. A refused request of 60 kB that comes slowly kept its place until then. And one of stated length was refused only when 4 KiB of its body had come.

Change: refusals and answers to malformed requests end the reading of the body; a request whose stated length is long is refused before its body is waited for.

--- a/internal/agent/slowanswer_test.go
+++ b/internal/agent/slowanswer_test.go
@@ -48,6 +48,7 @@
 		"a small one with a pause":           {slowWriter(length(2_000), 0, small, 2, 1300*time.Millisecond), 2_000},
 		"a large one in pieces":              {slowWriter(length(300_000), 0, large, 30, 150*time.Millisecond), 300_000},
 		"a large one long behind its head":   {slowWriter(length(100_000), 1500*time.Millisecond, large, 10, 0), 100_000},
+		"a large one with a pause of 6 s":    {slowWriter(length(100_000), 0, strings.Repeat("x", 50_000), 2, 6*time.Second), 100_000},
 		"a large one with long pauses":       {slowWriter(length(70_000), 0, large, 7, 1300*time.Millisecond), 70_000},
 		"one of no length, in pieces":        {slowWriter(ok+"Connection: close\r\n\r\n", 0, large, 10, 300*time.Millisecond), 100_000},
 		"one of no length, with long pauses": {slowWriter(ok+"Connection: close\r\n\r\n", 0, large, 3, 1300*time.Millisecond), 30_000},
--- a/internal/downstream/http1/accept.go
+++ b/internal/downstream/http1/accept.go
@@ -51,6 +51,11 @@
 		body, err := readBody(w, r, time.Now().Add(min(timeout, BodyTimeout)))
 		return body, nil, err
 	}
+	if r.ContentLength > freeBody { // it will be long: where there is no place, nothing of it is waited for
+		if err := memory.acquirePlace(); err != nil {
+			return nil, nil, err
+		}
+	}
 	connlimit.MarkReadingBody(r.Context())
 	clock := startLastByteClock(r.Context(), r.ContentLength, headSentAfter)
 	body, up, err := s.LargeBodies.take(w, r, clock, timeout, func() error { return memory.acquire(clock.sentAfter().Add(timeout)) })
--- a/internal/downstream/http1/answers.go
+++ b/internal/downstream/http1/answers.go
@@ -14,6 +14,9 @@
 	"appleledge/internal/upstream/http1"
 )
 
+// expiredDeadline ends a read at once.
+var expiredDeadline = time.Unix(1, 0)
+
 // statuses are the HTTP status codes of the kinds of answers.
 var statuses = [...]int{engine.Served: http.StatusOK, engine.Rejected: http.StatusServiceUnavailable,
 	engine.Failed: http.StatusBadGateway, engine.Conflict: http.StatusConflict}
@@ -22,7 +25,7 @@
 func (s *Server) reject(w http.ResponseWriter, c *engine.Call, unread bool) {
 	s.Engine.CountRejected(c)
 	if unread {
-		w.Header().Set("Connection", "close")
+		stopReading(w)
 	}
 	s.writeHeadAndBody(w, engine.Answer{Kind: engine.Rejected, RetryAfter: fullRetryAfter})
 }
@@ -68,10 +71,17 @@
 	if bad, ok := errors.AsType[requesthead.BadRequestError](err); ok {
 		status = bad.Status
 	}
-	w.Header().Set("Connection", "close")
+	stopReading(w)
 	http.Error(w, err.Error(), status)
 }
 
+// stopReading ends the connection of a request behind its answer, and keeps net/http from reading the rest of its body, which it does else for as
+// long as the client sends: the connection would keep its place meanwhile.
+func stopReading(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	besteffort.Ignore(http.NewResponseController(w).SetReadDeadline(expiredDeadline))
+}
+
 // serveReadiness answers GET /ready.
 func (s *Server) serveReadiness(w http.ResponseWriter) {
 	s.announceClose(w)
--- a/internal/downstream/http1/largebodies.go
+++ b/internal/downstream/http1/largebodies.go
@@ -148,7 +148,7 @@
 // end aborts an Upload whose request has its answer. The error says whether the client's side failed.
 func end(w http.ResponseWriter, up *http1.Upload) error {
 	// An attempt may wait for the client's next bytes.
-	err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	err := http.NewResponseController(w).SetReadDeadline(expiredDeadline)
 	up.Abort()
 	return errors.Join(err, up.ReadError())
 }
