Connections: an answered one whose close is waited for makes room

Cause: behind an answer to a request with a long unread body net/http ends its side, waits for half a second, and closes. Meanwhile the connection kept its place, and connections at rest, or clients that wait to be accepted, paid for it.

Change: the wrapper notes that this side has ended, and the search for room takes such a connection like one that is closing.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -40,6 +40,7 @@
 	hasPeerEnded      bool // the client has ended its side
 	isEnded           bool // nothing is read any more: no request begins on it
 	isClosing         bool // implies isEnded
+	hasEndedSending   bool // this side has ended, behind an answer
 	isReading         bool // a Read takes what lies in the socket
 	isRefusing        bool // implies isClosing: its refusal is being written
 	isRefused         bool // its refusal was written: what comes from the client has its answer
--- a/internal/connlimit/linger.go
+++ b/internal/connlimit/linger.go
@@ -77,8 +77,13 @@
 	}
 }
 
-// CloseWrite lets net/http end an answer so that a client which still sends can read it.
+// CloseWrite lets net/http end an answer so that a client which still sends can read it. net/http waits for half a second then, and closes:
+// meanwhile the connection can be closed to make room.
 func (c *conn) CloseWrite() error {
+	c.listener.mu.Lock()
+	c.hasEndedSending = true
+	c.listener.roomFreed.Signal()
+	c.listener.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -33,7 +33,7 @@
 			l.awaitRoom(roomPoll)
 			continue
 		}
-		if remaining := max(l.MinAge-time.Since(c.useSince), c.answerTransit()); remaining > 0 && !c.isClosing {
+		if remaining := max(l.MinAge-time.Since(c.useSince), c.answerTransit()); remaining > 0 && !c.isClosing && !c.hasEndedSending {
 			l.awaitRoom(remaining)
 			continue
 		}
@@ -47,7 +47,7 @@
 	hadRoom := now.Sub(l.searchedAt) >= maxFullTime // nobody has looked for room meanwhile
 	l.searchedAt = now
 	switch {
-	case found != nil && (found.use != readingBody || found.isClosing || found.silence(now) >= maxBodyPause):
+	case found != nil && (found.use != readingBody || found.isClosing || found.hasEndedSending || found.silence(now) >= maxBodyPause):
 		l.fullSince = time.Time{}
 	case l.fullSince.IsZero(), hadRoom:
 		l.fullSince = now
@@ -63,7 +63,7 @@
 // and released meanwhile.
 func (l *Listener) reap(c *conn) {
 	switch {
-	case c.isClosing:
+	case c.isClosing, c.hasEndedSending:
 		l.mu.Unlock()
 		besteffort.Ignore(c.closeNow())
 		runtime.Gosched() // the descriptor is free only when its reader has run
@@ -97,7 +97,7 @@
 	}
 	for range maxLooks {
 		c := l.leastUseful()
-		if c == nil || c.isClosing {
+		if c == nil || c.isClosing || c.hasEndedSending {
 			return c
 		}
 		l.mu.Unlock()
@@ -132,7 +132,7 @@
 // mayBeReaped reports whether a connection may be closed to make room, if nothing lies unread in its socket. One from which bytes were
 // read may be only while the rest of them is waited for: else a request may be on its way to its handler. The lock is held.
 func (c *conn) mayBeReaped() bool {
-	if c.isClosing {
+	if c.isClosing || c.hasEndedSending {
 		return !c.isRefusing
 	}
 	now := time.Now()
@@ -155,7 +155,7 @@
 // reapRank orders connections by how readily they are closed to make room; the lowest go first.
 func (l *Listener) reapRank(c *conn, silent time.Duration) int {
 	switch {
-	case c.isClosing:
+	case c.isClosing, c.hasEndedSending:
 		return -1
 	case c.use == readingBody && silent >= maxBodyPause:
 		return 0
