--- a/internal/connlimit/reaping.go
+++ b/internal/connlimit/reaping.go
@@ -33,7 +33,7 @@
 			l.awaitRoom(roomPoll)
 			continue
 		}
-		if remaining := max(l.MinAge-time.Since(c.useSince), c.answerTransit()); remaining > 0 && !c.isClosing && !c.hasEndedSending {
+		if remaining := max(l.MinAge-time.Since(c.useSince), c.answerTransit()); remaining > 0 && !c.awaitsClose() {
 			l.awaitRoom(remaining)
 			continue
 		}
@@ -47,7 +47,7 @@
 	hadRoom := now.Sub(l.searchedAt) >= maxFullTime // nobody has looked for room meanwhile
 	l.searchedAt = now
 	switch {
-	case found != nil && (found.use != readingBody || found.isClosing || found.hasEndedSending || found.silence(now) >= maxBodyPause):
+	case found != nil && (found.use != readingBody || found.awaitsClose() || found.silence(now) >= maxBodyPause):
 		l.fullSince = time.Time{}
 	case l.fullSince.IsZero(), hadRoom:
 		l.fullSince = now
@@ -63,7 +63,7 @@
 // and released meanwhile.
 func (l *Listener) reap(c *conn) {
 	switch {
-	case c.isClosing, c.hasEndedSending:
+	case c.awaitsClose():
 		l.mu.Unlock()
 		besteffort.Ignore(c.closeNow())
 		runtime.Gosched() // the descriptor is free only when its reader has run
@@ -97,7 +97,7 @@
 	}
 	for range maxLooks {
 		c := l.leastUseful()
-		if c == nil || c.isClosing || c.hasEndedSending {
+		if c == nil || c.awaitsClose() {
 			return c
 		}
 		l.mu.Unlock()
@@ -132,7 +132,7 @@
 // mayBeReaped reports whether a connection may be closed to make room, if nothing lies unread in its socket. One from which bytes were
 // read may be only while the rest of them is waited for: else a request may be on its way to its handler. The lock is held.
 func (c *conn) mayBeReaped() bool {
-	if c.isClosing || c.hasEndedSending {
+	if c.awaitsClose() {
 		return !c.isRefusing
 	}
 	now := time.Now()
@@ -142,6 +142,11 @@
 	return !c.isEnded && !c.isReading && c.use != inUse && (c.isAwaitingRequest || !c.hasRead)
 }
 
+// awaitsClose reports whether only its close is left: it has ended, or this side of it has, behind an answer. The lock is held.
+func (c *conn) awaitsClose() bool {
+	return c.isClosing || c.hasEndedSending
+}
+
 // silence returns for how long the connection has been in its use, and nothing has come. The lock is held.
 func (c *conn) silence(now time.Time) time.Duration {
 	return min(now.Sub(c.useSince), now.Sub(c.lastReadAt))
@@ -155,7 +160,7 @@
 // reapRank orders connections by how readily they are closed to make room; the lowest go first.
 func (l *Listener) reapRank(c *conn, silent time.Duration) int {
 	switch {
-	case c.isClosing, c.hasEndedSending:
+	case c.awaitsClose():
 		return -1
 	case c.use == readingBody && silent >= maxBodyPause:
 		return 0
