Answers: a server at full speed does not keep the core from others

Cause: the same as of clients at full speed. What forwards such an answer never waits, and keeps the core for as long as the scheduler allows it to; trailers were bounded only by what a whole body may have on the wire, 264 MiB.

Change: the forwarding of an answer yields before each read; trailers count as overhead of the chunks, of which a body may have 16 KiB (net/http allows 4 KiB of them).

Evidence: TestServersAtFullSpeedDoNotDelayOthers, usual clients with 321 ms. A test for clients at full speed shares its checks.

--- a/cmd/appleledge/fullspeed_test.go
+++ b/cmd/appleledge/fullspeed_test.go
@@ -131,24 +131,30 @@
 func (f fullSpeedSetting) play(t *testing.T, lasts time.Duration) {
 	t.Helper()
 	a := startLimited(t, 32, 1024, true)
-	ctx, cancel := context.WithTimeout(t.Context(), lasts)
+	a.checkBesideFlood(f.connections, lasts, func(ctx context.Context) { f.write(ctx, a) })
+}
+
+// checkBesideFlood runs a flood on so many connections, and checks that usual clients are answered in time beside it. It ends the agent.
+func (a *limitedAgent) checkBesideFlood(connections int, lasts time.Duration, flood func(context.Context)) {
+	a.t.Helper()
+	ctx, cancel := context.WithTimeout(a.t.Context(), lasts)
 	defer cancel()
 	var all sync.WaitGroup
-	for range f.connections {
-		all.Go(func() { f.write(ctx, a) })
+	for range connections {
+		all.Go(func() { flood(ctx) })
 	}
 	took, unanswered := a.impatient(ctx)
 	all.Wait()
 	slices.Sort(took)
 	slowest := took[len(took)-1]
 	late := len(took) - firstAbove(took, impatientTimeout+answerGrace)
-	t.Logf("usual clients: slowest %v, median %v, %d of %d late, %d without an answer; peak %.1f MB", slowest.Round(time.Millisecond),
+	a.t.Logf("usual clients: slowest %v, median %v, %d of %d late, %d without an answer; peak %.1f MB", slowest.Round(time.Millisecond),
 		took[len(took)/2].Round(time.Millisecond), late, len(took), unanswered, a.peakMB())
 	if slowest > impatientTimeout+lostAfter || unanswered > 0 {
-		t.Errorf("the slowest answer took %v, %d of %d got none", slowest, unanswered, len(took))
+		a.t.Errorf("the slowest answer took %v, %d of %d got none", slowest, unanswered, len(took))
 	}
 	if float64(late) > maxLateRatio*float64(len(took)) && isLongRun() {
-		t.Errorf("%d of %d answers were late", late, len(took))
+		a.t.Errorf("%d of %d answers were late", late, len(took))
 	}
 	besteffort.Ignore(a.process.Signal(syscall.SIGTERM))
 }
--- a/internal/upstream/http1/responsebody.go
+++ b/internal/upstream/http1/responsebody.go
@@ -14,7 +14,7 @@
 const (
 	maxChunkSizeDigits = 15       // hexadecimal ones
 	chunkOverhead      = 16       // bytes of overhead that a chunk may have besides twice its data
-	maxExcessOverhead  = 16 << 10 // bytes of overhead beyond that, in a whole body
+	maxExcessOverhead  = 16 << 10 // bytes of overhead beyond that, and of trailers, in a whole body
 )
 
 // bodyFraming says how the end of a body is told (RFC 9112, section 6.3).
@@ -46,7 +46,7 @@
 	framing bodyFraming
 	left    int64 // bytes of the body, or of the present chunk, that are still to come; of no meaning where the connection's end ends it
 	next    chunkPart
-	excess  int64 // bytes of overhead beyond what the chunks may have
+	excess  int64 // bytes of overhead beyond what the chunks may have, with those of the trailers
 }
 
 // newResponseBody returns the reader of the body of a response whose head was read from in.
@@ -155,18 +155,34 @@
 		}
 		b.next = chunkSize
 	case trailer:
-		field := bytes.TrimSuffix(line, []byte{'\r'})
-		switch {
-		case len(field) == 0:
-			b.next = bodyEnd
-		case bytes.IndexByte(field, ':') <= 0:
-			return fmt.Errorf("%w: a trailer that is no field", errMalformedChunks)
-		}
+		return b.passTrailer(line)
 	case chunkData, bodyEnd:
 	}
 	return nil
 }
 
+// passTrailer takes a line of the trailers, of which the last is empty.
+func (b *responseBody) passTrailer(line []byte) error {
+	field := bytes.TrimSuffix(line, []byte{'\r'})
+	switch {
+	case len(field) == 0:
+		b.next = bodyEnd
+		return nil
+	case bytes.IndexByte(field, ':') <= 0:
+		return fmt.Errorf("%w: a trailer that is no field", errMalformedChunks)
+	}
+	b.excess += int64(len(line))
+	return b.checkOverhead()
+}
+
+// checkOverhead returns an error where too much has come that is no data.
+func (b *responseBody) checkOverhead() error {
+	if b.excess > maxExcessOverhead {
+		return fmt.Errorf("%w: too much that is no data", errMalformedChunks)
+	}
+	return nil
+}
+
 // startChunk takes the line with the size of a chunk.
 func (b *responseBody) startChunk(line []byte) error {
 	text, hasEnd := bytes.CutSuffix(line, []byte{'\r'})
@@ -180,8 +196,8 @@
 		return fmt.Errorf("%w: a size of %q", errMalformedChunks, digits)
 	}
 	b.excess = max(0, b.excess+int64(len(line))-chunkOverhead-2*int64(size))
-	if b.excess > maxExcessOverhead {
-		return fmt.Errorf("%w: too much that is no data", errMalformedChunks)
+	if err := b.checkOverhead(); err != nil {
+		return err
 	}
 	if b.left, b.next = int64(size), chunkData; size == 0 {
 		b.next = trailer
--- a/internal/upstream/http1/responsebody_test.go
+++ b/internal/upstream/http1/responsebody_test.go
@@ -136,6 +136,7 @@
 		"", "5", "5\r\n", "5\r\nhel", "5\r\nhello", "5\r\nhello\r\n", "5\r\nhello\r\n0\r\n", "5\r\nhelloX\r\n0\r\n\r\n", "5\nhello\r\n0\r\n\r\n", "\r\n",
 		"x\r\n", "-1\r\n", "+5\r\nhello\r\n0\r\n\r\n", "1000000000000000\r\n", "5\r\r\nhello\r\n0\r\n\r\n", "0\r\nno field\r\n\r\n",
 		strings.Repeat("1;"+strings.Repeat("e", 1000)+"\r\nx\r\n", 100) + "0\r\n\r\n", strings.Repeat("1", 5000),
+		"0\r\n" + strings.Repeat("A: b\r\n", 5000) + "\r\n",
 	} {
 		body := &responseBody{in: bufio.NewReader(strings.NewReader(wire)), framing: framedByChunks}
 		if got, err := io.ReadAll(body); err == nil {
--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,8 @@
 	freed atomic.Bool
 }
 
-// Read reads bytes as they arrive. io.EOF means that the body is complete; any other error that it is not.
+// Read reads bytes as they arrive. io.EOF means that the body is complete; any other error that it is not. It yields before, as the server and
+// the client of an answer may be so fast that nothing here ever waits for them.
 func (s *Stream) Read(to []byte) (int, error) {
 	if s.freed.Load() {
 		return 0, errUploadAborted
@@ -49,6 +51,7 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(streamPauseTimeout)); err != nil {
 		return 0, err
 	}
+	runtime.Gosched()
 	n, err := s.body.Read(to)
 	if s.left -= int64(n); s.left < 0 {
 		return 0, fmt.Errorf("an answer of more than %d bytes", MaxLargeBody)
