--- a/cmd/appleledge/lumped_answers_test.go
+++ b/cmd/appleledge/lumped_answers_test.go
@@ -250,32 +250,29 @@
 	return ""
 }
 
-// Servers write long answers in lumps, in every form that HTTP/1.1 has; the head comes within the client's time, and the rest when it likes.
-// Each such answer was to be served, begun in time and whole: a third ended as 502 at the client's time (issue 76, evidence 2).
-func TestLongAnswerInLumpsIsNotCutOff(t *testing.T) {
-	count := lumpedAnswers
-	if isLongRun() {
-		count = lumpedAnswersByHand
-	}
-	seed := seedOfRun(t)
-	server := newLumpServer()
+// startAgent starts an agent beside servers that write lumped answers.
+func (s *lumpServer) startAgent(t *testing.T) *limitedAgent {
+	t.Helper()
 	var servers []string
 	for range serverCount {
 		l := agenttest.Listen(t)
-		agenttest.ServeConns(t, l, server.serve)
+		agenttest.ServeConns(t, l, s.serve)
 		servers = append(servers, l.Addr().String())
 	}
-	agent := limitedOptions{memoryMB: 32, sockets: 1024, operated: true, servers: servers, latencyObjective: lumpedObjective}.start(t)
-	r := rand.New(rand.NewPCG(seed, 76))
+	return limitedOptions{memoryMB: 32, sockets: 1024, operated: true, servers: servers, latencyObjective: lumpedObjective}.start(t)
+}
+
+// playAll asks for answers, some at a time, and checks what comes of each.
+func (s *lumpServer) playAll(t *testing.T, agent *limitedAgent, answers []lumpedAnswer) {
+	t.Helper()
 	var all sync.WaitGroup
 	var served atomic.Int64
 	places := make(chan struct{}, lumpedAtATime)
-	for range count {
-		a := drawLumpedAnswer(r)
+	for _, a := range answers {
 		places <- struct{}{}
 		all.Go(func() {
 			defer func() { <-places }()
-			got := server.play(a, agent)
+			got := s.play(a, agent)
 			if got.status == http.StatusOK {
 				served.Add(1)
 			}
@@ -285,12 +282,33 @@
 		})
 	}
 	all.Wait()
-	t.Logf("seed %d: %d of %d served", seed, served.Load(), count)
-	if float64(served.Load()) < minForwardedRatio*float64(count) {
-		t.Errorf("%d of %d were served", served.Load(), count)
+	t.Logf("%d of %d served", served.Load(), len(answers))
+	if float64(served.Load()) < minForwardedRatio*float64(len(answers)) {
+		t.Errorf("%d of %d were served", served.Load(), len(answers))
 	}
 	if t.Failed() {
 		t.Logf("the agent's log:\n%s", agent.log)
 	}
+}
+
+// drawLumpedAnswers draws answers, all of one seed.
+func drawLumpedAnswers(seed uint64, count int) (answers []lumpedAnswer) {
+	r := rand.New(rand.NewPCG(seed, 76))
+	for range count {
+		answers = append(answers, drawLumpedAnswer(r))
+	}
+	return answers
+}
+
+// Servers write long answers in lumps, in every form that HTTP/1.1 has; the head comes within the client's time, and the rest when it likes.
+// Each such answer was to be served, begun in time and whole: a third ended as 502 at the client's time (issue 76, evidence 2).
+func TestLongAnswerInLumpsIsNotCutOff(t *testing.T) {
+	count := lumpedAnswers
+	if isLongRun() {
+		count = lumpedAnswersByHand
+	}
+	server := newLumpServer()
+	agent := server.startAgent(t)
+	server.playAll(t, agent, drawLumpedAnswers(seedOfRun(t), count))
 	besteffort.Ignore(agent.process.Signal(syscall.SIGTERM))
 }
