Connections to servers: answers that slow clients take leave their server its part

Cause: the quarter is there so that a silent server can't use all connections up. It counted those from which long answers are forwarded, which stay for as long as their clients take; attempts went on to a server that was full of these.

Change: connections from which an answer is forwarded count apart; with them a server may have half of the connections.

Evidence: TestForwardedAnswersLeaveTheirBackendItsPart.

--- a/internal/upstream/connpool/backend.go
+++ b/internal/upstream/connpool/backend.go
@@ -16,8 +16,10 @@
 	started   time.Duration
 	isReady   bool // accepts new requests
 	connCount int  // open or being dialed
-	idle      []*Conn
-	continues continueRecord // guarded by itself
+
+	forwardingCount int // of these, those from which a response is forwarded while it arrives
+	idle            []*Conn
+	continues       continueRecord // guarded by itself
 }
 
 // updateBackend applies what the list says of one backend.
--- a/internal/upstream/connpool/pool.go
+++ b/internal/upstream/connpool/pool.go
@@ -29,7 +29,7 @@
 
 	maxIdleTime    time.Duration // connections idle for longer are not reused
 	maxConnections int           // of all backends
-	maxPerBackend  int           // of one backend, so that a silent one can't use up all
+	maxPerBackend  int           // of one backend without those that forward an answer, so that a silent one can't use up all
 
 	mu            sync.Mutex
 	closed        bool
@@ -55,6 +55,7 @@
 	// address, of which the endpoint list does not tell yet.
 	uncertainUntil time.Time
 	hasResponse    bool // a response was read from it
+	isForwarding   bool // a response is forwarded from it while it arrives
 	idleSince      time.Time
 	next, prev     *Conn // in the ring of idle connections; nil while in use
 }
@@ -113,6 +114,26 @@
 	go besteffort.Close(c)
 	delete(p.open, c)
 	c.backend.connCount--
+	p.endForwarding(c)
+}
+
+// NoteForwarding notes that a response is forwarded from a connection while it arrives, for as long as its client takes: its backend is not silent,
+// and is not to get fewer other requests for that.
+func (p *Pool) NoteForwarding(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !c.isForwarding {
+		c.isForwarding = true
+		c.backend.forwardingCount++
+	}
+}
+
+// endForwarding notes that no response is forwarded from a connection any more. The lock is held.
+func (p *Pool) endForwarding(c *Conn) {
+	if c.isForwarding {
+		c.isForwarding = false
+		c.backend.forwardingCount--
+	}
 }
 
 // SetMaxConnections changes the limit. Idle connections over the new limit are closed; those in use stay.
@@ -131,8 +152,13 @@
 	return p.maxConnections
 }
 
-// maxBackendShareDivisor: one backend may have a quarter of the connections.
-const maxBackendShareDivisor = 4
+const (
+	// maxBackendShareDivisor: one backend may have a quarter of the connections, besides those that forward an answer.
+	maxBackendShareDivisor = 4
+
+	// maxForwardingFactor: with those it may have twice as many.
+	maxForwardingFactor = 2
+)
 
 // perBackendLimit returns how many connections one backend may have, so that a silent one can't use up all.
 func perBackendLimit(maxConnections int) int { return max(1, maxConnections/maxBackendShareDivisor) }
@@ -251,10 +277,10 @@
 		p.stats.Dead++
 		p.closeConn(c)
 	}
-	if b.connCount >= p.maxPerBackend && len(b.idle) > 0 { // all in their quiet period
+	if !p.hasRoom(b) && len(b.idle) > 0 { // all in their quiet period
 		p.closeIdle(b.idle[0])
 	}
-	if p.closed || b.connCount >= p.maxPerBackend || len(p.open)+p.dialing >= p.maxConnections && !p.closeLongestIdle() {
+	if p.closed || !p.hasRoom(b) || len(p.open)+p.dialing >= p.maxConnections && !p.closeLongestIdle() {
 		p.stats.Exhausted++
 		return nil, ErrPoolExhausted
 	}
@@ -264,6 +290,11 @@
 	return nil, nil
 }
 
+// hasRoom reports whether a backend may have one more connection. The lock is held.
+func (p *Pool) hasRoom(b *Backend) bool {
+	return b.connCount-b.forwardingCount < p.maxPerBackend && b.connCount < maxForwardingFactor*p.maxPerBackend
+}
+
 // HasOpenSince reports whether an idle connection to the backend that was opened before a time is still open: then the process that the
 // backend was at that time still runs. Where there is none, another process may have come up at its address since.
 func (p *Pool) HasOpenSince(b *Backend, before time.Time) bool {
@@ -339,6 +370,7 @@
 		p.closeConn(c)
 		return
 	}
+	p.endForwarding(c)
 	c.idleSince = time.Now()
 	c.backend.idle = append(c.backend.idle, c)
 	p.addIdle(c)
--- a/internal/upstream/connpool/pool_test.go
+++ b/internal/upstream/connpool/pool_test.go
@@ -98,6 +98,38 @@
 	}
 }
 
+// Connections from which answers are forwarded, for as long as their clients take, do not count as those of a silent backend: it gets as many
+// others, up to twice its part.
+func TestForwardedAnswersLeaveTheirBackendItsPart(t *testing.T) {
+	p := newTestPool(t, agenttest.Listen(t).Addr().String(), 8)
+	exhausted := func() bool {
+		t.Helper()
+		_, err := p.Get(t.Context(), p.Backend("b"))
+		return errors.Is(err, ErrPoolExhausted)
+	}
+	first, second := take(t, p, "b"), take(t, p, "b")
+	if !exhausted() {
+		t.Fatal("there is a third of at most 8/4")
+	}
+	p.NoteForwarding(first)
+	p.NoteForwarding(first)
+	third := take(t, p, "b")
+	if !exhausted() {
+		t.Error("besides one that is forwarded there is a third of at most 8/4")
+	}
+	p.NoteForwarding(second)
+	p.NoteForwarding(third)
+	take(t, p, "b")
+	if !exhausted() {
+		t.Error("there is a fifth of at most 2*8/4")
+	}
+	p.Release(first, true)
+	p.Release(second, false)
+	if take(t, p, "b"); !exhausted() {
+		t.Error("besides one that is forwarded there is a third of at most 8/4, behind the ends of two")
+	}
+}
+
 // The connection used last is used first, so that those not needed grow old and close.
 func TestMostRecentlyUsedFirst(t *testing.T) {
 	p := newTestPool(t, agenttest.Listen(t).Addr().String(), 100)
--- a/internal/upstream/http1/stream.go
+++ b/internal/upstream/http1/stream.go
@@ -129,6 +129,7 @@
 			return out, nil
 		}
 		if rule.isDue(int64(len(out.Body)), s.Clock.Now()) {
+			s.Pool.NoteForwarding(c)
 			out.Rest = &Stream{conn: c, pool: s.Pool, body: body, left: MaxLargeBody - int64(len(out.Body)), keep: !resp.Close}
 			return out, nil
 		}
