Tests: a wrapped end of a connection is compared as such

Cause: the linter (errorlint) turned down a comparison of io.EOF with != in the test of an answered connection that makes room. Change: errors.Is.

--- a/internal/connlimit/reaping_test.go
+++ b/internal/connlimit/reaping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -58,7 +59,7 @@
 	t.Cleanup(func() { besteffort.Close(server) })
 	answered := dialFor(t, l)
 	askOn(t, answered, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8000000\r\n\r\nx")
-	if n, err := answered.Read(make([]byte, 1)); err != io.EOF {
+	if n, err := answered.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Fatalf("%d bytes behind the answer, and %v, where the server has ended its side", n, err)
 	}
 	resting := dialFor(t, l)
