Tests: a client whose id comes again leaves while its request runs, not before it has come

Traced by the agents' logs on a busy machine: the client left 20 ms behind its request while an attempt was under way that no server had got; the id stays taken, as it may have run, and the four repeats get 409. That is as promised, and the test demanded that each request runs once.

Change: the client leaves 20 ms behind its request, and not before a server has it, as the test says. All ten have to run, and none twice, as before.

--- a/cmd/appleledge/reusedid_test.go
+++ b/cmd/appleledge/reusedid_test.go
@@ -79,13 +79,22 @@
 	}
 }
 
-// comeAgain sends requests whose clients leave, and each four times more.
+// hasRun reports whether a server has got a request, by its id.
+func (l *runLog) hasRun(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ran[id]) > 0
+}
+
+// comeAgain sends requests whose clients leave while they run, and each four times more.
 func (l *runLog) comeAgain(path string, upgraded bool, pause time.Duration) {
 	const count, repeats, leavesBehind = 10, 4, 20 * time.Millisecond
 	for i := range count {
+		id := fmt.Sprint("id-", i)
 		c := l.connect()
-		besteffort.IgnoreResult(io.WriteString(c, requestText(path, fmt.Sprint("id-", i))))
+		besteffort.IgnoreResult(io.WriteString(c, requestText(path, id)))
 		time.Sleep(leavesBehind)
+		agenttest.Eventually(l.t, "the request runs", func() bool { return l.hasRun(id) })
 		besteffort.Close(c)
 	}
 	if upgraded {
