--- a/review/standins-2/rig.go
+++ b/review/standins-2/rig.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -70,12 +71,19 @@
 	}
 }
 
-// freeAddr returns an address on which nobody listens.
+// freeAddr returns an address on which nobody listens, below the ports that the system gives to connections: one of these could be taken until a
+// program listens there.
 func (r *rig) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	r.must(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	r.cannot("no free port")
+	return ""
 }
 
 // serve serves HTTP on a free port, or on the given address.
