Review cases 6 and 8: no more than 1 in 100 clients leave, as in the site file

Change: case 6 has 4,000 clients, 40 of which leave, and a limit of 12; case 8 has 122, one of which leaves.

--- a/review/standins-2/case_join.go
+++ b/review/standins-2/case_join.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -24,8 +25,14 @@
 	cfg := r.newConfig(d, settings(refundClasses(), nil))
 	own := r.write("own.toml", "[join]\nclasses = [\"form-check\"]\n")
 	r.start("agent", "", r.write("config.json", cfg), cfg.Listen, "-settings "+own)
-	for i := range 20 { // usual work before, so that there is a usual latency
-		r.ask(cfg.Listen, request{method: "GET", path: fmt.Sprintf("/form-check/w%d", i), id: newID(), tenant: refundTenants[0], route: fmt.Sprint("k", i), timeout: 2 * time.Second})
+	for range 12 { // usual work before, so that there is a usual latency
+		var clients sync.WaitGroup
+		for i := range 10 {
+			clients.Go(func() {
+				r.ask(cfg.Listen, request{method: "GET", path: "/form-check/w" + newID(), id: newID(), tenant: refundTenants[0], route: fmt.Sprint("k", i), timeout: 2 * time.Second})
+			})
+		}
+		clients.Wait()
 	}
 	first := request{method: "GET", path: "/form-check/f1", id: newID(), tenant: refundTenants[0], route: "f1", timeout: 2 * time.Second}
 	second := first
--- a/review/standins-2/case_limit.go
+++ b/review/standins-2/case_limit.go
@@ -13,9 +13,9 @@
 
 func init() { cases["limit"] = limitCase }
 
-// limitConfig is what the operators apply: at most ten requests at a time.
+// limitConfig is what the operators apply: at most twelve requests at a time.
 const limitConfig = `limit "all" {
-  in_flight = 10
+  in_flight = 12
   come_back = "200ms"
 }
 
@@ -36,12 +36,12 @@
 	return string(out)
 }
 
-// limitCase: form-checks are joined, and operators have applied a limit of ten requests at a time. Of 500 clients that come one after the other,
-// 7 in 100 close their connection before the answer. A few seconds later nobody has an open request, and 24 clients ask again.
+// limitCase: form-checks are joined, and operators have applied a limit of twelve requests at a time. Of 4,000 clients that come one after the other,
+// 1 in 100 closes their connection before the answer. A few seconds later nobody has an open request, and 24 clients ask again.
 func limitCase(r *rig) {
 	f := r.newFleet()
 	f.answer = func(s *server, a attempt, w http.ResponseWriter, req *http.Request) {
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 		s.serve(w, a)
 	}
 	a, b := f.add("s-a", 1), f.add("s-b", 1)
@@ -60,10 +60,11 @@
 	r.ctl(socket, "history")
 
 	var clients sync.WaitGroup
-	for i := range 500 {
-		time.Sleep(20 * time.Millisecond)
+	first := time.Now()
+	for i := range 4000 {
+		time.Sleep(time.Until(first.Add(time.Duration(i) * 10 * time.Millisecond)))
 		q := request{method: "GET", path: fmt.Sprintf("/form-check/%d", i), id: newID(), tenant: refundTenants[i%2], route: fmt.Sprint("k", i), timeout: 2 * time.Second}
-		leaves := r.trouble && i%15 == 7
+		leaves := r.trouble && i%100 == 57
 		clients.Go(func() {
 			if !leaves {
 				r.ask(cfg.Listen, q)
@@ -73,7 +74,7 @@
 			if err != nil {
 				return
 			}
-			time.Sleep(30 * time.Millisecond)
+			time.Sleep(25 * time.Millisecond)
 			c.Close()
 			r.note("client of id=%s closes its connection", q.id)
 		})
