Review: the build of the stand-ins can't reach for anything

Cause: build-2.sh ran with the module proxy on, so that it did not show that it needs no network.

Change: GOPROXY=off, GOTOOLCHAIN=local and -mod=readonly.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/standins-2"
 command -v go >/dev/null || PATH="$PATH:/usr/local/go/bin"
 mkdir -p bin
-CGO_ENABLED=0 GOFLAGS=-mod=mod GOWORK=off go build -o bin/standins2 .
+CGO_ENABLED=0 GOPROXY=off GOTOOLCHAIN=local GOFLAGS=-mod=readonly GOWORK=off go build -o bin/standins2 .
