Joined requests: no attempt is made in the name of a client that is over

Cause: a flight had its leader's id, but neither its client's connection nor its time. When the leader left, ran out of time or got a last word, retries, hedged requests and attempts that waited for a connection went on under its id for up to the class's deadline.

Change: an attempt is its leader's, beside the write too; servers are told the leader's time; a leader that is over ends the flight at the balancer. What is under way is waited for, else another member leads in its own name. New counter, metric and log line tell leaderless flights. The golden files of the metrics gain that one series.

--- a/internal/agent/coalescing.go
+++ b/internal/agent/coalescing.go
@@ -76,7 +76,7 @@
 		}
 		log.Info("joined like requests", "flights", c.Flights-last.Flights, "joined", c.Followers-last.Followers,
 			"shared", c.Shared-last.Shared, "parted", c.LateFlights-last.LateFlights, "again", c.NextFlights-last.NextFlights,
-			"private", c.Private-last.Private, "alone", c.NotCoalesced-last.NotCoalesced, "waiting", c.Waiting, "groups", c.Groups)
+			"private", c.Private-last.Private, "leaderless", c.Leaderless-last.Leaderless, "alone", c.NotCoalesced-last.NotCoalesced, "waiting", c.Waiting, "groups", c.Groups)
 		last = c
 	})
 }
--- a/internal/agent/coalescing_test.go
+++ b/internal/agent/coalescing_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -183,6 +185,37 @@
 	}
 }
 
+// Failure: a retry began under the id of a client that had left, as another one waited for the same answer. It goes out under the id of the
+// one that waits, and says no more time than that one has.
+func TestRetryOfAJoinedRequestIsMadeForACallerWhoWaits(t *testing.T) {
+	g := newGate(t, "")
+	a, core := startJoining(t, g.Backend, joinAll(false))
+	ctx, leave := context.WithCancel(t.Context())
+	first := a.newRequest(t, http.MethodGet, "/form-check/a", "").WithContext(ctx)
+	go func() {
+		if resp, err := http.DefaultClient.Do(first); err == nil {
+			besteffort.Close(resp.Body)
+		}
+	}()
+	eventually(t, "the first leads", func() bool { return g.Requests() == 1 })
+	others := make(chan reply, 1)
+	second := a.newRequest(t, http.MethodGet, "/form-check/a", "")
+	second.Header.Set("X-Timeout", "1500m")
+	begin(t, core, second, 2, others)
+	leave()
+	eventually(t, "the first has left", func() bool { return core.Stats().Coalescing.Leaderless == 1 })
+	g.breaks.Store(true)
+	close(g.open)
+	if got := <-others; got.status != http.StatusOK {
+		t.Errorf("the other got %d", got.status)
+	}
+	retry, _ := g.Request(1)
+	left, err := strconv.Atoi(strings.TrimSuffix(retry.Header.Get("X-Timeout"), "u"))
+	if err != nil || g.Requests() != 2 || retry.Header.Get("X-Request-ID") != second.Header.Get("X-Request-ID") || left > 1_500_000 {
+		t.Errorf("%d requests, the last under %s with %d us", g.Requests(), retry.Header.Get("X-Request-ID"), left)
+	}
+}
+
 // A busy desk and a quiet one check the same few forms: with joining less than half of the requests reach the fleet, and
 // each caller is served.
 func TestJoiningSparesTheFleet(t *testing.T) {
--- a/internal/coalesce/coalesce.go
+++ b/internal/coalesce/coalesce.go
@@ -10,6 +10,9 @@
 // next flight: one after a rejection, two in the place of each that failed. So a request that no server can answer costs no more
 // attempts than without coalescing, and nobody queues for long behind it.
 //
+// A flight whose leader leaves, or whose time is over, stays out for the others, as its answer may be on the way. The caller makes no
+// further attempt in that leader's name, and completes the flight when none is under way any more; then another member leads the next.
+//
 // # Late flights
 //
 // A follower does not wait for a flight longer than the response times of its class justify: when a flight of its own is clearly more
@@ -80,6 +83,7 @@
 	LateFlights  uint64 // flights that a follower started because others were late
 	NextFlights  uint64 // flights that a follower started after one that was not served
 	Private      uint64 // answers for one caller alone
+	Leaderless   uint64 // flights that others waited for when their leader left or its time was over
 	Shared       uint64 // requests that were served by a flight that they did not lead
 	Waiting      int    // followers at present
 	Groups       int    // at present
@@ -141,6 +145,7 @@
 type Changes[T any] struct {
 	Answered   []*Member[T] // with what the flight came to
 	Expired    []*Member[T] // their deadline has come: they have failed
+	Leaderless []*Flight[T] // whose leader has expired or left while others wait for them: no attempt may be made in its name any more
 	NewLeaders []*Member[T] // lead a flight from now on, which is to be started
 	Abandoned  []*Flight[T] // for which nobody waits any more
 }
@@ -233,6 +238,9 @@
 		if leader != nil {
 			t.counts.Shared--
 		}
+		for _, other := range g.flights {
+			other.isOver = true
+		}
 		for len(g.members) > 0 {
 			c.Answered = append(c.Answered, g.members[0])
 			t.removeMember(now, g.members[0], &c)
@@ -302,6 +310,10 @@
 		t.followerQuota.release(m.tenant)
 	}
 	if len(g.members) > 0 {
+		if m.flight != nil && !m.flight.isOver {
+			t.counts.Leaderless++
+			c.Leaderless = append(c.Leaderless, m.flight)
+		}
 		return
 	}
 	for _, f := range g.flights {
--- a/internal/engine/answers.go
+++ b/internal/engine/answers.go
@@ -61,7 +61,7 @@
 	c.closed.Store(true)
 	e.releasePermit(c, admissionOutcomes[a.Kind])
 	e.releaseGeneration(c, generationOutcomes[a.Kind])
-	if !c.isFlight {
+	if c.leader == nil {
 		e.counters.answered(e.clock.Now(), c, a.Kind)
 	}
 	e.logUnserved(c, a)
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -32,7 +32,7 @@
 	Incarnation   Incarnation   // of the server, when the attempt was made
 	Sent          time.Duration // when the attempt was made
 	Deadline      time.Duration // when to stop waiting
-	WriteDeadline time.Duration // when it is too late to begin, or to write a body that was held back: Deadline, or earlier for a keyed repeat
+	WriteDeadline time.Duration // when it is too late to begin, or to write a body that was held back: ClientDeadline, or earlier for a keyed repeat
 
 	ConnectedSince time.Duration // only a connection that was open then already may be used; 0: any
 	Forbidden      bool          // it must not be sent: nobody may be left who would drop it as a repeat
@@ -86,6 +86,15 @@
 // WrittenAt returns when the attempt was written completely, or made where that was not told.
 func (a *Attempt) WrittenAt() time.Duration { return max(a.Sent, time.Duration(a.writtenAt.Load())) }
 
+// ClientDeadline returns when the client in whose name the attempt is made will have given up its answer, or Deadline if that is sooner. The
+// attempt of a flight may be waited for longer than that, for the calls that share its answer.
+func (a *Attempt) ClientDeadline() time.Duration {
+	if leader := a.Call.leader; leader != nil {
+		return min(a.Deadline, leader.Deadline)
+	}
+	return a.Deadline
+}
+
 // waited is for how long the server has had the attempt. Of a transport that does not tell when it wrote it, that is counted from
 // when the attempt was made.
 func (a *Attempt) waited(now time.Duration) time.Duration {
@@ -169,7 +178,7 @@
 	if act.After > 0 {
 		a.Deadline = min(a.Deadline, now+act.After)
 	}
-	a.WriteDeadline = a.Deadline
+	a.WriteDeadline = a.ClientDeadline()
 	if c.mayHaveRunSince != 0 && c.IdempotencyWindow > 0 { // the balancer judges by the time now, but the dial may outlast the window
 		windowEnd := c.mayHaveRunSince + c.IdempotencyWindow
 		a.Deadline = min(a.Deadline, windowEnd) // a server that rejects what was given up may take it later, and must not run it
@@ -209,8 +218,9 @@
 		e.finish(c, answer)
 	}
 	e.decide(balancer.Outcome{Request: c.ID, Attempt: a.Number, Server: a.Server, Result: result,
-		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load(), Report: report,
+		Latency: e.clock.Now() - max(a.Sent, a.bodySentAt), Waited: a.waited(e.clock.Now()), RequestClosed: c.closed.Load() || c.isLeaderless, Report: report,
 		RetryForbidden: a.isOverBudget, Unread: o.Unread, OriginalUnread: o.OriginalUnread, HeadWritten: o.HeadWritten, OmitsContinue: o.OmitsContinue})
+	e.endLeaderless(c)
 	if c.Upload != nil && !c.closed.Load() {
 		e.decide(balancer.Retry{Request: c.ID, AllowedServers: c.allowedServers()})
 	}
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -58,7 +58,8 @@
 	arrivedAt       time.Duration   // when the engine got its arrival
 	isCountedOpen   bool            // counters has it as open
 	isIDClaimed     bool            // other processes of the agent were told that it uses its id
-	isFlight        bool            // it stands for coalesced calls, and is no client's own
+	leader          *Call           // of a flight, which stands for coalesced calls: the one in whose name its attempts are made; else nil
+	isLeaderless    bool            // of a flight: the leader is over, so that no attempt begins any more
 	member          *coalesce.Member[*Call]
 	permit          *admission.Permit // of one that admission let in
 	binding         generation.Binding
@@ -75,7 +76,7 @@
 // Closed reports whether the call needs no answer any more. It may be asked from any goroutine, and looks whether the client is still there: the
 // news that it is not may be on its way.
 func (c *Call) Closed() bool {
-	return c.closed.Load() || c.clientGone.Load() || c.HasClientLeft != nil && c.HasClientLeft()
+	return c.closed.Load() || c.clientGone.Load() || c.HasClientLeft != nil && c.HasClientLeft() || c.leader != nil && c.leader.Closed()
 }
 
 // Close marks a call as over, so that no attempt of it begins any more.
--- a/internal/engine/coalescing.go
+++ b/internal/engine/coalescing.go
@@ -1,14 +1,23 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
+	"appleledge/internal/admission"
 	"appleledge/internal/balancer"
 	"appleledge/internal/coalesce"
 )
 
+// lateAnswerWait is how long behind its leader's deadline, which its server was told, a flight is waited for on behalf of others.
+const lateAnswerWait = 300 * time.Millisecond
+
 // coalescer answers equal calls together. A member of its table is a call as it came; the flight that one leads is a call of its
 // own, under the id of the leader, and the only one of them that admission and the balancer see.
+//
+// Each attempt of a flight is made in the name of the leader: under its id, with the time left to it, and only while its client waits
+// (Call.Closed). When the leader is over, whatever has ended it, the flight makes no further attempt and becomes leaderless: it is waited for
+// as long as an attempt is under way, and then ends unserved, so that another member leads the next flight in its own name.
 type coalescer struct {
 	engine     *Engine
 	table      *coalesce.Table[*Call]
@@ -53,12 +62,47 @@
 // startFlight submits the flight that a member leads.
 func (j *coalescer) startFlight(c *Call) {
 	f := c.member.Flight()
-	f.Payload = &Call{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: f.Deadline, ClientRetry: c.ClientRetry,
+	f.Payload = &Call{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: min(f.Deadline, c.Deadline+lateAnswerWait), ClientRetry: c.ClientRetry,
 		Payload: c.Payload, Transport: c.Transport, SettingsVersion: c.SettingsVersion, MaxAttempts: c.MaxAttempts,
-		Responder: flightResponder{j, f}, isFlight: true}
+		Responder: flightResponder{j, f}, leader: c, arrivedAt: j.engine.clock.Now()}
 	j.engine.submit(f.Payload)
 }
 
+// leaderOver makes no further attempt of a flight whose leader is over, and ends the flight unless an attempt is under way.
+func (j *coalescer) leaderOver(flight *Call) {
+	if flight.closed.Load() || flight.isLeaderless {
+		return
+	}
+	flight.isLeaderless = true
+	isUnderWay := flight.isUnderWay()
+	j.engine.logLeaderOver(flight, isUnderWay)
+	j.engine.decide(balancer.ClientDisconnected{Request: flight.ID})
+	if !isUnderWay {
+		j.engine.finishLeaderless(flight)
+	}
+}
+
+// endLeaderless ends a leaderless flight of which no attempt is in flight any more.
+func (e *Engine) endLeaderless(c *Call) {
+	if c.isLeaderless && c.inFlight == 0 && !c.closed.Load() {
+		e.finishLeaderless(c)
+	}
+}
+
+// finishLeaderless ends a flight that is not served. It is rejected, whatever became of its attempts: one flight takes its place.
+func (e *Engine) finishLeaderless(flight *Call) {
+	e.releasePermit(flight, admission.OutcomeCanceled)
+	e.finish(flight, Answer{Kind: Rejected, Reason: UnservedLeaderOver})
+}
+
+// isUnderWay reports whether an attempt of the call is at its server, or is being written there. One that still waits for its connection is not:
+// it is not written once the call is over.
+func (c *Call) isUnderWay() bool {
+	return c.original != nil && c.original.isUnderWay() || slices.ContainsFunc(c.laterSends, (*Attempt).isUnderWay)
+}
+
+func (a *Attempt) isUnderWay() bool { return !a.ended && AttemptPhase(a.phase.Load()) >= AwaitsWrite }
+
 // flightResponder is the Responder of a flight. It only notes the answer, which fireTimers hands to the members: that asks the
 // balancer anew, and the balancer's actions, which are being carried out here, hold only until it is asked again.
 type flightResponder struct {
@@ -125,6 +169,9 @@
 			j.engine.cancel(f.Payload)
 		}
 	}
+	for _, f := range c.Leaderless {
+		j.leaderOver(f.Payload)
+	}
 	for _, m := range c.NewLeaders {
 		j.startFlight(m.Owner)
 	}
--- a/internal/engine/requestlog.go
+++ b/internal/engine/requestlog.go
@@ -21,6 +21,7 @@
 	UnservedFailedBefore     UnservedReason = "failed_before"     // its final answer was given before: failed
 	UnservedUnknownAttempts  UnservedReason = "unknown_attempts"  // a further attempt, and nothing is known of those before
 	UnservedCapacity         UnservedReason = "capacity"          // its downstream server has no capacity
+	UnservedLeaderOver       UnservedReason = "leader_over"       // of a flight: the call that led it is over, and no attempt is under way
 	UnservedCoalescingExpiry UnservedReason = "coalescing_expiry" // its time was up while it waited for an equal call's answer
 	UnservedUploadConsumed   UnservedReason = "upload_consumed"   // a part of its body that a retry would need is gone
 	UnservedOtherServer      UnservedReason = "other_server"      // it may have run on a server that was not chosen for it
@@ -44,7 +45,7 @@
 
 // logUnserved logs why a call is not served.
 func (e *Engine) logUnserved(c *Call, a Answer) {
-	if a.Kind == Served || c.isFlight || !e.requestLog.Enabled(slog.LevelInfo) {
+	if a.Kind == Served || c.leader != nil || !e.requestLog.Enabled(slog.LevelInfo) {
 		return
 	}
 	attrs := []slog.Attr{slog.String("id", c.ID), slog.Int("class", c.Class), slog.String("answer", AnswerKinds[a.Kind]),
@@ -57,3 +58,16 @@
 	}
 	e.requestLog.Log(slog.LevelInfo, "request not served", attrs...)
 }
+
+// logLeaderOver logs that the call is over which leads a flight that others wait for.
+func (e *Engine) logLeaderOver(flight *Call, isUnderWay bool) {
+	if !e.requestLog.Enabled(slog.LevelInfo) {
+		return
+	}
+	attrs := []slog.Attr{slog.String("id", flight.ID), slog.Int("class", flight.Class), slog.Int("attempts", flight.attemptsMade),
+		slog.Int("in_flight", flight.inFlight), slog.Bool("under_way", isUnderWay)}
+	if flight.inFlight > 0 && flight.latestAttempt != nil {
+		attrs = append(attrs, flight.latestAttempt.progress(e.clock.Now())...)
+	}
+	e.requestLog.Log(slog.LevelInfo, "leader of joined requests is over", attrs...)
+}
--- a/internal/telemetry/agentmetrics.go
+++ b/internal/telemetry/agentmetrics.go
@@ -83,7 +83,7 @@
 func (s *Server) writeCoalescing(p metricsWriter, l engine.Stats) {
 	c := l.Coalescing
 	for name, n := range map[string]uint64{"flights": c.Flights, "joined": c.Followers, "alone": c.NotCoalesced, "parted": c.LateFlights,
-		"again": c.NextFlights, "private": c.Private, "shared": c.Shared} {
+		"again": c.NextFlights, "private": c.Private, "leaderless": c.Leaderless, "shared": c.Shared} {
 		p.counter("appleledge_join_"+name+"_total", "", n)
 	}
 	p.gauge("appleledge_join_waiting", "", float64(c.Waiting))
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -68,7 +68,7 @@
 			GivenUp: [5]uint64{151, 152, 153, 154, 155}, Latencies: []engine.LatencyStats{times(161), times(171)}})
 	})
 	part(func(p metricsWriter) {
-		s.writeCoalescing(p, engine.Stats{Coalescing: coalesce.Counts{Flights: 181, Followers: 182, NotCoalesced: 183, LateFlights: 184, NextFlights: 185, Private: 186, Shared: 187,
+		s.writeCoalescing(p, engine.Stats{Coalescing: coalesce.Counts{Flights: 181, Followers: 182, NotCoalesced: 183, LateFlights: 184, NextFlights: 185, Private: 186, Shared: 187, Leaderless: 180,
 			Waiting: 188, Groups: 189}})
 	})
 	for state := admission.Normal; state <= admission.Recovering; state++ {
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -354,7 +354,7 @@
 	if len(in.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(in.Body))
 	}
-	left := max(0, a.Deadline-s.Clock.Now())
+	left := max(0, a.ClientDeadline()-s.Clock.Now())
 	req.Header.Set(requesthead.TimeoutHeader, strconv.FormatInt(left.Microseconds(), 10)+"u")
 	expects.setHeader(req)
 	var text bytes.Buffer
