Upgrade: each process of an agent has the list that any of them was told

Cause: processes of one agent handed over the listener, the operators' denylist and the used ids, and no list of servers. Change: a list has an origin (address, when that was configured, when it was asked for and answered, version), which tells of two lists the newer one; it is sent when a process joins and whenever it changes, and discovery's session goes on from it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -101,11 +101,13 @@
 	maxUpstreamConns     int
 	maxClientConnections int
 
-	discovery  *platform.Discovery
-	settings   *platformconfig.Settings
-	rules      *requesthead.ActiveRules
-	reloader   *reloader
-	classUsers *classUsers
+	discovery *platform.Discovery
+	// platformEndpoints returns the endpoints that discovery has reported.
+	platformEndpoints func() []engine.Member
+	settings          *platformconfig.Settings
+	rules             *requesthead.ActiveRules
+	reloader          *reloader
+	classUsers        *classUsers
 
 	// Parts that are nil where their feature is off.
 	snapshots   *snapshotStore
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"appleledge/internal/engine"
 	"appleledge/internal/membership"
@@ -26,11 +27,20 @@
 	}
 	a.discovery = platform.New(options, a.clock, a.log)
 	a.engine.OnSubscribe(a.discovery.Subscribe)
+	if link := a.features.hotRestart; link != nil {
+		a.discovery.OnTold(link.ShareEndpoints)
+		for _, list := range link.InheritedEndpointLists() {
+			a.discovery.Offer(list)
+		}
+	}
 	sources, names := a.features.openSources(a.discovery, a.clock, a.cfg.Site, a.log)
 	hub := membership.NewHub(a.features.Membership, names, a.clock, a.engine.Post, a.log)
 	if a.snapshots != nil {
 		a.snapshots.listVersion = hub.ListVersion
 	}
+	if platformSource := slices.Index(names, Platform); platformSource >= 0 {
+		a.platformEndpoints = func() []engine.Member { return hub.Members(platformSource) }
+	}
 	a.components.add(untilAnswered, hub.Run)
 	for i, source := range sources {
 		a.components.add(untilAnswered, func(ctx context.Context) { source.Run(ctx, hub.Sink(i)) })
--- a/internal/agent/hotrestart.go
+++ b/internal/agent/hotrestart.go
@@ -15,6 +15,7 @@
 	"appleledge/internal/denylist"
 	"appleledge/internal/engine"
 	"appleledge/internal/hotrestart"
+	"appleledge/internal/membership/listing"
 	"appleledge/internal/membership/platform"
 	"appleledge/internal/memorybudget"
 	"appleledge/internal/upstream/connpool"
@@ -34,7 +35,8 @@
 		return nil
 	}
 	a.restart = &restartHost{link: link, core: a.engine, clock: a.clock, pool: a.pool, clients: a.clients, memory: a.memory,
-		toBackends: a.maxUpstreamConns, fromClients: a.maxClientConnections, setMemoryShare: a.features.SetMemoryShare, snapshots: a.snapshots}
+		toBackends: a.maxUpstreamConns, fromClients: a.maxClientConnections, setMemoryShare: a.features.SetMemoryShare, snapshots: a.snapshots,
+		discovery: a.discovery, endpoints: a.platformEndpoints, decoder: listing.Decoder{Zones: a.cfg.Site.Zones, Clock: a.clock}}
 	a.components.add(untilAnswered, func(ctx context.Context) { link.Run(ctx, a.restart) })
 	a.engine.SetIDClaims(linkedIDs{link})
 	a.components.add(untilAnswered, func(ctx context.Context) { a.restart.becomeReady(ctx, a.discovery, a.log) })
@@ -70,6 +72,9 @@
 	toBackends, fromClients int                // connections of the whole agent
 	setMemoryShare          func(part float64) // limits the process to a part of the agent's memory; nil: nothing does
 	snapshots               *snapshotStore     // nil without Features.Recovery
+	discovery               *platform.Discovery
+	endpoints               func() []engine.Member // that discovery has reported
+	decoder                 listing.Decoder        // which writes these
 	serving                 atomic.Bool
 }
 
@@ -97,6 +102,27 @@
 	return err
 }
 
+// EndpointList implements hotrestart.Host.
+func (h *restartHost) EndpointList() *listing.Told {
+	delivered, ok := h.discovery.Delivered() // first: a list that is older than its origin would never be told of what it lacks
+	if !ok {
+		return nil
+	}
+	decoder := h.decoder
+	decoder.ClockOffset = delivered.ClockOffset
+	list := &listing.Told{Origin: delivered.Origin}
+	for _, m := range h.endpoints() {
+		list.Servers = append(list.Servers, decoder.Encode(m))
+	}
+	return list
+}
+
+// LearnEndpointList implements hotrestart.Host.
+func (h *restartHost) LearnEndpointList(t listing.Told) { h.discovery.Offer(t) }
+
+// PeersEnded implements hotrestart.Host.
+func (h *restartHost) PeersEnded() { h.discovery.SiblingsEnded() }
+
 // UsedIDs implements hotrestart.Host.
 func (h *restartHost) UsedIDs(ctx context.Context) ([]uint64, error) {
 	digests, err := h.core.UsedIDs(ctx)
@@ -161,5 +187,7 @@
 	h.link.SubscribeIDs(ctx)
 	h.link.AnnouncePhase(ctx, hotrestart.Serving)
 	h.serving.Store(true)
-	log.Info("ready to serve", "discovery heard", d.HasAnswered(), "alone", h.link.IsAlone(), "after", time.Since(began).Round(time.Millisecond))
+	list, _ := d.Delivered()
+	log.Info("ready to serve", "discovery heard", d.HasAnswered(), "alone", h.link.IsAlone(), "after", time.Since(began).Round(time.Millisecond),
+		"list_version", list.Origin.Version, "list_of", list.Origin.Address)
 }
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -12,6 +12,7 @@
 
 	"appleledge/internal/besteffort"
 	"appleledge/internal/denylist"
+	"appleledge/internal/membership/listing"
 )
 
 const (
@@ -39,6 +40,12 @@
 	ClaimID(context.Context, string) (isUsed bool, err error)
 	// ReleaseID takes back a claim of a request that has not run.
 	ReleaseID(context.Context, string) error
+	// EndpointList returns the endpoint list that this process has; nil: none. It must not block.
+	EndpointList() *listing.Told
+	// LearnEndpointList brings the list of a peer, which may be older than the own one. It must not block.
+	LearnEndpointList(listing.Told)
+	// PeersEnded says that the process is alone from now on. It must not block.
+	PeersEnded()
 	// SetLimitShare says which part of the agent's limits the process may use from now on. It must not block.
 	SetLimitShare(float64)
 }
@@ -47,8 +54,8 @@
 // returned.
 //
 // Invariants: commandMu is taken before mu. One holder at a time applies an operator's command here and tells the peers, or gives a
-// process that joins the denylist and makes it a peer: a process that joins misses no command, and all apply the commands that this
-// process was given in the same order.
+// process that joins the denylist and the endpoint list and makes it a peer, or sends the peers another list: a process that joins misses no
+// command and no list, and all apply the commands that this process was given in the same order.
 type Link struct {
 	log          *slog.Logger
 	dir          *os.File          // where the processes' sockets are
@@ -59,6 +66,7 @@
 
 	commandMu sync.Mutex
 
+	endpointsChanged chan struct{} // holds a value when peers are to be sent the endpoint list
 	claims           chan struct{} // holds a value for each claim of an id that waits for its replies
 	sharingPeerCount atomic.Int32  // peers that share ids
 
@@ -68,6 +76,7 @@
 	lastNumber     int           // of a peer or a request
 	pendingReplies map[int]chan<- message
 	inherited      denylist.Snapshot // what the processes that were there at the start denied
+	inheritedLists []listing.Told    // the endpoint lists that they had
 }
 
 // Join finds the other processes of the agent by their sockets in a directory, which agents may share; agent is what tells this agent
@@ -75,7 +84,7 @@
 // A directory in which no socket can be made leaves the process alone, which is logged. The caller calls Run or Close.
 func Join(dir, agent string, listen func() (net.Listener, error), log *slog.Logger) (*Link, error) {
 	l := &Link{log: log, uid: os.Geteuid(), process: NewProcess(), peers: map[int]*peer{}, pendingReplies: map[int]chan<- message{},
-		claims: make(chan struct{}, maxClaims)}
+		endpointsChanged: make(chan struct{}, 1), claims: make(chan struct{}, maxClaims)}
 	var err error
 	if l.dir, err = os.Open(dir); err != nil {
 		return nil, fmt.Errorf("the folder for temporary files, in which an old and a new version meet: %w", err)
@@ -126,6 +135,9 @@
 // InheritedDenylist returns what the other processes denied at the start.
 func (l *Link) InheritedDenylist() denylist.Snapshot { return l.inherited }
 
+// InheritedEndpointLists returns the endpoint lists that the other processes had at the start.
+func (l *Link) InheritedEndpointLists() []listing.Told { return l.inheritedLists }
+
 // IsAlone reports whether there is no other process.
 func (l *Link) IsAlone() bool {
 	l.mu.Lock()
@@ -152,6 +164,7 @@
 	}
 	l.mu.Unlock()
 	l.applyDecisions()
+	running.Go(func() { l.shareEndpoints(ctx) })
 	if l.peerListener != nil {
 		running.Go(func() { l.acceptPeers(ctx, &running) })
 	}
--- a/internal/hotrestart/link_test.go
+++ b/internal/hotrestart/link_test.go
@@ -17,6 +17,7 @@
 	"appleledge/internal/agenttest"
 	"appleledge/internal/besteffort"
 	"appleledge/internal/denylist"
+	"appleledge/internal/membership/listing"
 )
 
 // testHost is a process under test, with its own denylist.
@@ -29,6 +30,8 @@
 	share             float64
 	usedIDs           []uint64        // of this process, and those that were learned
 	claimed           map[string]bool // by this process or a peer
+	list              *listing.Told   // the newest that this process has
+	isAlone           bool            // the peers have ended
 	snapshotRequested chan struct{}   // signalled by DenylistSnapshot, which then waits for snapshotReleased; nil: it does not
 	snapshotReleased  chan struct{}
 }
@@ -63,6 +66,27 @@
 	h.share = share
 }
 
+func (h *testHost) EndpointList() *listing.Told {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.list
+}
+
+func (h *testHost) LearnEndpointList(t listing.Told) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.list == nil || t.Supersedes(h.list.Origin) {
+		h.list = &t
+		h.ShareEndpoints()
+	}
+}
+
+func (h *testHost) PeersEnded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isAlone = true
+}
+
 func (h *testHost) has(share float64) func() bool {
 	return func() bool {
 		h.mu.Lock()
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -13,6 +13,7 @@
 
 	"appleledge/internal/besteffort"
 	"appleledge/internal/denylist"
+	"appleledge/internal/membership/listing"
 )
 
 const (
@@ -32,6 +33,7 @@
 	Phase     Phase              `json:"phase"` // of the sender
 	Denylist  *denylist.Snapshot `json:"bans,omitempty"`
 	Command   *DenylistCommand   `json:"order,omitempty"`
+	Endpoints *listing.Told      `json:"endpoints,omitempty"`  // the endpoint list that the sender has
 	SharesIDs bool               `json:"shares_ids,omitempty"` // the sender answers claims of ids and wants to be told of them
 	UsedIDs   []uint64           `json:"used_ids,omitempty"`   // digests of the ids that the sender uses, in the reply to SharesIDs
 	ClaimID   string             `json:"claim_id,omitempty"`   // the sender is about to send a request with this id
--- a/internal/hotrestart/peers.go
+++ b/internal/hotrestart/peers.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// welcome gives a process that joins the listener and the denylist, and adds it to the peers. It holds commandMu: a command that was
-// applied between the snapshot and the moment when the process becomes a peer would never reach it.
+// welcome gives a process that joins the listener, the denylist and the endpoint list, and adds it to the peers. It holds commandMu: a command that
+// was applied, or a list that was sent, between the snapshot and the moment when the process becomes a peer would never reach it.
 func (l *Link) welcome(ctx context.Context, p *peer) error {
 	if err := checkPeerUser(p.conn, l.uid); err != nil {
 		return err
@@ -51,7 +51,7 @@
 		return err
 	}
 	l.add(p, message{Phase: Starting})
-	if err := l.send(p, message{Denylist: &snapshot}); err != nil {
+	if err := l.send(p, message{Denylist: &snapshot, Endpoints: l.host.EndpointList()}); err != nil {
 		l.remove(p)
 		return err
 	}
@@ -71,6 +71,9 @@
 	if first.Denylist != nil {
 		l.inherited = mergeSnapshots(l.inherited, *first.Denylist)
 	}
+	if first.Endpoints != nil {
+		l.inheritedLists = append(l.inheritedLists, *first.Endpoints)
+	}
 }
 
 // remove notes that a peer has ended.
@@ -82,8 +85,12 @@
 	l.mu.Lock()
 	delete(l.peers, p.number)
 	l.process.RemovePeer(p.number)
+	isAlone := len(l.peers) == 0
 	l.mu.Unlock()
 	l.applyDecisions()
+	if isAlone {
+		l.host.PeersEnded()
+	}
 }
 
 // mergeSnapshots returns what either snapshot holds; of two times the later one counts.
@@ -134,6 +141,9 @@
 			l.log.Warn("an order that another process took could not be carried out", "server", m.Command.Server, "error", err)
 		}
 	}
+	if m.Endpoints != nil {
+		l.host.LearnEndpointList(*m.Endpoints)
+	}
 	return l.handleIDs(ctx, p, m)
 }
 
--- a/internal/membership/listing/decode.go
+++ b/internal/membership/listing/decode.go
@@ -74,7 +74,7 @@
 		e.Zone = r.Zones[m.Zone]
 	}
 	if m.Started != 0 {
-		e.StartedMS = r.Clock.At(m.Started).UnixMilli()
+		e.StartedMS = r.Clock.At(m.Started).UnixMilli() + r.ClockOffset.Milliseconds()
 	}
 	return e
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -81,6 +81,13 @@
 // large change is delivered. What the engine has is of that version or of a later one.
 func (h *Hub) ListVersion() int64 { return h.listVersion.Load() }
 
+// Members returns the members that a source has reported, by its index among the names, in the order of their ids.
+func (h *Hub) Members(source int) []engine.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Members(source)
+}
+
 // Sink returns the sink of a source, by its index among the names.
 func (h *Hub) Sink(source int) Sink { return sourceSink{h, source} }
 
--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -72,6 +72,9 @@
 	if r.call.number < s.firstCall {
 		return nil
 	}
+	if d.isHeldToAnotherAddress(s) || s.checkAdopted(r) {
+		return nil
+	}
 	if err := d.checkProcess(s, r); err != nil {
 		return err
 	}
@@ -91,11 +94,14 @@
 	}
 	if s.watchVersion = l.Version; held < 0 && !l.Full && len(l.Servers) == 0 { // the cached list is up to date
 		s.heldVersion = l.Version
+		d.noteAnswered(s, r)
+		d.noteDelivered()
 		d.logList(l, wasUnreachable, false)
 		return nil
 	}
 	s.heldVersion, d.hasEndpoints, d.cachedListAt = l.Version, true, time.Time{}
-	d.sink.Update(d.decodeUpdate(l))
+	d.noteAnswered(s, r)
+	d.deliver(l)
 	d.logList(l, wasUnreachable, l.Version != held) // a discovery that repeats one list would fill the log
 	return nil
 }
--- a/internal/membership/platform/cachedlist.go
+++ b/internal/membership/platform/cachedlist.go
@@ -1,6 +1,10 @@
 package platform
 
-import "time"
+import (
+	"time"
+
+	"appleledge/internal/membership/listing"
+)
 
 // defaultFirstListTimeout is how long the first list may take before the cached one is used.
 const defaultFirstListTimeout = 500 * time.Millisecond
@@ -9,7 +13,7 @@
 // soon as it holds any list: so a pushed one is waited for first.
 func (d *Discovery) scheduleCachedList() {
 	switch {
-	case len(d.cachedList.Servers) == 0:
+	case len(d.cachedList.Servers) == 0, d.hasEndpoints && !d.cachedOrigin().Supersedes(d.told.Origin): // another process has a newer one
 	case d.onDemand: // the balancer says when to call
 		d.useCachedList()
 	default:
@@ -23,8 +27,15 @@
 	l := d.cachedList
 	d.cachedListAt = time.Time{}
 	l.Full, d.hasEndpoints = true, true
-	d.sink.Update(d.decodeUpdate(l))
+	d.told = toldList{Origin: d.cachedOrigin()}
+	d.deliver(l)
+	d.log.Info("the list from before the start is in force", "version", l.Version, "entries", len(l.Servers))
 	if d.onDemand {
 		d.watchVersion = l.Version
 	}
 }
+
+// cachedOrigin is the origin of the cached list.
+func (d *Discovery) cachedOrigin() listing.Origin {
+	return listing.Origin{Version: d.cachedList.Version}
+}
--- a/internal/membership/platform/catchup.go
+++ b/internal/membership/platform/catchup.go
@@ -40,6 +40,8 @@
 			if err := d.receive(r); r.call == c {
 				return err
 			}
+		case <-d.siblingNews:
+			d.handleSiblings()
 		case <-timer.C:
 			return errNoAnswer(timeout)
 		case <-ctx.Done():
@@ -75,6 +77,8 @@
 				err = responseErr
 				next.Reset(catchUpPause)
 			}
+		case <-d.siblingNews:
+			d.handleSiblings()
 		case <-timeout.C:
 			return errNoAnswer(catchUpTimeout)
 		case <-ctx.Done():
--- a/internal/membership/platform/ondemand.go
+++ b/internal/membership/platform/ondemand.go
@@ -47,6 +47,8 @@
 			return true
 		case <-backoffOver:
 			return true
+		case <-d.siblingNews:
+			d.handleSiblings()
 		case r := <-d.open.responses:
 			if d.receive(r) == nil && r.call.session == d.session {
 				return true
@@ -68,10 +70,10 @@
 }
 
 // followOnDemand fetches the whole list, unless changes of the one that is held are enough, then polls for changes until a call fails. Behind
-// a call that failed the first one does not wait for changes: discovery may still be silent, and a change counts as notified sooner
-// than a long poll would show that.
+// a call that failed, or where the list is another process' of the agent, the first one does not wait for changes: discovery may be silent, and a
+// change counts as notified sooner than a long poll would show that.
 func (d *Discovery) followOnDemand(ctx context.Context) error {
-	if d.watchVersion < 0 || d.isUnreachable {
+	if d.watchVersion < 0 || d.isUnreachable || !d.adoptedAt.IsZero() {
 		if err := d.callOrCatchUp(ctx, d.beginCatchUpCall()); err != nil {
 			return err
 		}
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -29,6 +29,8 @@
 // (processTracker): where it answers with a lower version its whole list is taken, and nothing any more of the process before. A list cached from before a restart (Options.CachedList) is used only
 // where discovery does not answer at once.
 //
+// What another process of the agent was told counts as told to this one, whichever is the newer of the two (siblings.go).
+//
 // In an outage the last list stays in force. Nothing is stored here; package fleet/snapshot keeps the list over a restart.
 package platform
 
@@ -46,8 +48,8 @@
 	"appleledge/internal/membership/listing"
 )
 
-// Discovery follows one list. Run owns all state but what is said below to be shared; SetAddress, Subscribe, HasAnswered and Counts
-// may be called from any goroutine.
+// Discovery follows one list. Run owns all state but what is said below to be shared; SetAddress, Subscribe, Offer, SiblingsEnded,
+// Delivered, HasAnswered and Counts may be called from any goroutine.
 type Discovery struct {
 	client           *http.Client
 	decoder          listing.Decoder
@@ -61,12 +63,18 @@
 	maxBackoff       time.Duration // between a failed call for an on-demand list and the next
 	subscriptions    chan struct{} // holds one subscription
 	callLog          callLog
+	siblingNews      chan struct{} // holds one wake-up: offered or siblingsEnded has changed
+	notifyTold       func()
 	sink             membership.Sink
 	log              *slog.Logger
 
 	mu         sync.Mutex // guards what follows
 	targetAddr string     // where discovery is
 	endSession context.CancelFunc
+	// Between this and other processes of the agent (siblings.go):
+	offered       *listing.Told // list of another process that was not looked at yet; nil: none
+	siblingsEnded bool          // there is no other process any more, which was not looked at yet
+	delivered     Delivered
 
 	fullListCalls, watchCalls, failedCalls, unreadableResponses atomic.Uint64
 	hasAnswered                                                 atomic.Bool
@@ -74,6 +82,7 @@
 	// Of the goroutine that runs:
 	*session              // at the present address
 	callsCtx              context.Context
+	told                  toldList // the list in force
 	open                  openCalls
 	cachedListAt          time.Time // when the cached list is used; zero: it is, or there is none
 	hasLoggedInvalidEntry bool
@@ -118,6 +127,8 @@
 		session:          newSession(o.Addr),
 		callsCtx:         context.Background(),
 		open:             newOpenCalls(o.MaxOpenCalls),
+		siblingNews:      make(chan struct{}, 1),
+		notifyTold:       func() {},
 	}
 }
 
@@ -153,6 +164,7 @@
 	d.callsCtx = calls
 	d.callLog.start()
 	defer d.callLog.stop()
+	d.handleSiblings()
 	d.scheduleCachedList()
 	for ctx.Err() == nil {
 		sessionCtx, end := d.beginSession(ctx)
--- a/internal/membership/platform/watch.go
+++ b/internal/membership/platform/watch.go
@@ -47,6 +47,8 @@
 		select {
 		case r := <-d.open.responses:
 			d.handlePushed(&s, r)
+		case <-d.siblingNews:
+			d.handleSiblings()
 		case <-timer.C:
 			d.firePushedTimer(&s, time.Now())
 		case <-ctx.Done():
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"appleledge/internal/balancer"
@@ -78,6 +79,13 @@
 	return t.sources[t.active].dropRatio
 }
 
+// Members returns the members that a source has reported, in the order of their ids.
+func (t *Table) Members(source int) []engine.Member {
+	members := slices.Collect(maps.Values(t.sources[source].members))
+	slices.SortFunc(members, func(a, b engine.Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
 // Update takes a report of a source, which is connected from now on.
 func (t *Table) Update(now time.Duration, source int, u Update) {
 	s := t.sources[source]
