--- a/cmd/appleledge/upgrade_test.go
+++ b/cmd/appleledge/upgrade_test.go
@@ -27,8 +27,9 @@
 type installation struct {
 	t            *testing.T
 	dir, listen  string
-	turn         int      // of the next version that is started
-	wrapper      []string // the command that starts each version; none: it is started as it is
+	turn         int                           // of the next version that is started
+	config       func(discovery string) []byte // the configuration file; nil: without a known list
+	wrapper      []string                      // the command that starts each version; none: it is started as it is
 	disco        *agenttest.Discovery
 	one, two     *agenttest.Backend
 	mu           sync.Mutex
@@ -70,7 +71,7 @@
 func (in *installation) start(discovery string, args ...string) *version {
 	in.t.Helper()
 	v := &version{t: in.t, ended: make(chan error, 1), log: &agenttest.LockedBuffer{}, config: filepath.Join(in.t.TempDir(), "config.json")}
-	if err := os.WriteFile(v.config, agenttest.ConfigText(discovery, "null"), 0o600); err != nil {
+	if err := os.WriteFile(v.config, in.configText(discovery), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
 	v.turn = in.turn
@@ -95,6 +96,13 @@
 	return v
 }
 
+func (in *installation) configText(discovery string) []byte {
+	if in.config == nil {
+		return agenttest.ConfigText(discovery, "null")
+	}
+	return in.config(discovery)
+}
+
 // address waits for the line of the log that ends in one.
 func (v *version) address(line string) (addr string) {
 	v.t.Helper()
--- /dev/null
+++ b/internal/membership/platform/siblings_test.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"appleledge/internal/agenttest"
+	"appleledge/internal/balancer"
+	"appleledge/internal/membership/listing"
+)
+
+// toldAgo is the list of another process, which a discovery has sent it some time ago.
+func toldAgo(t *testing.T, addr string, version int64, ago time.Duration, entries ...string) listing.Told {
+	t.Helper()
+	l, err := listing.Parse([]byte(agenttest.ListText(int(version), true, entries...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := sinceBoot() - ago
+	return listing.Told{Origin: listing.Origin{Address: addr, AddressSince: at, AskedAt: at, AnsweredAt: at, Version: version}, Servers: l.Servers}
+}
+
+func entry(id, state string) string { return agenttest.EntryText(id, "127.0.0.1:1", state, 0) }
+
+// wantState waits for an update of one server that is in a state.
+func wantState(t *testing.T, h agenttest.Sink, state balancer.State) {
+	t.Helper()
+	if u := nextUpdate(t, h); len(u.Members) != 1 || u.Members[0].State != state {
+		t.Fatalf("%+v, want state %v", u, state)
+	}
+}
+
+func wantNoUpdate(t *testing.T, h agenttest.Sink, lasts time.Duration) {
+	t.Helper()
+	select {
+	case u := <-h.Updates:
+		t.Fatalf("an update came: %+v", u)
+	case <-time.After(lasts):
+	}
+}
+
+// Failure: the new process of an upgrade went by an old list while the old process had been told of a drain, and discovery was silent. Pushed
+// or on demand, with a cached list of any version: the other process' list is in force at once, and discovery's next change goes on from it.
+func TestListOfAnotherProcessIsInForceUntilDiscoveryAnswers(t *testing.T) {
+	for name, onDemand := range map[string]bool{"pushed": false, "on demand": true} {
+		for _, cachedVersion := range []int{1, 99} {
+			f := agenttest.NewDiscovery(t, 7, entry("s-1", "Terminating"))
+			f.Silence(true)
+			d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
+			d.onDemand = onDemand
+			cachedList, err := listing.Parse([]byte(agenttest.ListText(cachedVersion, true, entry("s-1", "Ready"))))
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.cachedList = cachedList
+			d.Subscribe()
+			d.Offer(toldAgo(t, f.Addr().String(), 7, time.Minute, entry("s-1", "Terminating")))
+			runUntilTestEnds(t, d, events)
+			wantState(t, events, balancer.Draining)
+			wantNoUpdate(t, events, 2*defaultFirstListTimeout) // the cached list is not used
+			f.Set(8, false, entry("s-1", "Ready"))
+			f.Silence(false)
+			for { // a pushed list is fetched whole first
+				u := nextUpdate(t, events)
+				if len(u.Members) == 1 && u.Members[0].State == balancer.Ready && u.Version == 8 {
+					break
+				}
+			}
+			if o, ok := d.Delivered(); !ok || o.Origin.Version != 8 || o.Origin.AnsweredAt == 0 {
+				t.Errorf("%s: delivered %+v", name, o)
+			}
+		}
+	}
+}
+
+// While two processes run, either may be told first. The newer list counts in both, whichever way it came.
+func TestNewerListOfAnotherProcessCounts(t *testing.T) {
+	f := agenttest.NewDiscovery(t, 5, entry("s-1", "Ready"))
+	d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
+	told := make(chan struct{}, 100)
+	d.OnTold(func() { told <- struct{}{} })
+	runUntilTestEnds(t, d, events)
+	wantState(t, events, balancer.Ready)
+	<-told
+	f.Silence(true)
+	d.Offer(toldAgo(t, f.Addr().String(), 4, time.Minute, entry("s-1", "Terminating")))
+	wantNoUpdate(t, events, 50*time.Millisecond)
+	d.Offer(toldAgo(t, f.Addr().String(), 6, 0, entry("s-1", "Terminating")))
+	wantState(t, events, balancer.Draining)
+	<-told // it is handed on
+	d.Offer(toldAgo(t, f.Addr().String(), 6, time.Minute, entry("s-1", "Ready")))
+	wantNoUpdate(t, events, 50*time.Millisecond)
+	f.Set(7, false, entry("s-1", "Ready"))
+	f.Silence(false)
+	for u := nextUpdate(t, events); u.Version != 7 || u.Members[0].State != balancer.Ready; u = nextUpdate(t, events) {
+		if u.Version < 6 {
+			t.Errorf("an older list came back: %+v", u)
+		}
+	}
+}
+
+// A call began before another process was told of a drain, and is answered behind that with the list from before. It is overtaken. A call that
+// began later and is answered with a lower version is that of a discovery that counts anew, and its whole list is taken.
+func TestAnswerThatAnotherProcessHasOvertakenIsPassedOver(t *testing.T) {
+	d, events := newTestDiscovery(t, agenttest.Refusing(t), io.Discard)
+	answer := func(version int, full bool, begun time.Time, state string) error {
+		l, err := listing.Parse([]byte(agenttest.ListText(version, full, entry("s-1", state))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.open.calls = nil
+		return d.applyList(d.session, response{process: 1, list: l, call: &call{callRecord: callRecord{number: 1, since: -1, begun: begun}, session: d.session}})
+	}
+	before := time.Now()
+	d.adopt(toldAgo(t, d.addr, 7, 0, entry("s-1", "Terminating")))
+	wantState(t, events, balancer.Draining)
+	if err := answer(6, true, before, "Ready"); err != nil {
+		t.Error(err)
+	}
+	wantNoUpdate(t, events, time.Millisecond)
+	if err := answer(2, true, time.Now().Add(time.Millisecond), "Ready"); err != nil {
+		t.Error(err)
+	}
+	wantState(t, events, balancer.Ready)
+}
+
+// One process has read a newer configuration (SIGHUP, or a later start), whose discovery is at another address. What that says counts in both; a
+// process that follows the older address goes on by it when it is moved as well, and goes back to its own discovery where the other process
+// has ended.
+func TestListOfTheDiscoveryThatWasConfiguredLaterCounts(t *testing.T) {
+	for name, end := range map[string]func(*Discovery, *agenttest.Discovery){
+		"it is moved as well":         func(d *Discovery, next *agenttest.Discovery) { d.SetAddress(next.Addr().String()) },
+		"the other process has ended": func(d *Discovery, _ *agenttest.Discovery) { d.SiblingsEnded() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, next := agenttest.NewDiscovery(t, 5, entry("s-1", "Ready")), agenttest.NewDiscovery(t, 3, entry("s-1", "Terminating"))
+			next.Silence(true)
+			d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
+			runUntilTestEnds(t, d, events)
+			wantState(t, events, balancer.Ready)
+			d.Offer(toldAgo(t, next.Addr().String(), 3, 0, entry("s-1", "Terminating")))
+			wantState(t, events, balancer.Draining)
+			f.Set(6, false, entry("s-1", "Ready"))
+			wantNoUpdate(t, events, 3*pushWatchTimeout)
+			end(d, next)
+			if name == "it is moved as well" {
+				wantNoUpdate(t, events, 2*pushWatchTimeout)
+				next.Set(4, false, entry("s-1", "Ready"))
+				next.Silence(false)
+			}
+			agenttest.Eventually(t, "the own discovery counts", func() bool { return nextUpdate(t, events).Members[0].State == balancer.Ready })
+		})
+	}
+}
+
+// The new process is configured with another discovery, which has not answered yet. Until it does, what the old process' discovery tells counts.
+func TestListOfTheDiscoveryBeforeCountsUntilTheNewOneAnswers(t *testing.T) {
+	next := agenttest.NewDiscovery(t, 1, entry("s-1", "Ready"))
+	next.Silence(true)
+	offers := []listing.Told{toldAgo(t, "before:1", 40, time.Minute, entry("s-1", "Ready")), toldAgo(t, "before:1", 41, time.Second, entry("s-1", "Terminating"))}
+	d, events := newTestDiscovery(t, next.Addr().String(), io.Discard)
+	d.Offer(offers[0])
+	runUntilTestEnds(t, d, events)
+	wantState(t, events, balancer.Ready)
+	d.Offer(offers[1])
+	wantState(t, events, balancer.Draining)
+	next.Silence(false)
+	wantState(t, events, balancer.Ready)
+	later := toldAgo(t, "before:1", 42, 0, entry("s-1", "Terminating"))
+	later.AddressSince = offers[0].AddressSince
+	d.Offer(later)
+	wantNoUpdate(t, events, 2*pushWatchTimeout)
+}
