Upgrade: the list that a process was told outlives a kill, beside the sockets

Cause: where no other process lived, a new one knew no more than its configuration's list. Change: each process stores the list that discovery has sent beside the sockets; it is read at the start, in the same boot, by the same user and for the same discovery.

--- a/cmd/appleledge/shared_list_test.go
+++ b/cmd/appleledge/shared_list_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -22,11 +24,21 @@
 	in.config = func(discovery string) []byte { return config(discovery, known) }
 	old = in.ready(in.start(in.disco.Addr().String()))
 	in.setState(2, "Terminating")
-	agenttest.Eventually(t, "the drain is known", func() bool { return old.log.Count("version=2") > 0 })
+	agenttest.Eventually(t, "the drain is known, and stored some milliseconds later", func() bool { return old.log.Count("version=2") > 0 && in.hasStored(2) })
 	in.disco.Silence(true)
 	return in, old
 }
 
+// hasStored reports whether a list of that version is in the file for a process that starts when no other one lives.
+func (in *installation) hasStored(version int) bool {
+	names, err := filepath.Glob(filepath.Join(in.dir, "appleledge-*.list"))
+	if err != nil || len(names) != 1 {
+		return false
+	}
+	text, err := os.ReadFile(names[0])
+	return err == nil && strings.Contains(string(text), fmt.Sprintf(`"version":%d,`, version))
+}
+
 // list returns a whole list as JSON, with the first server in a state.
 func (in *installation) list(version int, state string) string {
 	return agenttest.ListText(version, true, in.entries(state)...)
@@ -102,6 +114,20 @@
 			in.ready(next)
 			in.wantNothingToDraining("the new one")
 		}},
+		"the old one is killed before the new one starts": {agenttest.ConfigText, func(in *installation, old *version) {
+			in.kill(old)
+			in.listen = "" // its socket has ended with it
+			in.ready(in.start(in.disco.Addr().String()))
+			in.wantNothingToDraining("the new one")
+		}},
+		"the old one has ended before the new one starts, and that is killed": {onDemand, func(in *installation, old *version) {
+			in.retire(old)
+			in.listen = ""
+			in.kill(in.ready(in.start(in.disco.Addr().String())))
+			in.listen = ""
+			in.ready(in.start(in.disco.Addr().String()))
+			in.wantNothingToDraining("the third")
+		}},
 		"three, the first and second are killed": {agenttest.ConfigText, func(in *installation, old *version) {
 			second := in.start(in.disco.Addr().String())
 			in.kill(old)
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -7,6 +7,7 @@
 
 	"appleledge/internal/engine"
 	"appleledge/internal/membership"
+	"appleledge/internal/membership/listing"
 	"appleledge/internal/membership/platform"
 	"appleledge/internal/simwire"
 )
@@ -21,6 +22,12 @@
 		OnDemand:         a.cfg.Site.Balancer.Subscribe,
 		MaxOpenCalls:     openDiscoveryCalls(a.cfg.Sockets),
 	}
+	if link := a.features.hotRestart; link != nil {
+		if stored := link.StoredEndpointList(a.cfg.Discovery); stored != nil { // what the agent was told last
+			options.CachedList = listing.List{Version: stored.Version, Full: true, Servers: stored.Servers}
+			options.CachedListOrigin = stored.Origin
+		}
+	}
 	if a.features.Recovery != nil {
 		options.UsesServerClock = true
 		options.AgentCount = a.cfg.Site.Balancer.Balancers
--- a/internal/hotrestart/discovery.go
+++ b/internal/hotrestart/discovery.go
@@ -44,7 +44,8 @@
 func (l *Link) register(agent string) (others []string) {
 	defer l.lockDirectory()()
 	others = l.otherSockets(agent)
-	l.listenForPeers(l.path(socketPrefix(agent) + rand.Text()[:8] + socketSuffix))
+	l.socketName = socketPrefix(agent) + rand.Text()[:8] + socketSuffix
+	l.listenForPeers(l.path(l.socketName))
 	return others
 }
 
--- a/internal/hotrestart/endpoints.go
+++ b/internal/hotrestart/endpoints.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"appleledge/internal/membership/listing"
 )
 
 // Pauses between two times at which peers are sent the endpoint list. A large list that changes all the time takes no more than a part of a core,
 // and a drain in it is known to all processes within the longer of the two.
 const (
-	minSharePause  = 20 * time.Millisecond
+	minSharePause  = 5 * time.Millisecond
 	maxSharePause  = 250 * time.Millisecond
 	sharePauseCost = 20 // times as long as it took to send the last one
 )
@@ -34,7 +36,9 @@
 		case <-l.endpointsChanged:
 		}
 		began := time.Now()
-		l.sendEndpoints()
+		if list := l.sendEndpoints(); list != nil {
+			l.storeEndpoints(list)
+		}
 		pause := min(max(sharePauseCost*time.Since(began), minSharePause), maxSharePause)
 		select {
 		case <-ctx.Done():
@@ -44,21 +48,18 @@
 	}
 }
 
-// sendEndpoints sends all peers the list. It holds commandMu, see welcome.
-func (l *Link) sendEndpoints() {
+// sendEndpoints sends all peers the list, and returns it; nil: there is none. It holds commandMu, see welcome.
+func (l *Link) sendEndpoints() *listing.Told {
 	l.commandMu.Lock()
 	defer l.commandMu.Unlock()
-	peers := l.currentPeers()
-	if len(peers) == 0 {
-		return
-	}
 	list := l.host.EndpointList()
 	if list == nil {
-		return
+		return nil
 	}
-	for _, p := range peers {
+	for _, p := range l.currentPeers() {
 		if err := l.send(p, message{Endpoints: list}); err != nil {
 			l.log.Warn("another process of the agent can't be sent the list of servers", "version", list.Version, "error", err)
 		}
 	}
+	return list
 }
--- a/internal/hotrestart/endpoints_test.go
+++ b/internal/hotrestart/endpoints_test.go
@@ -1,9 +1,15 @@
 package hotrestart
 
 import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"appleledge/internal/affinity/bindinglog"
 	"appleledge/internal/agenttest"
 	"appleledge/internal/membership/listing"
 )
@@ -102,3 +108,81 @@
 		t.Errorf("denied: %v", got)
 	}
 }
+
+// Failure: a process that started behind a kill did not know what the agent had been told. It gets the list from the file, also where processes that
+// overlapped have ended in any order, and only for the discovery that has sent it.
+func TestStoredListOutlivesTheProcesses(t *testing.T) {
+	dir := t.TempDir()
+	first := startProcess(t, dir, true)
+	second := startProcess(t, dir, false)
+	first.tell(1)
+	wantVersion(t, 1, second)
+	second.tell(2)
+	wantVersion(t, 2, first)
+	stored := func(version int64) func() bool {
+		return func() bool {
+			text, err := os.ReadFile(filepath.Join(dir, first.storedListName()))
+			return err == nil && strings.Contains(string(text), fmt.Sprintf(`"version":%d`, version))
+		}
+	}
+	first.end()
+	agenttest.Eventually(t, "it is stored", stored(2))
+	second.end()
+	third := startProcess(t, dir, true)
+	if l := third.StoredEndpointList("d:1"); l == nil || l.Version != 2 || len(l.Servers) != 1 || third.StoredEndpointList("d:2") != nil {
+		t.Errorf("stored is %+v", l)
+	}
+	third.tell(3)
+	agenttest.Eventually(t, "it is replaced", stored(3))
+}
+
+// What is in the file is of another agent or boot, too old, from the future, cut off, no list, or no regular file; a write was cut off. The process
+// starts with nothing, and replaces the file.
+func TestStoredListThatCannotBeTrustedIsNotUsed(t *testing.T) {
+	bootID, now, err := bindinglog.BootTime()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := func(agent, boot string, at time.Duration) string {
+		return fmt.Sprintf(`{"agent":%q,"boot":%q,"list":{"address":"d:1","answered_ns":%d,"version":1,"servers":[{"id":"s-1"}]}}`, agent, boot, at)
+	}
+	for name, c := range map[string]struct {
+		text string
+		used bool
+	}{
+		"good":          {text("n0", bootID, now), true},
+		"another agent": {text("n1", bootID, now), false},
+		"another boot":  {text("n0", "another", now), false},
+		"too old":       {text("n0", bootID, now-maxStoredListAge-time.Second), false},
+		"too new":       {text("n0", bootID, now+time.Hour), false},
+		"cut off":       {text("n0", bootID, now)[:60], false},
+		"empty":         {"", false},
+		"a folder":      {"folder", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			l := newTestLink()
+			l.agent = "n0"
+			path := filepath.Join(dir, l.storedListName())
+			unfinished := filepath.Join(dir, socketPrefix("n0")+"abc"+newListSuffix)
+			if err := os.WriteFile(unfinished, []byte("{"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if c.text == "folder" {
+				err = os.Mkdir(path, 0o700)
+			} else {
+				err = os.WriteFile(path, []byte(c.text), 0o600)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := startProcess(t, dir, true)
+			if got := p.StoredEndpointList("d:1"); (got != nil) != c.used {
+				t.Errorf("used: %+v", got)
+			}
+			if _, err := os.Stat(unfinished); !errors.Is(err, os.ErrNotExist) {
+				t.Errorf("what was not finished is left: %v", err)
+			}
+		})
+	}
+}
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -58,7 +58,10 @@
 // command and no list, and all apply the commands that this process was given in the same order.
 type Link struct {
 	log          *slog.Logger
+	agent        string            // tells it from all others
 	dir          *os.File          // where the processes' sockets are
+	socketName   string            // of this process
+	storedList   *listing.Told     // that earlier processes have left; nil: none
 	peerListener *net.UnixListener // nil: no process can join
 	uid          int               // the user whose processes may join
 	listener     *GatedListener
@@ -66,6 +69,8 @@
 
 	commandMu sync.Mutex
 
+	hasLoggedStoreError bool // of the goroutine that shares the endpoint list
+
 	endpointsChanged chan struct{} // holds a value when peers are to be sent the endpoint list
 	claims           chan struct{} // holds a value for each claim of an id that waits for its replies
 	sharingPeerCount atomic.Int32  // peers that share ids
@@ -83,13 +88,17 @@
 // from all others, such as its name and address. Where a process has a listener for clients that one is used, else listen opens one.
 // A directory in which no socket can be made leaves the process alone, which is logged. The caller calls Run or Close.
 func Join(dir, agent string, listen func() (net.Listener, error), log *slog.Logger) (*Link, error) {
-	l := &Link{log: log, uid: os.Geteuid(), process: NewProcess(), peers: map[int]*peer{}, pendingReplies: map[int]chan<- message{},
+	l := &Link{log: log, agent: agent, uid: os.Geteuid(), process: NewProcess(), peers: map[int]*peer{}, pendingReplies: map[int]chan<- message{},
 		endpointsChanged: make(chan struct{}, 1), claims: make(chan struct{}, maxClaims)}
 	var err error
 	if l.dir, err = os.Open(dir); err != nil {
 		return nil, fmt.Errorf("the folder for temporary files, in which an old and a new version meet: %w", err)
 	}
 	listener := l.joinPeers(l.register(agent))
+	l.loadStoredList()
+	if l.IsAlone() {
+		l.removeUnfinishedLists()
+	}
 	if listener == nil {
 		if listener, err = listen(); err != nil {
 			l.Close()
--- a/internal/hotrestart/peers.go
+++ b/internal/hotrestart/peers.go
@@ -90,6 +90,7 @@
 	l.applyDecisions()
 	if isAlone {
 		l.host.PeersEnded()
+		l.ShareEndpoints() // stores the list: the one that has ended may have stored an older one last
 	}
 }
 
--- a/internal/membership/platform/cachedlist.go
+++ b/internal/membership/platform/cachedlist.go
@@ -37,5 +37,7 @@
 
 // cachedOrigin is the origin of the cached list.
 func (d *Discovery) cachedOrigin() listing.Origin {
-	return listing.Origin{Version: d.cachedList.Version}
+	o := d.cachedListOrigin
+	o.Version = d.cachedList.Version
+	return o
 }
--- a/internal/membership/platform/platform.go
+++ b/internal/membership/platform/platform.go
@@ -54,6 +54,7 @@
 	client           *http.Client
 	decoder          listing.Decoder
 	cachedList       listing.List
+	cachedListOrigin listing.Origin
 	firstListTimeout time.Duration // for the first list, before the cached one is used
 	onDemand         bool
 	agentCount       int  // that call the same discovery; 0: it does not matter
@@ -94,7 +95,9 @@
 	Addr       string       // host and port
 	Zones      []string     // names, in the order of the balancer's numbers
 	CachedList listing.List // from before a restart; may be empty
-	OnDemand   bool         // poll only when the balancer subscribes
+	// CachedListOrigin says which discovery has sent CachedList to an earlier process; zero: it is not known.
+	CachedListOrigin listing.Origin
+	OnDemand         bool // poll only when the balancer subscribes
 	// FirstListTimeout is how long the first list may take before the cached one is used; 0: 500 ms.
 	FirstListTimeout time.Duration
 	// AgentCount is how many agents call the same discovery. Those that are all without it spread their calls so that it can answer them
@@ -114,6 +117,7 @@
 		client:           &http.Client{Transport: &http.Transport{DialContext: (&processTracker{dialer: net.Dialer{Timeout: connectTimeout}}).dial}},
 		decoder:          listing.Decoder{Zones: o.Zones, Clock: clock},
 		cachedList:       o.CachedList,
+		cachedListOrigin: o.CachedListOrigin,
 		firstListTimeout: o.FirstListTimeout,
 		onDemand:         o.OnDemand,
 		agentCount:       o.AgentCount,
