--- a/internal/membership/listing/told_test.go
+++ b/internal/membership/listing/told_test.go
@@ -1,6 +1,7 @@
 package listing
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -32,77 +33,89 @@
 	content int
 }
 
-// Failure: a process of an upgrade did not know what another one had been told. Processes come and go, ask a discovery that changes, moves and
-// starts anew with lower versions, and hand over what they have in any order. When all has been handed over, each has the newest list that
-// any living one was told or had taken over.
+// takeOver takes another process' list, if it is newer.
+func (t *told) takeOver(from *told) {
+	if from.AnsweredAt > 0 && from.Supersedes(t.Origin) {
+		*t = *from
+	}
+}
+
+// sharingModel is the processes of an agent, and a discovery that changes, moves and starts anew with lower versions.
+type sharingModel struct {
+	t         *rapid.T
+	now       time.Duration
+	content   int
+	version   int64
+	address   string
+	moved     time.Duration
+	processes []*told // those that live
+	newest    int     // content that any process was told
+}
+
+func (m *sharingModel) draw(label string) *told {
+	return rapid.SampledFrom(m.processes).Draw(m.t, label)
+}
+
+func (m *sharingModel) change() { m.content, m.version = m.content+1, m.version+1 }
+
+// ask lets a process ask discovery, which may change meanwhile.
+func (m *sharingModel) ask() {
+	p, asked := m.draw("asks"), m.now
+	if rapid.Bool().Draw(m.t, "crosses a change") {
+		m.change()
+	}
+	m.now++
+	*p = told{Origin{Address: m.address, AddressSince: m.moved, AskedAt: asked, AnsweredAt: m.now, Version: m.version}, m.content}
+	m.newest = max(m.newest, m.content)
+}
+
+// restart begins a discovery that counts anew, at its address or at another one.
+func (m *sharingModel) restart() {
+	m.content, m.version = m.content+1, 1
+	if rapid.Bool().Draw(m.t, "moves") {
+		m.address, m.moved = m.address+"'", m.now
+	}
+}
+
+// startProcess starts a process, which is given what all others have.
+func (m *sharingModel) startProcess() {
+	fresh := &told{}
+	for _, p := range m.processes {
+		fresh.takeOver(p)
+	}
+	m.processes = append(m.processes, fresh)
+}
+
+// endProcess ends a process that has handed over what it has, unless it is the last.
+func (m *sharingModel) endProcess() {
+	if len(m.processes) == 1 {
+		return
+	}
+	ended := m.draw("ends")
+	m.processes = slices.DeleteFunc(m.processes, func(p *told) bool { return p == ended })
+	for _, p := range m.processes {
+		p.takeOver(ended)
+	}
+}
+
+// Failure: a process of an upgrade did not know what another one had been told. Processes come and go, ask, and hand over what they have in any
+// order. When all has been handed over, each has the newest list that any was told.
 func TestProcessesEndWithTheNewestListThatAnyWasTold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		now, content, version, address, moved := time.Duration(1), 0, int64(10), "a", time.Duration(1)
-		processes := map[int]*told{0: {}}
-		lastProcess, newest := 0, -1
-		merge := func(into *told, from told) {
-			if from.AnsweredAt > 0 && from.Supersedes(into.Origin) {
-				*into = from
-			}
-		}
-		drawProcess := func(label string) *told {
-			ids := []int{}
-			for i := range lastProcess + 1 {
-				if processes[i] != nil {
-					ids = append(ids, i)
-				}
-			}
-			return processes[rapid.SampledFrom(ids).Draw(t, label)]
-		}
+		m := &sharingModel{t: t, now: 1, version: 10, address: "a", moved: 1, processes: []*told{{}}}
+		steps := []func(){m.change, m.ask, m.ask, m.restart, m.startProcess, m.endProcess, func() { m.draw("to").takeOver(m.draw("from")) }}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(1, 5).Draw(t, "pause"))
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
-			case 0, 1:
-				content, version = content+1, version+1
-			case 2: // a process is told
-				p := drawProcess("asks")
-				asked := now
-				if rapid.Bool().Draw(t, "crosses a change") {
-					content, version = content+1, version+1
-				}
-				now++
-				*p = told{Origin{Address: address, AddressSince: moved, AskedAt: asked, AnsweredAt: now, Version: version}, content}
-				newest = max(newest, content)
-			case 3: // one hands over to another
-				merge(drawProcess("to"), *drawProcess("from"))
-			case 4: // one starts, and is given what all others have
-				fresh := &told{}
-				for i := range lastProcess + 1 {
-					if processes[i] != nil {
-						merge(fresh, *processes[i])
-					}
-				}
-				lastProcess++
-				processes[lastProcess] = fresh
-			case 5: // discovery starts anew, or is another one
-				content, version = content+1, 1
-				if rapid.Bool().Draw(t, "moves") {
-					address, moved = address+"'", now
-				}
-			case 6: // one is killed, when it has handed over
-				if len(processes) > 1 {
-					p := drawProcess("ends")
-					for i, other := range processes {
-						if merge(other, *p); other == p {
-							delete(processes, i)
-						}
-					}
-				}
-			}
+			m.now += time.Duration(rapid.IntRange(1, 5).Draw(t, "pause"))
+			rapid.SampledFrom(steps).Draw(t, "step")()
 		}
-		for _, into := range processes {
-			for _, from := range processes {
-				merge(into, *from)
+		for _, into := range m.processes {
+			for _, from := range m.processes {
+				into.takeOver(from)
 			}
 		}
-		for i, p := range processes {
-			if newest >= 0 && p.content != newest {
-				t.Fatalf("process %d has content %d, the newest that was told is %d", i, p.content, newest)
+		for i, p := range m.processes {
+			if p.content != m.newest {
+				t.Fatalf("process %d has content %d, the newest that was told is %d", i, p.content, m.newest)
 			}
 		}
 	})
--- a/internal/membership/platform/siblings_test.go
+++ b/internal/membership/platform/siblings_test.go
@@ -21,7 +21,7 @@
 	return listing.Told{Origin: listing.Origin{Address: addr, AddressSince: at, AskedAt: at, AnsweredAt: at, Version: version}, Servers: l.Servers}
 }
 
-func entry(id, state string) string { return agenttest.EntryText(id, "127.0.0.1:1", state, 0) }
+func serverIn(state string) string { return agenttest.EntryText("s-1", "127.0.0.1:1", state, 0) }
 
 // wantState waits for an update of one server that is in a state.
 func wantState(t *testing.T, h agenttest.Sink, state balancer.State) {
@@ -45,21 +45,21 @@
 func TestListOfAnotherProcessIsInForceUntilDiscoveryAnswers(t *testing.T) {
 	for name, onDemand := range map[string]bool{"pushed": false, "on demand": true} {
 		for _, cachedVersion := range []int{1, 99} {
-			f := agenttest.NewDiscovery(t, 7, entry("s-1", "Terminating"))
+			f := agenttest.NewDiscovery(t, 7, serverIn("Terminating"))
 			f.Silence(true)
 			d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
 			d.onDemand = onDemand
-			cachedList, err := listing.Parse([]byte(agenttest.ListText(cachedVersion, true, entry("s-1", "Ready"))))
+			cachedList, err := listing.Parse([]byte(agenttest.ListText(cachedVersion, true, serverIn("Ready"))))
 			if err != nil {
 				t.Fatal(err)
 			}
 			d.cachedList = cachedList
 			d.Subscribe()
-			d.Offer(toldAgo(t, f.Addr().String(), 7, time.Minute, entry("s-1", "Terminating")))
+			d.Offer(toldAgo(t, f.Addr().String(), 7, time.Minute, serverIn("Terminating")))
 			runUntilTestEnds(t, d, events)
 			wantState(t, events, balancer.Draining)
 			wantNoUpdate(t, events, 2*defaultFirstListTimeout) // the cached list is not used
-			f.Set(8, false, entry("s-1", "Ready"))
+			f.Set(8, false, serverIn("Ready"))
 			f.Silence(false)
 			for { // a pushed list is fetched whole first
 				u := nextUpdate(t, events)
@@ -76,7 +76,7 @@
 
 // While two processes run, either may be told first. The newer list counts in both, whichever way it came.
 func TestNewerListOfAnotherProcessCounts(t *testing.T) {
-	f := agenttest.NewDiscovery(t, 5, entry("s-1", "Ready"))
+	f := agenttest.NewDiscovery(t, 5, serverIn("Ready"))
 	d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
 	told := make(chan struct{}, 100)
 	d.OnTold(func() { told <- struct{}{} })
@@ -84,14 +84,14 @@
 	wantState(t, events, balancer.Ready)
 	<-told
 	f.Silence(true)
-	d.Offer(toldAgo(t, f.Addr().String(), 4, time.Minute, entry("s-1", "Terminating")))
+	d.Offer(toldAgo(t, f.Addr().String(), 4, time.Minute, serverIn("Terminating")))
 	wantNoUpdate(t, events, 50*time.Millisecond)
-	d.Offer(toldAgo(t, f.Addr().String(), 6, 0, entry("s-1", "Terminating")))
+	d.Offer(toldAgo(t, f.Addr().String(), 6, 0, serverIn("Terminating")))
 	wantState(t, events, balancer.Draining)
 	<-told // it is handed on
-	d.Offer(toldAgo(t, f.Addr().String(), 6, time.Minute, entry("s-1", "Ready")))
+	d.Offer(toldAgo(t, f.Addr().String(), 6, time.Minute, serverIn("Ready")))
 	wantNoUpdate(t, events, 50*time.Millisecond)
-	f.Set(7, false, entry("s-1", "Ready"))
+	f.Set(7, false, serverIn("Ready"))
 	f.Silence(false)
 	for u := nextUpdate(t, events); u.Version != 7 || u.Members[0].State != balancer.Ready; u = nextUpdate(t, events) {
 		if u.Version < 6 {
@@ -105,7 +105,7 @@
 func TestAnswerThatAnotherProcessHasOvertakenIsPassedOver(t *testing.T) {
 	d, events := newTestDiscovery(t, agenttest.Refusing(t), io.Discard)
 	answer := func(version int, full bool, begun time.Time, state string) error {
-		l, err := listing.Parse([]byte(agenttest.ListText(version, full, entry("s-1", state))))
+		l, err := listing.Parse([]byte(agenttest.ListText(version, full, serverIn(state))))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -113,7 +113,7 @@
 		return d.applyList(d.session, response{process: 1, list: l, call: &call{callRecord: callRecord{number: 1, since: -1, begun: begun}, session: d.session}})
 	}
 	before := time.Now()
-	d.adopt(toldAgo(t, d.addr, 7, 0, entry("s-1", "Terminating")))
+	d.adopt(toldAgo(t, d.addr, 7, 0, serverIn("Terminating")))
 	wantState(t, events, balancer.Draining)
 	if err := answer(6, true, before, "Ready"); err != nil {
 		t.Error(err)
@@ -134,19 +134,19 @@
 		"the other process has ended": func(d *Discovery, _ *agenttest.Discovery) { d.SiblingsEnded() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, next := agenttest.NewDiscovery(t, 5, entry("s-1", "Ready")), agenttest.NewDiscovery(t, 3, entry("s-1", "Terminating"))
+			f, next := agenttest.NewDiscovery(t, 5, serverIn("Ready")), agenttest.NewDiscovery(t, 3, serverIn("Terminating"))
 			next.Silence(true)
 			d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
 			runUntilTestEnds(t, d, events)
 			wantState(t, events, balancer.Ready)
-			d.Offer(toldAgo(t, next.Addr().String(), 3, 0, entry("s-1", "Terminating")))
+			d.Offer(toldAgo(t, next.Addr().String(), 3, 0, serverIn("Terminating")))
 			wantState(t, events, balancer.Draining)
-			f.Set(6, false, entry("s-1", "Ready"))
+			f.Set(6, false, serverIn("Ready"))
 			wantNoUpdate(t, events, 3*pushWatchTimeout)
 			end(d, next)
 			if name == "it is moved as well" {
 				wantNoUpdate(t, events, 2*pushWatchTimeout)
-				next.Set(4, false, entry("s-1", "Ready"))
+				next.Set(4, false, serverIn("Ready"))
 				next.Silence(false)
 			}
 			agenttest.Eventually(t, "the own discovery counts", func() bool { return nextUpdate(t, events).Members[0].State == balancer.Ready })
@@ -156,9 +156,9 @@
 
 // The new process is configured with another discovery, which has not answered yet. Until it does, what the old process' discovery tells counts.
 func TestListOfTheDiscoveryBeforeCountsUntilTheNewOneAnswers(t *testing.T) {
-	next := agenttest.NewDiscovery(t, 1, entry("s-1", "Ready"))
+	next := agenttest.NewDiscovery(t, 1, serverIn("Ready"))
 	next.Silence(true)
-	offers := []listing.Told{toldAgo(t, "before:1", 40, time.Minute, entry("s-1", "Ready")), toldAgo(t, "before:1", 41, time.Second, entry("s-1", "Terminating"))}
+	offers := []listing.Told{toldAgo(t, "before:1", 40, time.Minute, serverIn("Ready")), toldAgo(t, "before:1", 41, time.Second, serverIn("Terminating"))}
 	d, events := newTestDiscovery(t, next.Addr().String(), io.Discard)
 	d.Offer(offers[0])
 	runUntilTestEnds(t, d, events)
@@ -167,7 +167,7 @@
 	wantState(t, events, balancer.Draining)
 	next.Silence(false)
 	wantState(t, events, balancer.Ready)
-	later := toldAgo(t, "before:1", 42, 0, entry("s-1", "Terminating"))
+	later := toldAgo(t, "before:1", 42, 0, serverIn("Terminating"))
 	later.AddressSince = offers[0].AddressSince
 	d.Offer(later)
 	wantNoUpdate(t, events, 2*pushWatchTimeout)
