--- a/internal/engine/coalescing.go
+++ b/internal/engine/coalescing.go
@@ -101,7 +101,10 @@
 	return c.original != nil && c.original.isUnderWay() || slices.ContainsFunc(c.laterSends, (*Attempt).isUnderWay)
 }
 
-func (a *Attempt) isUnderWay() bool { return !a.ended && AttemptPhase(a.phase.Load()) >= AwaitsWrite }
+// isUnderWay reports the same of one attempt. One whose transport does not tell its phases is taken to be.
+func (a *Attempt) isUnderWay() bool {
+	return !a.ended && (AttemptPhase(a.phase.Load()) >= AwaitsWrite || a.phaseSince.Load() == 0)
+}
 
 // flightResponder is the Responder of a flight. It only notes the answer, which fireTimers hands to the members: that asks the
 // balancer anew, and the balancer's actions, which are being carried out here, hold only until it is asked again.
--- a/internal/scenario/sim_agent.go
+++ b/internal/scenario/sim_agent.go
@@ -203,7 +203,6 @@
 		return
 	}
 	write := func() {
-		at.SetPhase(engine.AwaitsWrite)
 		w.scheduleAfter(w.drawNetworkDelay(), func() { s.receive(func() { s.handleAttempt(at, &timedOut, ended) }) })
 	}
 	if !at.IsKeyedRepeat || w.script.Fleet.OmitsContinue {
