Joined requests: a client that leaves gives back its place of a limit

Cause: the binding of a call that led a flight was left to forget, which looks by id and found the flight. Change: clientLeft releases it first.

--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -152,12 +152,12 @@
 	}
 	e.counters.clientLeft(c)
 	e.rememberID(c)
+	e.releaseGeneration(c, generation.ClientCanceled)
 	if c.member != nil {
 		e.coalescer.leave(c)
 		return
 	}
 	e.releasePermit(c, admission.OutcomeCanceled)
-	e.releaseGeneration(c, generation.ClientCanceled)
 	e.cancel(c)
 }
 
--- a/internal/engine/flights_test.go
+++ b/internal/engine/flights_test.go
@@ -240,3 +240,19 @@
 		}
 	}
 }
+
+// Failure: a client that left while its request led a flight kept its place of a limit for good, until the agent rejected everything. Whatever ends
+// clients, no request is open under the configuration when all have ended.
+func TestJoinedClientsThatLeaveKeepNoPlaceOfALimit(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newFlightModel(t, seed)
+		for range 100 {
+			m.advance(m.now + m.drawTime(60*time.Millisecond))
+			m.arrive()
+		}
+		m.advance(m.now + 20*time.Second)
+		if open := m.engine.generations.manager.Status(m.now).OpenRequests; len(open) > 0 {
+			t.Fatalf("seed %d: open by generation: %v", seed, open)
+		}
+	}
+}
