--- a/cmd/appleledge/shared_list_test.go
+++ b/cmd/appleledge/shared_list_test.go
@@ -128,6 +128,20 @@
 			in.ready(in.start(in.disco.Addr().String()))
 			in.wantNothingToDraining("the third")
 		}},
+		"a list on disk by [recovery], from before": {agenttest.ConfigText, func(in *installation, old *version) {
+			settings := filepath.Join(in.dir, "own.toml")
+			text := fmt.Sprintf("[recovery]\ndir = %q\n", filepath.Join(in.dir, "recovery"))
+			if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+				in.t.Fatal(err)
+			}
+			next := in.ready(in.start(in.disco.Addr().String(), "-settings", settings))
+			in.retire(old)
+			in.wantNothingToDraining("the new one")
+			in.kill(next)
+			in.listen = ""
+			in.ready(in.start(in.disco.Addr().String(), "-settings", settings))
+			in.wantNothingToDraining("the third")
+		}},
 		"three, the first and second are killed": {agenttest.ConfigText, func(in *installation, old *version) {
 			second := in.start(in.disco.Addr().String())
 			in.kill(old)
@@ -155,6 +169,15 @@
 			in.retire(old)
 			in.wantNothingToDraining("the new one")
 		}},
+		"SIGHUP to another discovery, which is silent, and a kill": {onDemand, func(in *installation, old *version) {
+			next := agenttest.NewDiscovery(in.t, 1, in.entries("Ready")...)
+			next.Silence(true)
+			in.reload(old, next.Addr().String())
+			in.kill(old)
+			in.listen = ""
+			in.ready(in.start(next.Addr().String()))
+			in.wantNothingToDraining("the new one")
+		}},
 		"the other one is told, in either direction": {agenttest.ConfigText, func(in *installation, old *version) {
 			other := agenttest.NewDiscovery(in.t, 1, in.entries("Ready")...)
 			next := in.ready(in.start(other.Addr().String()))
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -23,7 +23,7 @@
 		MaxOpenCalls:     openDiscoveryCalls(a.cfg.Sockets),
 	}
 	if link := a.features.hotRestart; link != nil {
-		if stored := link.StoredEndpointList(a.cfg.Discovery); stored != nil { // what the agent was told last
+		if stored := link.StoredEndpointList(); stored != nil { // what the agent was told last
 			options.CachedList = listing.List{Version: stored.Version, Full: true, Servers: stored.Servers}
 			options.CachedListOrigin = stored.Origin
 		}
--- a/internal/hotrestart/endpoints.go
+++ b/internal/hotrestart/endpoints.go
@@ -27,13 +27,16 @@
 	}
 }
 
-// shareEndpoints sends the list whenever it has changed, until the context ends.
+// shareEndpoints sends and stores the list whenever it has changed, and now and then, until the context ends.
 func (l *Link) shareEndpoints(ctx context.Context) {
+	refresh := time.NewTicker(storeInterval)
+	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.endpointsChanged:
+		case <-refresh.C:
 		}
 		began := time.Now()
 		if list := l.sendEndpoints(); list != nil {
--- a/internal/hotrestart/storedlist.go
+++ b/internal/hotrestart/storedlist.go
@@ -18,32 +18,27 @@
 )
 
 // A process that starts when no other one lives, behind a kill or a restart, gets the endpoint list from a file beside the sockets. Each process
-// replaces it when its list changes, and when it becomes the only one. It says which agent has written it in which boot of the machine,
-// and is trusted only in that one, for as long as a list may be old, and for the discovery that has sent the list. It is written
-// without a sync: a boot ends its use.
+// replaces it when its list changes, when it becomes the only one, and every storeInterval. It says which agent has written it in which boot of the
+// machine, and is trusted only in that one, and only shortly behind the last process. It is written without a sync: a boot ends its use.
 const (
 	storedListSuffix = ".list"
 	newListSuffix    = ".list.new" // of a file that is being written
-	maxStoredListAge = 24 * time.Hour
+	storeInterval    = time.Minute
+	maxStoredListAge = 10 * time.Minute // since it was written
 )
 
 // storedList is the content of the file.
 type storedList struct {
-	Agent  string       `json:"agent"`
-	BootID string       `json:"boot"`
-	List   listing.Told `json:"list"`
+	Agent  string        `json:"agent"`
+	BootID string        `json:"boot"`
+	At     time.Duration `json:"at_ns"` // since the boot, when it was written
+	List   listing.Told  `json:"list"`
 }
 
 var errOtherUser = errors.New("another user has written it")
 
-// StoredEndpointList returns the list that processes of the agent have left at the start of this one, if it is of the discovery at that address;
-// nil: there is none.
-func (l *Link) StoredEndpointList(discovery string) *listing.Told {
-	if l.storedList == nil || l.storedList.Address != discovery {
-		return nil
-	}
-	return l.storedList
-}
+// StoredEndpointList returns the list that processes of the agent had left at the start of this one; nil: there is none.
+func (l *Link) StoredEndpointList() *listing.Told { return l.storedList }
 
 // storedListName is the name of the file.
 func (l *Link) storedListName() string { return socketPrefix(l.agent) + storedListSuffix[1:] }
@@ -61,11 +56,11 @@
 }
 
 func (l *Link) writeStoredList(list *listing.Told) error {
-	bootID, _, err := bindinglog.BootTime()
+	bootID, now, err := bindinglog.BootTime()
 	if err != nil {
 		return err
 	}
-	text, err := json.Marshal(storedList{Agent: l.agent, BootID: bootID, List: *list})
+	text, err := json.Marshal(storedList{Agent: l.agent, BootID: bootID, At: now, List: *list})
 	if err != nil {
 		return err
 	}
@@ -110,11 +105,11 @@
 	if err := json.Unmarshal(text, &stored); err != nil {
 		return nil, err
 	}
-	bootID, sinceBoot, err := bindinglog.BootTime()
+	bootID, now, err := bindinglog.BootTime()
 	if err != nil {
 		return nil, err
 	}
-	age := sinceBoot - stored.List.AnsweredAt
+	age := now - stored.At
 	if stored.Agent != l.agent || stored.BootID != bootID || age < 0 || age > maxStoredListAge {
 		return nil, fmt.Errorf("it is of the agent %q, of the boot %s, and %v old", stored.Agent, stored.BootID, age.Round(time.Second))
 	}
--- a/internal/membership/platform/apply.go
+++ b/internal/membership/platform/apply.go
@@ -72,7 +72,10 @@
 	if r.call.number < s.firstCall {
 		return nil
 	}
-	if d.isHeldToAnotherAddress(s) || s.checkAdopted(r) {
+	if isPassedOver, err := d.passesOverOwn(s, l); isPassedOver || err != nil {
+		return err
+	}
+	if s.checkAdopted(r) {
 		return nil
 	}
 	if err := d.checkProcess(s, r); err != nil {
--- a/internal/membership/platform/cachedlist.go
+++ b/internal/membership/platform/cachedlist.go
@@ -30,7 +30,7 @@
 	d.told = toldList{Origin: d.cachedOrigin()}
 	d.deliver(l)
 	d.log.Info("the list from before the start is in force", "version", l.Version, "entries", len(l.Servers))
-	if d.onDemand {
+	if isOfThisDiscovery := d.told.Address == "" || d.told.Address == d.addr; d.onDemand && isOfThisDiscovery {
 		d.watchVersion = l.Version
 	}
 }
--- a/internal/membership/platform/siblings.go
+++ b/internal/membership/platform/siblings.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -13,12 +14,21 @@
 // process is in force until discovery's own answer to this process takes its place; discovery at the same address is asked for the
 // changes since, and an answer that is older by its version is passed over.
 
+// maxOtherAddressHold is for how long the list of a discovery at another address counts before the own one. Processes that replace each other have
+// read the same configuration by then.
+const maxOtherAddressHold = time.Minute
+
+// errOtherAddress says that a change of the own discovery can't be applied to the list of another one.
+var errOtherAddress = errors.New("the list in force is that of another discovery, of which another process of the agent was told")
+
 // toldList is the origin of the list in force.
 type toldList struct {
 	listing.Origin
-	isAdopted bool // from another process of the agent
+	adoptedAt time.Time // from another process of the agent; zero: it was not
 }
 
+func (t toldList) isAdopted() bool { return !t.adoptedAt.IsZero() }
+
 // OnTold sets what is called when another list is in force, for other processes of the agent. It is called before Run, if at all. The function is
 // called on the goroutine of Run and must not block.
 func (d *Discovery) OnTold(notify func()) { d.notifyTold = notify }
@@ -73,9 +83,29 @@
 		d.adopt(*offered)
 	}
 	if ended && d.isHeldToAnotherAddress(d.session) {
-		d.told.Origin = listing.Origin{}
-		d.heldVersion, d.watchVersion = -1, -1
+		d.returnToOwnAddress(d.session)
+	}
+}
+
+// passesOverOwn reports whether an answer to a session is passed over, as the list in force is of a discovery that was configured later. An error
+// says that the whole list of the own one is needed.
+func (d *Discovery) passesOverOwn(s *session, l listing.List) (bool, error) {
+	if !d.isHeldToAnotherAddress(s) {
+		return false, nil
+	}
+	if time.Since(d.told.adoptedAt) < maxOtherAddressHold {
+		return true, nil
+	}
+	if d.returnToOwnAddress(s); !l.Full {
+		return false, errOtherAddress
 	}
+	return false, nil
+}
+
+// returnToOwnAddress makes any list of a session's discovery newer than the one in force.
+func (d *Discovery) returnToOwnAddress(s *session) {
+	d.told = toldList{}
+	s.heldVersion, s.watchVersion = -1, -1
 }
 
 // adopt puts the list of another process in force, if it is newer.
@@ -84,7 +114,7 @@
 		return
 	}
 	previous := d.told.Origin
-	d.told, d.hasEndpoints, d.cachedListAt = toldList{t.Origin, true}, true, time.Time{}
+	d.told, d.hasEndpoints, d.cachedListAt = toldList{t.Origin, time.Now()}, true, time.Time{}
 	d.continueAdopted(d.session)
 	d.deliver(listing.List{Version: t.Version, Full: true, Servers: t.Servers})
 	d.log.Info("list of another process of the agent", "version", t.Version, "held", previous.Version, "discovery", t.Address,
@@ -93,7 +123,7 @@
 
 // continueAdopted makes a session go on from the list in force, where that is another process' and of the same discovery.
 func (d *Discovery) continueAdopted(s *session) {
-	if d.told.isAdopted && d.told.AnsweredAt > 0 && d.told.Address == s.addr {
+	if d.told.isAdopted() && d.told.AnsweredAt > 0 && d.told.Address == s.addr {
 		s.heldVersion, s.watchVersion, s.adoptedAt = d.told.Version, d.told.Version, time.Now()
 	}
 }
@@ -120,7 +150,7 @@
 // isHeldToAnotherAddress reports whether the list in force was told to another process by a discovery that was configured later than that of a
 // session: that process has read a newer configuration.
 func (d *Discovery) isHeldToAnotherAddress(s *session) bool {
-	return d.told.isAdopted && d.told.AnsweredAt > 0 && d.told.Address != s.addr && d.told.AddressSince > s.since
+	return d.told.isAdopted() && d.told.AnsweredAt > 0 && d.told.Address != s.addr && d.told.AddressSince > s.since
 }
 
 // noteAnswered notes that the list in force is what a call of this process was answered with.
--- a/internal/membership/platform/siblings_test.go
+++ b/internal/membership/platform/siblings_test.go
@@ -172,3 +172,25 @@
 	d.Offer(later)
 	wantNoUpdate(t, events, 2*pushWatchTimeout)
 }
+
+// A process that was started with a newer configuration has ended, and others that have not read it hold each other to its discovery. They go back to
+// their own in time.
+func TestOtherDiscoveryCountsForABoundedTime(t *testing.T) {
+	d, events := newTestDiscovery(t, agenttest.Refusing(t), io.Discard)
+	d.adopt(toldAgo(t, "another:1", 7, 0, serverIn("Terminating")))
+	wantState(t, events, balancer.Draining)
+	d.told.AddressSince = d.since + time.Second
+	own := listing.List{Version: 3, Full: true}
+	if passedOver, err := d.passesOverOwn(d.session, own); !passedOver || err != nil {
+		t.Errorf("at once: %t, %v", passedOver, err)
+	}
+	held := d.told
+	for _, full := range []bool{false, true} {
+		d.told = held
+		d.told.adoptedAt = time.Now().Add(-maxOtherAddressHold)
+		own.Full = full
+		if passedOver, err := d.passesOverOwn(d.session, own); passedOver || (err == nil) != full || d.watchVersion != -1 {
+			t.Errorf("later, full %t: %t, %v", full, passedOver, err)
+		}
+	}
+}
