Upgrade: a stored list is not used behind a loss of power that [recovery] sees

[recovery] names the boot by a file of its own: where that says another boot, servers may have started anew. Cause: found by reading the change once more.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -22,7 +22,7 @@
 		OnDemand:         a.cfg.Site.Balancer.Subscribe,
 		MaxOpenCalls:     openDiscoveryCalls(a.cfg.Sockets),
 	}
-	if link := a.features.hotRestart; link != nil {
+	if link := a.features.hotRestart; link != nil && a.snapshots.isSameBoot() {
 		if stored := link.StoredEndpointList(); stored != nil { // what the agent was told last
 			options.CachedList = listing.List{Version: stored.Version, Full: true, Servers: stored.Servers}
 			options.CachedListOrigin = stored.Origin
--- a/internal/agent/snapshots.go
+++ b/internal/agent/snapshots.go
@@ -153,6 +153,10 @@
 	return s.previous.EndpointList(s.trust)
 }
 
+// isSameBoot reports whether nothing says that the machine lost power since the agent's last process: then servers may have started anew that a list
+// from before has as running.
+func (s *snapshotStore) isSameBoot() bool { return s == nil || s.trust == ondisk.TrustEverything }
+
 // firstListTimeout returns how long the first list is awaited before the startup list is used; 0: the default.
 func (s *snapshotStore) firstListTimeout() time.Duration {
 	if s == nil {
