Upgrade: the link's directory stays open until the last list is stored

Cause: the race detector, in 2 of 20 runs of the package on two busy cores: Link.Close closed the directory while the list was written into it, so that a descriptor of that number could have been another file.

--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -173,11 +173,13 @@
 	}
 	l.mu.Unlock()
 	l.applyDecisions()
-	running.Go(func() { l.shareEndpoints(ctx) })
+	var sharing sync.WaitGroup
+	sharing.Go(func() { l.shareEndpoints(ctx) })
 	if l.peerListener != nil {
 		running.Go(func() { l.acceptPeers(ctx, &running) })
 	}
 	<-ctx.Done()
+	sharing.Wait() // it writes into the directory that Close closes
 	l.Close()
 }
 
