Upgrade: answers to calls that were open when the list changed hands are passed over

A poll that was open when a list from another discovery, or of one that counts anew, took the place of the one it asks for changes of, brought changes that were applied to the wrong list, and what lay between was never asked for. Change: such calls are void.

--- a/internal/membership/platform/siblings.go
+++ b/internal/membership/platform/siblings.go
@@ -102,12 +102,17 @@
 	return false, nil
 }
 
-// returnToOwnAddress makes any list of a session's discovery newer than the one in force.
+// returnToOwnAddress makes any whole list of a session's discovery newer than the one in force.
 func (d *Discovery) returnToOwnAddress(s *session) {
 	d.told = toldList{}
 	s.heldVersion, s.watchVersion = -1, -1
+	d.voidOpenCalls(s)
 }
 
+// voidOpenCalls makes a session pass over the answers to the calls that are open: changes since a version that the list in force does not go back to
+// would leave out some.
+func (d *Discovery) voidOpenCalls(s *session) { s.firstCall = d.callLog.lastNumber + 1 }
+
 // adopt puts the list of another process in force, if it is newer.
 func (d *Discovery) adopt(t listing.Told) {
 	if d.hasEndpoints && !t.Supersedes(d.told.Origin) {
@@ -124,6 +129,9 @@
 // continueAdopted makes a session go on from the list in force, where that is another process' and of the same discovery.
 func (d *Discovery) continueAdopted(s *session) {
 	if d.told.isAdopted() && d.told.AnsweredAt > 0 && d.told.Address == s.addr {
+		if d.told.Version < s.heldVersion { // discovery counts anew
+			d.voidOpenCalls(s)
+		}
 		s.heldVersion, s.watchVersion, s.adoptedAt = d.told.Version, d.told.Version, time.Now()
 	}
 }
--- a/internal/membership/platform/siblings_test.go
+++ b/internal/membership/platform/siblings_test.go
@@ -194,3 +194,50 @@
 		}
 	}
 }
+
+// A poll is open when the list that it asks for changes of goes out of force: another process was told by a discovery that counts anew, or the
+// discovery at another address does not count any more. Its answer is passed over, as the list in force lacks what came before.
+func TestChangesOfAListThatIsNotInForceArePassedOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after func(d *Discovery)
+	}{
+		"counts anew": {func(*Discovery) {}, func(d *Discovery) {
+			d.adopt(toldAgo(t, d.addr, 2, -time.Second, serverIn("Terminating")))
+		}},
+		"another address": {func(d *Discovery) {
+			later := toldAgo(t, "another:1", 2, -time.Second, serverIn("Terminating"))
+			later.AddressSince = d.since + time.Second
+			d.adopt(later)
+		}, func(d *Discovery) { d.SiblingsEnded(); d.handleSiblings() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := agenttest.NewDiscovery(t, 9, serverIn("Ready"))
+			d, events := newTestDiscovery(t, f.Addr().String(), io.Discard)
+			take := func(since int64, text string) {
+				l, err := listing.Parse([]byte(text))
+				if err != nil {
+					t.Fatal(err)
+				}
+				record := d.callLog.begin(since, 0, 0, true)
+				c.after(d)
+				if err := d.applyList(d.session, response{process: 1, list: l, call: &call{callRecord: record, session: d.session}}); err != nil {
+					t.Error(err)
+				}
+			}
+			d.adopt(toldAgo(t, d.addr, 9, 0, serverIn("Ready")))
+			c.before(d)
+			for len(events.Updates) > 0 {
+				<-events.Updates
+			}
+			take(9, agenttest.ListText(10, false, agenttest.EntryText("s-2", "127.0.0.1:2", "Ready", 0)))
+			for len(events.Updates) > 0 {
+				if u := <-events.Updates; u.Version == 10 {
+					t.Errorf("the change counts: %+v", u)
+				}
+			}
+			if d.watchVersion == 10 || d.heldVersion == 10 {
+				t.Errorf("changes are asked for from version %d on", d.watchVersion)
+			}
+		})
+	}
+}
