--- a/cmd/appleledgectl/affinity.go
+++ b/cmd/appleledgectl/affinity.go
@@ -15,6 +15,7 @@
 	"appleledge/internal/affinity/bindinglog"
 	"appleledge/internal/atomicfile"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/boottime"
 )
 
 // affinityCommands look into the folder in which agents keep where refunds went. They need no agent.
@@ -139,7 +140,7 @@
 func (c *console) compactCommand() *cobra.Command {
 	var lasts time.Duration
 	cmd := c.inspectCommand("compact", "Remove files of which nothing is of use any more", 0, func(dir string, files []bindinglog.FileReport, _ []string) error {
-		boot, now, err := bindinglog.BootTime()
+		boot, now, err := boottime.Read()
 		if err != nil {
 			return err
 		}
--- a/cmd/appleledgectl/main_test.go
+++ b/cmd/appleledgectl/main_test.go
@@ -22,6 +22,7 @@
 	"appleledge/internal/agenttest"
 	"appleledge/internal/atomicfile"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/boottime"
 	"appleledge/internal/cli"
 	"appleledge/internal/generation"
 	"appleledge/internal/plan"
@@ -220,7 +221,7 @@
 // What a folder of ties holds, with a damaged file and one of an earlier run of the machine among them.
 func TestAffinityCommands(t *testing.T) {
 	dir := t.TempDir()
-	boot, now, err := bindinglog.BootTime()
+	boot, now, err := boottime.Read()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/affinity.go
+++ b/internal/agent/affinity.go
@@ -9,6 +9,7 @@
 
 	"appleledge/internal/affinity"
 	"appleledge/internal/affinity/bindinglog"
+	"appleledge/internal/boottime"
 	"appleledge/internal/engine"
 )
 
@@ -91,7 +92,7 @@
 
 // setBootClock makes the log store times since the machine's boot, which all its processes have in common.
 func (x Features) setBootClock(o *bindinglog.Options, clk engine.Clock) error {
-	boot, now, err := bindinglog.BootTime()
+	boot, now, err := boottime.Read()
 	if err == nil && x.Recovery != nil {
 		boot, err = x.Recovery.bootID()
 	}
--- a/internal/agent/snapshots.go
+++ b/internal/agent/snapshots.go
@@ -12,9 +12,9 @@
 	"sync"
 	"time"
 
-	"appleledge/internal/affinity/bindinglog"
 	"appleledge/internal/atomicfile"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/boottime"
 	"appleledge/internal/denylist"
 	"appleledge/internal/engine"
 	ondisk "appleledge/internal/fleet/snapshot"
@@ -135,7 +135,7 @@
 	if err != nil {
 		return ondisk.Reader{}, err
 	}
-	_, since, err := bindinglog.BootTime()
+	_, since, err := boottime.Read()
 	return ondisk.Reader{Agent: s.agent, BootID: run, SinceBoot: since}, err
 }
 
--- a/internal/hotrestart/endpoints_test.go
+++ b/internal/hotrestart/endpoints_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"appleledge/internal/affinity/bindinglog"
 	"appleledge/internal/agenttest"
+	"appleledge/internal/boottime"
 	"appleledge/internal/membership/listing"
 )
 
@@ -139,7 +139,7 @@
 // What is in the file is of another agent or boot, too old, from the future, cut off, no list, or no regular file; a write was cut off. The process
 // starts with nothing, and replaces the file.
 func TestStoredListThatCannotBeTrustedIsNotUsed(t *testing.T) {
-	bootID, now, err := bindinglog.BootTime()
+	bootID, now, err := boottime.Read()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hotrestart/storedlist.go
+++ b/internal/hotrestart/storedlist.go
@@ -12,8 +12,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"appleledge/internal/affinity/bindinglog"
 	"appleledge/internal/besteffort"
+	"appleledge/internal/boottime"
 	"appleledge/internal/membership/listing"
 )
 
@@ -56,7 +56,7 @@
 }
 
 func (l *Link) writeStoredList(list *listing.Told) error {
-	bootID, now, err := bindinglog.BootTime()
+	bootID, now, err := boottime.Read()
 	if err != nil {
 		return err
 	}
@@ -105,7 +105,7 @@
 	if err := json.Unmarshal(text, &stored); err != nil {
 		return nil, err
 	}
-	bootID, now, err := bindinglog.BootTime()
+	bootID, now, err := boottime.Read()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/membership/platform/siblings.go
+++ b/internal/membership/platform/siblings.go
@@ -4,8 +4,8 @@
 	"errors"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"appleledge/internal/besteffort"
+	"appleledge/internal/boottime"
 	"appleledge/internal/membership/listing"
 )
 
@@ -190,11 +190,9 @@
 	return (sinceBoot() - o.AnsweredAt).Milliseconds()
 }
 
-// sinceBoot is the time since the boot of the machine.
+// sinceBoot is the time since the boot of the machine; 0 where the system does not tell it.
 func sinceBoot() time.Duration {
-	var t unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
-		return 0
-	}
-	return time.Duration(t.Nano())
+	now, err := boottime.Since()
+	besteffort.Ignore(err)
+	return now
 }
